Add build, shared interfaces and the design page

Cause: the repository was empty; parallel work needs the interfaces first. Change: Maven build with formatter, linter and layering rules; identities, errors, configuration values, log records, platform interfaces; design page. Conclusion: packages can be filled in independently.

--- /dev/null
+++ b/src/main/java/org/heathercourse/core/config/RouteSpec.java
@@ -0,0 +1,25 @@
+package org.heathercourse.core.config;
+
+import java.util.List;
+import org.heathercourse.core.model.RetrySafety;
+
+/**
+ * A route of a plain service. The route with the longest matching prefix applies.
+ *
+ * @param pathPrefix prefix of the path below the service, starting with a slash
+ * @param methods HTTP methods in upper case; empty for all
+ * @param retrySafety whether calls on this route may be repeated
+ * @param openToAll whether calls need no key
+ * @param timeoutMillis longest time for a call in milliseconds
+ */
+public record RouteSpec(
+        String pathPrefix,
+        List<String> methods,
+        RetrySafety retrySafety,
+        boolean openToAll,
+        long timeoutMillis) {
+    /** Copies the list of methods. */
+    public RouteSpec {
+        methods = methods == null ? List.of() : List.copyOf(methods);
+    }
+}
--- /dev/null
+++ b/src/main/java/org/heathercourse/core/error/ErrorKind.java
@@ -0,0 +1,78 @@
+package org.heathercourse.core.error;
+
+import java.util.Locale;
+
+/**
+ * The kinds of errors that callers, operators and other daemons see.
+ *
+ * <p>Each kind carries its HTTP status and whether a refusal of this kind proves that no byte of
+ * the request reached a target. A concrete error may narrow a {@code true} to {@code false}, never
+ * the other way round.
+ */
+public enum ErrorKind {
+    BAD_REQUEST(400, true),
+    UNAUTHENTICATED(401, true),
+    KEY_WITHDRAWN(401, true),
+    FORBIDDEN(403, true),
+    UNKNOWN_SERVICE(404, true),
+    UNKNOWN_PROGRAM(404, true),
+    UNKNOWN_REQUEST(404, true),
+    IDENTITY_CONFLICT(409, true),
+    OUT_OF_ORDER(409, true),
+    HISTORY_MISMATCH(409, true),
+    CONFLICT(409, true),
+    PROGRAM_ENDED(410, true),
+    BUDGET_EXCEEDED(402, true),
+    PAYLOAD_TOO_LARGE(413, true),
+    RATE_LIMITED(429, true),
+    OVERLOADED(503, true),
+    STALE_CONFIGURATION(503, true),
+    STORE_UNAVAILABLE(503, true),
+    OWNER_UNAVAILABLE(503, true),
+    OWNERSHIP_LOST(503, false),
+    DRAINING(503, true),
+    CANCELLED(499, false),
+    TARGET_FAILED(502, false),
+    OUTCOME_UNKNOWN(502, false),
+    DEADLINE_EXCEEDED(504, false),
+    INVALID_SETTING(500, true),
+    INTERNAL(500, false);
+
+    private final int mHttpStatus;
+    private final boolean mNotRun;
+
+    ErrorKind(int httpStatus, boolean notRun) {
+        mHttpStatus = httpStatus;
+        mNotRun = notRun;
+    }
+
+    /** Returns the HTTP status code that reports this kind. */
+    public int httpStatus() {
+        return mHttpStatus;
+    }
+
+    /** Returns whether errors of this kind state by default that the request was not run. */
+    public boolean notRunByDefault() {
+        return mNotRun;
+    }
+
+    /** Returns the name used in JSON bodies and logs, in lower case with underscores. */
+    public String wireName() {
+        return name().toLowerCase(Locale.ROOT);
+    }
+
+    /**
+     * Returns the kind with the given wire name.
+     *
+     * @param wireName a name as returned by {@link #wireName()}
+     * @return the kind, or {@link #INTERNAL} if a newer peer sent a name that is not known here
+     */
+    public static ErrorKind fromWireName(String wireName) {
+        for (ErrorKind kind : values()) {
+            if (kind.wireName().equals(wireName)) {
+                return kind;
+            }
+        }
+        return INTERNAL;
+    }
+}
--- /dev/null
+++ b/src/main/java/org/heathercourse/core/program/LogRecord.java
@@ -0,0 +1,143 @@
+package org.heathercourse.core.program;
+
+import com.fasterxml.jackson.annotation.JsonSubTypes;
+import com.fasterxml.jackson.annotation.JsonTypeInfo;
+import java.util.List;
+import org.heathercourse.core.model.ChatMessage;
+import org.heathercourse.core.model.ProgramId;
+import org.heathercourse.core.model.RequestId;
+import org.heathercourse.core.model.TargetId;
+import org.heathercourse.core.model.WorkspaceId;
+
+/** A record of a shard's log. The state of programs is the fold of these records. Immutable. */
+@JsonTypeInfo(use = JsonTypeInfo.Id.NAME, property = "type")
+@JsonSubTypes({
+    @JsonSubTypes.Type(value = LogRecord.ProgramStarted.class, name = "started"),
+    @JsonSubTypes.Type(value = LogRecord.BudgetReserved.class, name = "reserved"),
+    @JsonSubTypes.Type(value = LogRecord.IntentRecorded.class, name = "intent"),
+    @JsonSubTypes.Type(value = LogRecord.CallCompleted.class, name = "completed"),
+    @JsonSubTypes.Type(value = LogRecord.CallFailed.class, name = "failed"),
+    @JsonSubTypes.Type(value = LogRecord.ProgramEnded.class, name = "ended"),
+    @JsonSubTypes.Type(value = LogRecord.CacheReleaseOwed.class, name = "release_owed"),
+    @JsonSubTypes.Type(value = LogRecord.CacheReleaseConfirmed.class, name = "release_confirmed"),
+})
+public sealed interface LogRecord {
+    /** Returns the program that the record belongs to. */
+    ProgramId program();
+
+    /**
+     * A program began.
+     *
+     * @param program the program
+     * @param workspace workspace that it belongs to
+     * @param parent program that started this one as a sub-agent, which shares its budget; null if
+     *     there is none
+     * @param budgetTokens tokens that it may spend
+     * @param reservedTokens tokens reserved for its first call
+     */
+    record ProgramStarted(
+            ProgramId program,
+            WorkspaceId workspace,
+            ProgramId parent,
+            long budgetTokens,
+            long reservedTokens)
+            implements LogRecord {}
+
+    /**
+     * More tokens were reserved.
+     *
+     * @param program the program
+     * @param reservedTokens tokens reserved from now on, in place of the number before
+     */
+    record BudgetReserved(ProgramId program, long reservedTokens) implements LogRecord {}
+
+    /**
+     * A non-idempotent call is about to be dispatched.
+     *
+     * @param program the program
+     * @param request identity of the call
+     * @param bodyDigest digest of the request body
+     * @param target target that it goes to
+     * @param fence fencing number under which it is sent
+     */
+    record IntentRecorded(
+            ProgramId program, RequestId request, String bodyDigest, TargetId target, long fence)
+            implements LogRecord {}
+
+    /**
+     * A call ended with an answer.
+     *
+     * @param program the program
+     * @param request identity of the call
+     * @param bodyDigest digest of the request body
+     * @param status HTTP status of the answer
+     * @param contentType media type of the answer
+     * @param answer body of the answer
+     * @param messages messages that the call added to the history, in order
+     * @param costTokens tokens spent
+     * @param reserveNextTokens tokens reserved for the next call, in place of the number before
+     * @param target target that answered
+     */
+    record CallCompleted(
+            ProgramId program,
+            RequestId request,
+            String bodyDigest,
+            int status,
+            String contentType,
+            byte[] answer,
+            List<ChatMessage> messages,
+            long costTokens,
+            long reserveNextTokens,
+            TargetId target)
+            implements LogRecord {
+        /** Copies the list of messages. */
+        public CallCompleted {
+            messages = messages == null ? List.of() : List.copyOf(messages);
+        }
+    }
+
+    /**
+     * A call ended without an answer.
+     *
+     * @param program the program
+     * @param request identity of the call
+     * @param bodyDigest digest of the request body
+     * @param errorKind wire name of the error kind
+     * @param message what was met
+     * @param notRun whether it is certain that no target ran it; such a call may be tried again
+     * @param costTokens tokens spent all the same
+     */
+    record CallFailed(
+            ProgramId program,
+            RequestId request,
+            String bodyDigest,
+            String errorKind,
+            String message,
+            boolean notRun,
+            long costTokens)
+            implements LogRecord {}
+
+    /**
+     * A program ended; its state is kept for a while so that answers can be read again.
+     *
+     * @param program the program
+     * @param reason why it ended: completed, cancelled, idle or budget
+     */
+    record ProgramEnded(ProgramId program, String reason) implements LogRecord {}
+
+    /**
+     * A target holds cache for the program that has to be released when the program ends.
+     *
+     * @param program the program
+     * @param target the target
+     */
+    record CacheReleaseOwed(ProgramId program, TargetId target) implements LogRecord {}
+
+    /**
+     * A target has confirmed that it holds no cache for the program any more.
+     *
+     * @param program the program
+     * @param target the target
+     */
+    record CacheReleaseConfirmed(ProgramId program, TargetId target) implements LogRecord {}
+}
--- /dev/null
+++ b/src/main/java/org/heathercourse/core/program/package-info.java
@@ -0,0 +1,2 @@
+/** Log records and the state of programs that is folded from them. */
+package org.heathercourse.core.program;
--- /dev/null
+++ b/src/main/java/org/heathercourse/core/time/package-info.java
@@ -0,0 +1,2 @@
+/** Time sources that tests pause and advance. */
+package org.heathercourse.core.time;
--- /dev/null
+++ b/src/main/java/org/heathercourse/daemon/peer/PeerMessage.java
@@ -0,0 +1,181 @@
+package org.heathercourse.daemon.peer;
+
+import com.fasterxml.jackson.annotation.JsonSubTypes;
+import com.fasterxml.jackson.annotation.JsonTypeInfo;
+import java.util.List;
+import java.util.Map;
+import org.heathercourse.core.model.VmId;
+import org.heathercourse.core.model.WorkspaceId;
+
+/**
+ * Messages between daemons. Encoded as MessagePack maps; receivers ignore unknown fields, so that
+ * daemons of neighbouring versions understand each other.
+ */
+@JsonTypeInfo(use = JsonTypeInfo.Id.NAME, property = "t")
+@JsonSubTypes({
+    @JsonSubTypes.Type(value = PeerMessage.StatusRequest.class, name = "status"),
+    @JsonSubTypes.Type(value = PeerMessage.StatusReply.class, name = "status_reply"),
+    @JsonSubTypes.Type(value = PeerMessage.ConfigPush.class, name = "config"),
+    @JsonSubTypes.Type(value = PeerMessage.ShareRequest.class, name = "share"),
+    @JsonSubTypes.Type(value = PeerMessage.ShareReply.class, name = "share_reply"),
+    @JsonSubTypes.Type(value = PeerMessage.ProgramOp.class, name = "op"),
+    @JsonSubTypes.Type(value = PeerMessage.ProgramOpReply.class, name = "op_reply"),
+    @JsonSubTypes.Type(value = PeerMessage.CallStart.class, name = "call"),
+    @JsonSubTypes.Type(value = PeerMessage.CallBody.class, name = "call_body"),
+    @JsonSubTypes.Type(value = PeerMessage.CallCancel.class, name = "call_cancel"),
+    @JsonSubTypes.Type(value = PeerMessage.CallHead.class, name = "call_head"),
+    @JsonSubTypes.Type(value = PeerMessage.CallChunk.class, name = "call_chunk"),
+    @JsonSubTypes.Type(value = PeerMessage.CallEnd.class, name = "call_end"),
+    @JsonSubTypes.Type(value = PeerMessage.ErrorReply.class, name = "error"),
+})
+public sealed interface PeerMessage {
+    /**
+     * Asks for the state of a daemon.
+     *
+     * @param from the asking daemon
+     * @param revision configuration revision in force there
+     */
+    record StatusRequest(VmId from, long revision) implements PeerMessage {}
+
+    /**
+     * State of a daemon.
+     *
+     * @param from the daemon
+     * @param incarnation its incarnation
+     * @param revision configuration revision in force there
+     * @param storeReadAgeMillis time since it last read the store, in milliseconds; -1 if never
+     * @param draining whether it is leaving
+     */
+    record StatusReply(
+            VmId from, long incarnation, long revision, long storeReadAgeMillis, boolean draining)
+            implements PeerMessage {}
+
+    /**
+     * A new configuration.
+     *
+     * @param revision its revision
+     * @param body the configuration as JSON
+     */
+    record ConfigPush(long revision, byte[] body) implements PeerMessage {}
+
+    /**
+     * Asks a grantor for a share of a workspace's rate, and reports the share held.
+     *
+     * @param workspace the workspace
+     * @param holder the asking daemon
+     * @param holderIncarnation its incarnation
+     * @param demandPerSecond requests per second seen lately, refused ones included
+     * @param adoptedSequence sequence number of the share in use; 0 if there is none
+     * @param ratePerSecond fill rate of the share in use
+     * @param capacity capacity of the share in use
+     * @param tokens tokens left in it
+     * @param remainingMillis validity left in milliseconds
+     * @param grantorFence fencing number of the grantor that gave it; 0 if there is none
+     */
+    record ShareRequest(
+            WorkspaceId workspace,
+            VmId holder,
+            long holderIncarnation,
+            double demandPerSecond,
+            long adoptedSequence,
+            double ratePerSecond,
+            double capacity,
+            double tokens,
+            long remainingMillis,
+            long grantorFence)
+            implements PeerMessage {}
+
+    /**
+     * A share of a workspace's rate.
+     *
+     * @param workspace the workspace
+     * @param sequence sequence number of the share at its holder, rising
+     * @param ratePerSecond fill rate of the share
+     * @param capacity capacity of the share
+     * @param addedTokens tokens that move to the holder; negative if they move back
+     * @param validMillis validity in milliseconds, counted from the sending of the request
+     * @param grantorFence fencing number of the grantor
+     */
+    record ShareReply(
+            WorkspaceId workspace,
+            long sequence,
+            double ratePerSecond,
+            double capacity,
+            double addedTokens,
+            long validMillis,
+            long grantorFence)
+            implements PeerMessage {}
+
+    /**
+     * An operation on a program, forwarded to its owner.
+     *
+     * @param op name of the operation: start, show, end, result or list
+     * @param workspace workspace on whose behalf it is made
+     * @param program the program; empty for list
+     * @param json arguments as a JSON object
+     */
+    record ProgramOp(String op, String workspace, String program, String json)
+            implements PeerMessage {}
+
+    /**
+     * Result of a program operation.
+     *
+     * @param json result as a JSON object
+     */
+    record ProgramOpReply(String json) implements PeerMessage {}
+
+    /**
+     * A call, forwarded to the owner of its program. The caller's key is not part of it.
+     *
+     * @param call the call as JSON; see {@code daemon.call}
+     * @param body first or whole body of the request
+     * @param bodyComplete whether no {@link CallBody} follows
+     */
+    record CallStart(String call, byte[] body, boolean bodyComplete) implements PeerMessage {}
+
+    /**
+     * More of a request body.
+     *
+     * @param bytes the bytes
+     * @param last whether this is the end of the body
+     */
+    record CallBody(byte[] bytes, boolean last) implements PeerMessage {}
+
+    /** The caller went away; the call goes on if its program needs the answer. */
+    record CallCancel() implements PeerMessage {}
+
+    /**
+     * Head of an answer.
+     *
+     * @param status HTTP status
+     * @param headers headers
+     */
+    record CallHead(int status, Map<String, List<String>> headers) implements PeerMessage {}
+
+    /**
+     * Part of an answer body.
+     *
+     * @param bytes the bytes
+     */
+    record CallChunk(byte[] bytes) implements PeerMessage {}
+
+    /**
+     * End of an answer that is whole.
+     *
+     * @param durability durable, pending or none
+     */
+    record CallEnd(String durability) implements PeerMessage {}
+
+    /**
+     * Failure of a request or call.
+     *
+     * @param kind wire name of the error kind
+     * @param message what was met
+     * @param remedy what the reader can do
+     * @param notRun whether it is certain that no target ran the request
+     * @param retryAfterMillis time after which a retry may succeed; 0 if none is known
+     */
+    record ErrorReply(
+            String kind, String message, String remedy, boolean notRun, long retryAfterMillis)
+            implements PeerMessage {}
+}
--- /dev/null
+++ b/src/main/java/org/heathercourse/daemon/peer/package-info.java
@@ -0,0 +1,2 @@
+/** Links between daemons: framed MessagePack over TCP. */
+package org.heathercourse.daemon.peer;
--- /dev/null
+++ b/src/main/java/org/heathercourse/log/EventLog.java
@@ -0,0 +1,88 @@
+package org.heathercourse.log;
+
+import org.jboss.logging.Logger;
+
+/**
+ * Writes one line of {@code key=value} pairs for each event.
+ *
+ * <p>Immutable and safe for use by several threads. Callers must not pass keys, secrets or message
+ * contents as values.
+ */
+public final class EventLog {
+    private final Logger mLogger;
+
+    private EventLog(Logger logger) {
+        mLogger = logger;
+    }
+
+    /**
+     * Returns the log of a class.
+     *
+     * @param source the class, whose name is the category
+     * @return the log
+     */
+    public static EventLog of(Class<?> source) {
+        return new EventLog(Logger.getLogger(source));
+    }
+
+    /** Logs an event of interest to operators. */
+    public void info(String event, Object... pairs) {
+        if (mLogger.isInfoEnabled()) {
+            mLogger.info(line(event, pairs));
+        }
+    }
+
+    /** Logs an event that an operator should look at if it repeats. */
+    public void warn(String event, Object... pairs) {
+        mLogger.warn(line(event, pairs));
+    }
+
+    /** Logs a defect with its stack trace. */
+    public void error(String event, Throwable cause, Object... pairs) {
+        mLogger.error(line(event, pairs), cause);
+    }
+
+    /** Logs an event of interest to developers. */
+    public void debug(String event, Object... pairs) {
+        if (mLogger.isDebugEnabled()) {
+            mLogger.debug(line(event, pairs));
+        }
+    }
+
+    /**
+     * Formats an event.
+     *
+     * @param event name of the event
+     * @param pairs names and values in turn
+     * @return the line; values with blanks, quotes or equals signs are quoted
+     */
+    static String line(String event, Object... pairs) {
+        if (pairs.length % 2 != 0) {
+            throw new IllegalArgumentException(
+                    "event " + event + " has " + pairs.length + " items, expected pairs");
+        }
+        StringBuilder out = new StringBuilder("event=").append(event);
+        for (int i = 0; i < pairs.length; i += 2) {
+            out.append(' ').append(pairs[i]).append('=');
+            out.append(quote(String.valueOf(pairs[i + 1])));
+        }
+        return out.toString();
+    }
+
+    private static String quote(String value) {
+        boolean plain = !value.isEmpty();
+        for (int i = 0; i < value.length() && plain; i++) {
+            char c = value.charAt(i);
+            plain = c > ' ' && c != '"' && c != '=' && c != '\\';
+        }
+        if (plain) {
+            return value;
+        }
+        return '"'
+                + value.replace("\\", "\\\\")
+                        .replace("\"", "\\\"")
+                        .replace("\n", "\\n")
+                        .replace("\r", "\\r")
+                + '"';
+    }
+}
--- /dev/null
+++ b/src/main/java/org/heathercourse/platform/package-info.java
@@ -0,0 +1,2 @@
+/** One narrow interface for each outside service. */
+package org.heathercourse.platform;
--- /dev/null
+++ b/src/main/java/org/heathercourse/testing/ManualTicker.java
@@ -0,0 +1,23 @@
+package org.heathercourse.testing;
+
+import java.util.concurrent.atomic.AtomicLong;
+import org.heathercourse.core.time.Ticker;
+
+/** A ticker that stands still until it is advanced. Safe for use by several threads. */
+public final class ManualTicker implements Ticker {
+    private final AtomicLong mNanos = new AtomicLong();
+
+    @Override
+    public long readNanos() {
+        return mNanos.get();
+    }
+
+    /**
+     * Advances the time.
+     *
+     * @param millis milliseconds to add
+     */
+    public void advanceMillis(long millis) {
+        mNanos.addAndGet(millis * 1_000_000L);
+    }
+}
--- /dev/null
+++ b/src/test/resources/features/shards.feature
@@ -0,0 +1,8 @@
+Feature: Programs are spread over a fixed number of shards
+  A program must map to the same shard in every process, or two daemons would both believe that
+  they own it.
+
+  Scenario: The shard of a program does not change
+    When the shard of program "p-1" is asked for with 64 shards
+    Then it is the same as when it is asked for again
+    And it lies between 0 and 63
