--- /dev/null
+++ b/src/main/java/org/heathercourse/cli/package-info.java
@@ -0,0 +1,2 @@
+/** The command line of the product. */
+package org.heathercourse.cli;
--- /dev/null
+++ b/src/main/java/org/heathercourse/daemon/settings/Setting.java
@@ -0,0 +1,82 @@
+package org.heathercourse.daemon.settings;
+
+import java.util.Locale;
+
+/**
+ * The settings of a daemon.
+ *
+ * <p>Each is given by a flag, {@code --vm-id}, or by an environment variable, {@code
+ * HEATHERCOURSE_VM_ID}; the flag goes first. A setting without default is required unless it is
+ * optional.
+ */
+public enum Setting {
+    VM_ID(ValueType.NAME, null, "identity of the VM that this daemon runs on"),
+    ZONE(ValueType.NAME, null, "zone (data centre) of the VM"),
+    HOST(ValueType.IP_ADDRESS, null, "address at which callers and other daemons reach the VM"),
+    CALLER_PORT(ValueType.PORT, "8080", "port for callers"),
+    PEER_PORT(ValueType.PORT, "8081", "port for other daemons"),
+    OPERATOR_PORT(ValueType.PORT, "8082", "port for operators (gRPC)"),
+    ADMIN_PORT(ValueType.PORT, "8083", "port for health and metrics"),
+    TABLE_URL(ValueType.HTTP_URL, null, "address of the platform's table service"),
+    OBJECTS_URL(ValueType.HTTP_URL, null, "address of the platform's object store"),
+    VM_LIST_URL(ValueType.HTTP_URL, null, "address of the platform's VM list"),
+    WEIGHTS_URL(ValueType.HTTP_URL, null, "address of the platform's weight store"),
+    PEER_SECRET(ValueType.SECRET, null, "secret shared by all daemons of a deployment"),
+    OPERATOR_TOKEN(ValueType.SECRET, null, "credential that operators show"),
+    TLS_CERTIFICATE(
+            ValueType.READABLE_FILE, "", "certificate chain (PEM) for callers and operators"),
+    TLS_KEY(ValueType.READABLE_FILE, "", "private key (PEM, PKCS 8) for the certificate"),
+    STORE_TIMEOUT_MS(ValueType.MILLIS, "2000", "longest time for one request to the store"),
+    MAX_BODY_BYTES(ValueType.BYTES, "8388608", "longest request body of a caller"),
+    DRAIN_TIMEOUT_SECONDS(
+            ValueType.SECONDS, "120", "longest time that a stop waits for running calls"),
+    IDLE_PROGRAM_SECONDS(
+            ValueType.SECONDS, "1800", "time without a call after which a program ends"),
+    LOG_LEVEL(ValueType.LOG_LEVEL, "info", "how much is logged");
+
+    private static final String ENVIRONMENT_PREFIX = "HEATHERCOURSE_";
+
+    private final ValueType mType;
+    private final String mDefault;
+    private final String mDescription;
+
+    Setting(ValueType type, String defaultValue, String description) {
+        mType = type;
+        mDefault = defaultValue;
+        mDescription = description;
+    }
+
+    /** Returns the name of the flag, without dashes in front. */
+    public String flag() {
+        return name().toLowerCase(Locale.ROOT).replace('_', '-');
+    }
+
+    /** Returns the name of the environment variable. */
+    public String variable() {
+        return ENVIRONMENT_PREFIX + name();
+    }
+
+    /** Returns what the setting is for. */
+    public String description() {
+        return mDescription;
+    }
+
+    /** Returns the default, or null if the setting is required; empty if it may be left out. */
+    public String defaultValue() {
+        return mDefault;
+    }
+
+    /** Returns what a value looks like. */
+    public String expected() {
+        return mType.expected();
+    }
+
+    /** Returns whether the value must not be shown. */
+    public boolean secret() {
+        return mType == ValueType.SECRET;
+    }
+
+    boolean accepts(String value) {
+        return mType.accepts(value);
+    }
+}
--- /dev/null
+++ b/src/main/java/org/heathercourse/daemon/settings/ValueType.java
@@ -0,0 +1,99 @@
+package org.heathercourse.daemon.settings;
+
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.regex.Pattern;
+import org.heathercourse.log.LogLevel;
+
+/** Types of setting values, each with its check. */
+enum ValueType {
+    NAME("1 to 128 characters: letters, digits, . _ : -") {
+        @Override
+        boolean accepts(String value) {
+            return NAME_FORM.matcher(value).matches();
+        }
+    },
+    IP_ADDRESS("an IPv4 or IPv6 address in digits") {
+        @Override
+        boolean accepts(String value) {
+            return IPV4_FORM.matcher(value).matches() || IPV6_FORM.matcher(value).matches();
+        }
+    },
+    PORT("a whole number from 1 to 65535") {
+        @Override
+        boolean accepts(String value) {
+            return inRange(value, 1, 65_535);
+        }
+    },
+    HTTP_URL("a URL such as http://127.0.0.1:9101") {
+        @Override
+        boolean accepts(String value) {
+            return URL_FORM.matcher(value).matches();
+        }
+    },
+    SECRET("at least 16 characters") {
+        @Override
+        boolean accepts(String value) {
+            return value.length() >= MIN_SECRET_LENGTH;
+        }
+    },
+    READABLE_FILE("the path of a readable file") {
+        @Override
+        boolean accepts(String value) {
+            return Files.isReadable(Path.of(value));
+        }
+    },
+    SECONDS("a whole number of seconds from 1 to 86400") {
+        @Override
+        boolean accepts(String value) {
+            return inRange(value, 1, 86_400);
+        }
+    },
+    MILLIS("a whole number of milliseconds from 1 to 600000") {
+        @Override
+        boolean accepts(String value) {
+            return inRange(value, 1, 600_000);
+        }
+    },
+    BYTES("a whole number of bytes from 1024 to 1073741824") {
+        @Override
+        boolean accepts(String value) {
+            return inRange(value, 1_024, 1_073_741_824);
+        }
+    },
+    LOG_LEVEL("debug, info, warn or error") {
+        @Override
+        boolean accepts(String value) {
+            return LogLevel.fromName(value).isPresent();
+        }
+    };
+
+    private static final Pattern NAME_FORM = Pattern.compile("[A-Za-z0-9._:-]{1,128}");
+    private static final Pattern IPV4_FORM =
+            Pattern.compile("((25[0-5]|2[0-4]\\d|1?\\d?\\d)(\\.(?!$)|$)){4}");
+    private static final Pattern IPV6_FORM = Pattern.compile("[0-9a-fA-F:]*:[0-9a-fA-F:.]*");
+    private static final Pattern URL_FORM = Pattern.compile("https?://[^\\s/]+(/[^\\s]*)?");
+    private static final int MIN_SECRET_LENGTH = 16;
+
+    private final String mExpected;
+
+    ValueType(String expected) {
+        mExpected = expected;
+    }
+
+    abstract boolean accepts(String value);
+
+    /** Returns what a value of this type looks like. */
+    String expected() {
+        return mExpected;
+    }
+
+    private static boolean inRange(String value, long low, long high) {
+        try {
+            long number = Long.parseLong(value);
+            return number >= low && number <= high;
+        } catch (NumberFormatException e) {
+            return false;
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/heathercourse/daemon/settings/package-info.java
@@ -0,0 +1,2 @@
+/** Checked settings from flags and environment variables. */
+package org.heathercourse.daemon.settings;
