Add the fleet-wide rate limit, freshness rules and configuration services

Cause: the daemon needs its rate limiter, configuration source and authenticator behind the committed interfaces.

Change: core.limits has the token bucket, the grantor's ledger and the holder's share; daemon.limits wires them to the peer network. ShareRequest gains a request number and the tokens given back, without which repeated and overtaken requests cannot be told apart. Row config/head holds the revision only; the body is in config/rev/<n>, so that the read made each second stays small.

Conclusion: usable for wiring.

--- a/src/main/java/org/heathercourse/core/config/WorkspaceSpec.java
+++ b/src/main/java/org/heathercourse/core/config/WorkspaceSpec.java
@@ -20,8 +20,9 @@
         double burst,
         long programBudgetTokens,
         double weight) {
-    /** Copies the list of keys. */
+    /** Copies the list of keys and fills in defaults. */
     public WorkspaceSpec {
         keys = keys == null ? List.of() : List.copyOf(keys);
+        weight = weight == 0 ? 1 : weight;
     }
 }
--- /dev/null
+++ b/src/main/java/org/heathercourse/core/freshness/package-info.java
@@ -0,0 +1,2 @@
+/** Decides whether the configuration is fresh enough to honour keys. */
+package org.heathercourse.core.freshness;
--- /dev/null
+++ b/src/main/java/org/heathercourse/core/limits/HeldShare.java
@@ -0,0 +1,257 @@
+package org.heathercourse.core.limits;
+
+import java.util.OptionalLong;
+import org.heathercourse.core.model.VmId;
+
+/**
+ * Holder side of one workspace: the share of its rate that this daemon uses.
+ *
+ * <p>A share is valid for the granted time counted from the sending of the request whose reply
+ * carried it. An increase takes effect when the reply arrives; a decrease takes effect when the
+ * next request, which reports it, is sent, so that no fill is lost between the two. Only the reply
+ * to the latest request is adopted: the grantor concludes from a request that an earlier reply
+ * which it does not report will never be adopted.
+ *
+ * <p>Not safe for use by several threads.
+ */
+public class HeldShare {
+    /** Time between requests while there is demand and enough tokens. */
+    static final long PERIOD_NANOS = 1_000_000_000L;
+
+    /** Least time between requests, which bounds them to 10 per second. */
+    static final long MIN_SPACING_NANOS = 100_000_000L;
+
+    /** A request without a reply for this long is given up. */
+    static final long REPLY_TIMEOUT_NANOS = 500_000_000L;
+
+    /** A holder without demand for this long drops its share and asks no more. */
+    static final long IDLE_NANOS = 30_000_000_000L;
+
+    /** Share of the demand of a second below which tokens count as low. */
+    private static final double LOW_TOKENS_SECONDS = 0.3;
+
+    private final VmId mVm;
+    private final long mIncarnation;
+    private final DemandMeter mDemand;
+    private final TokenBucket mBucket;
+    private long mSequence;
+    private long mFence;
+    private double mReturned;
+    private long mValidUntilNanos;
+    private ShareGrant mUnreported;
+    private long mNumber;
+    private boolean mAwaiting;
+    private boolean mEverAsked;
+    private long mAskedNanos;
+    private long mLastDemandNanos;
+
+    /**
+     * Creates a holder without a share.
+     *
+     * @param vm this daemon
+     * @param incarnation its incarnation
+     * @param nowNanos present reading of the ticker
+     */
+    public HeldShare(VmId vm, long incarnation, long nowNanos) {
+        mVm = vm;
+        mIncarnation = incarnation;
+        mDemand = new DemandMeter(nowNanos);
+        mBucket = new TokenBucket(0, 0, 0, nowNanos);
+        mValidUntilNanos = nowNanos;
+        mLastDemandNanos = nowNanos;
+    }
+
+    /** Takes one token; returns whether there was one. Counts as demand either way. */
+    public boolean tryAcquire(long nowNanos) {
+        countDemand(nowNanos);
+        return retryAcquire(nowNanos);
+    }
+
+    /** Takes one token for a request that was counted as demand before. */
+    public boolean retryAcquire(long nowNanos) {
+        expire(nowNanos);
+        return mBucket.tryTake(1, nowNanos);
+    }
+
+    private void countDemand(long nowNanos) {
+        mDemand.record(nowNanos);
+        mLastDemandNanos = nowNanos;
+    }
+
+    /** Returns whether a request to the grantor is due. */
+    public boolean askDue(long nowNanos) {
+        expire(nowNanos);
+        long sinceAsk = nowNanos - mAskedNanos;
+        if (mEverAsked && sinceAsk < (mAwaiting ? REPLY_TIMEOUT_NANOS : MIN_SPACING_NANOS)) {
+            return false;
+        }
+        if (idle(nowNanos)) {
+            return mSequence != 0;
+        }
+        if (!mEverAsked || mAwaiting || mSequence == 0) {
+            return true;
+        }
+        if (sinceAsk >= PERIOD_NANOS) {
+            return true;
+        }
+        mBucket.fill(nowNanos);
+        double demand = mDemand.perSecond(nowNanos);
+        return mBucket.tokens() < 1 + demand * LOW_TOKENS_SECONDS
+                && nowNanos - mLastDemandNanos < PERIOD_NANOS;
+    }
+
+    /**
+     * Creates the next request and counts it as sent. A decrease that an earlier reply brought
+     * takes effect here.
+     *
+     * @param nowNanos present reading of the ticker
+     * @return the request
+     */
+    public ShareAsk ask(long nowNanos) {
+        expire(nowNanos);
+        if (idle(nowNanos)) {
+            drop(nowNanos);
+        }
+        settle(nowNanos);
+        mNumber++;
+        mAwaiting = true;
+        mEverAsked = true;
+        mAskedNanos = nowNanos;
+        return new ShareAsk(
+                mVm,
+                mIncarnation,
+                mNumber,
+                mDemand.perSecond(nowNanos),
+                mSequence,
+                mBucket.ratePerSecond(),
+                mBucket.capacity(),
+                mBucket.tokens(),
+                mReturned,
+                mSequence == 0 ? 0 : (mValidUntilNanos - nowNanos) / 1_000_000L,
+                mFence);
+    }
+
+    /** Applies the decrease that the request now being sent reports. */
+    private void settle(long nowNanos) {
+        mBucket.fill(nowNanos);
+        if (mUnreported == null) {
+            return;
+        }
+        double excess = Math.max(0, mBucket.tokens() - mUnreported.capacity());
+        double wanted = Math.max(0, -mUnreported.addedTokens());
+        mReturned = mBucket.takeUpTo(Math.max(excess, wanted), nowNanos);
+        mBucket.reshape(mUnreported.ratePerSecond(), mUnreported.capacity(), nowNanos);
+        mUnreported = null;
+    }
+
+    /**
+     * Adopts a share.
+     *
+     * @param number number of the request that the reply answers
+     * @param grant the reply
+     * @param nowNanos present reading of the ticker
+     * @return whether it was adopted; replies to older requests are not
+     */
+    public boolean onGrant(long number, ShareGrant grant, long nowNanos) {
+        expire(nowNanos);
+        if (!accepts(number, grant)) {
+            return false;
+        }
+        mAwaiting = false;
+        long validUntil = mAskedNanos + grant.validMillis() * 1_000_000L;
+        if (validUntil - nowNanos <= 0) {
+            return false;
+        }
+        double added = Math.max(0, grant.addedTokens());
+        double capacity = Math.max(mBucket.capacity() + added, grant.capacity());
+        mBucket.reshape(
+                Math.max(mBucket.ratePerSecond(), grant.ratePerSecond()), capacity, nowNanos);
+        mBucket.add(added, nowNanos);
+        mSequence = grant.sequence();
+        mFence = grant.grantorFence();
+        mReturned = 0;
+        mValidUntilNanos = validUntil;
+        mUnreported = grant;
+        return true;
+    }
+
+    /** Returns whether a reply answers the latest request and no older grantor sent it. */
+    boolean accepts(long number, ShareGrant grant) {
+        return mAwaiting && number == mNumber && grant.grantorFence() >= mFence;
+    }
+
+    /** Notes that the latest request got no reply, so that the next may be sent. */
+    public void onFailure(long number) {
+        if (number == mNumber) {
+            mAwaiting = false;
+        }
+    }
+
+    private void expire(long nowNanos) {
+        if (mSequence != 0 && nowNanos - mValidUntilNanos >= 0) {
+            drop(nowNanos);
+        }
+    }
+
+    private void drop(long nowNanos) {
+        mBucket.reshape(0, 0, nowNanos);
+        mSequence = 0;
+        mReturned = 0;
+        mUnreported = null;
+    }
+
+    private boolean idle(long nowNanos) {
+        return nowNanos - mLastDemandNanos >= IDLE_NANOS;
+    }
+
+    /** Returns whether this holder has neither demand nor a share and may be forgotten. */
+    public boolean droppedOut(long nowNanos) {
+        expire(nowNanos);
+        return idle(nowNanos) && mSequence == 0;
+    }
+
+    /** Returns whether a valid share is held. */
+    public boolean holdsShare(long nowNanos) {
+        expire(nowNanos);
+        return mSequence != 0;
+    }
+
+    /** Returns whether a request to the grantor is under way. */
+    public boolean awaitingReply() {
+        return mAwaiting;
+    }
+
+    /** Returns the reading until which the share is valid, or empty if there is none. */
+    public OptionalLong validUntilNanos() {
+        return mSequence == 0 ? OptionalLong.empty() : OptionalLong.of(mValidUntilNanos);
+    }
+
+    /**
+     * Returns the time after which a token may be there.
+     *
+     * @param nowNanos present reading of the ticker
+     * @return time in nanoseconds: until the share's own fill provides a token, but no longer than
+     *     until the reply to the next periodic request can have brought one
+     */
+    public long retryAfterNanos(long nowNanos) {
+        expire(nowNanos);
+        return Math.min(mBucket.nanosUntil(1, nowNanos), PERIOD_NANOS);
+    }
+
+    /** Returns the fill rate in use. */
+    public double ratePerSecond() {
+        return mBucket.ratePerSecond();
+    }
+
+    /** Returns the capacity in use. */
+    public double capacity() {
+        return mBucket.capacity();
+    }
+
+    /** Returns the tokens held now. */
+    public double tokens(long nowNanos) {
+        expire(nowNanos);
+        mBucket.fill(nowNanos);
+        return mBucket.tokens();
+    }
+}
--- /dev/null
+++ b/src/main/java/org/heathercourse/core/limits/ShareLedger.java
@@ -0,0 +1,244 @@
+package org.heathercourse.core.limits;
+
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.Optional;
+import org.heathercourse.core.model.VmId;
+
+/**
+ * Grantor side of one workspace: divides its rate and burst between a central bucket and shares.
+ *
+ * <p>At any moment the fill rates of the central bucket and of all outstanding shares add up to at
+ * most the rate, their capacities add up to at most the burst, and tokens only move. The ledger
+ * counts a share until it has not heard from its holder for {@link #VALID_NANOS}, counts an
+ * increase when it replies, and counts a decrease when the holder's next request reports it.
+ *
+ * <p>Not safe for use by several threads.
+ */
+public class ShareLedger {
+    /** Validity of a share in milliseconds, counted from the sending of the request. */
+    public static final long VALID_MILLIS = 10_000;
+
+    /** Time after the last request of a holder during which its share counts. */
+    static final long VALID_NANOS = VALID_MILLIS * 1_000_000L;
+
+    /** Fence of the first owner ever: no earlier grantor can have given shares. */
+    static final long FIRST_FENCE = 1;
+
+    private final long mFence;
+    private final long mTakeoverNanos;
+    private final Map<HolderKey, ShareEntry> mEntries = new LinkedHashMap<>();
+    private final TokenBucket mCentral;
+    private final SharePolicy mPolicy;
+    private double mRate;
+    private double mBurst;
+    private boolean mSettling;
+    private long mNextSequence = 1;
+
+    /** A process on a VM. */
+    record HolderKey(VmId vm, long incarnation) {}
+
+    /**
+     * Creates the ledger of a new grantor.
+     *
+     * @param fence fencing number of the grantor
+     * @param ratePerSecond rate of the workspace
+     * @param burst burst of the workspace
+     * @param takeoverNanos reading at which this grantor became the owner
+     */
+    public ShareLedger(long fence, double ratePerSecond, double burst, long takeoverNanos) {
+        mFence = fence;
+        mTakeoverNanos = takeoverNanos;
+        mRate = ratePerSecond;
+        mBurst = burst;
+        mSettling = fence > FIRST_FENCE;
+        mPolicy = new SharePolicy();
+        mCentral =
+                mSettling
+                        ? new TokenBucket(0, 0, 0, takeoverNanos)
+                        : new TokenBucket(ratePerSecond, burst, burst, takeoverNanos);
+    }
+
+    /**
+     * Changes rate and burst. An increase takes effect at once, a decrease as shares shrink.
+     *
+     * @param ratePerSecond new rate
+     * @param burst new burst
+     * @param nowNanos present reading of the ticker
+     */
+    public void reconfigure(double ratePerSecond, double burst, long nowNanos) {
+        expire(nowNanos);
+        mRate = ratePerSecond;
+        mBurst = burst;
+        reshapeCentral(nowNanos);
+    }
+
+    /**
+     * Answers a request.
+     *
+     * @param ask the request
+     * @param nowNanos present reading of the ticker
+     * @return the reply, or empty for a request that a later one of the same holder has overtaken
+     *     or that is malformed
+     */
+    public Optional<ShareGrant> onAsk(ShareAsk ask, long nowNanos) {
+        if (!ask.wellFormed()) {
+            return Optional.empty();
+        }
+        expire(nowNanos);
+        HolderKey key = new HolderKey(ask.holder(), ask.holderIncarnation());
+        ShareEntry entry = mEntries.get(key);
+        if (entry == null) {
+            entry = new ShareEntry();
+            mEntries.put(key, entry);
+            adopt(entry, ask);
+        } else if (ask.number() == entry.lastNumber) {
+            return Optional.ofNullable(entry.lastGrant);
+        } else if (overtaken(entry, ask)) {
+            return Optional.empty();
+        } else {
+            resolve(entry, ask, nowNanos);
+        }
+        entry.note(ask, nowNanos);
+        reshapeCentral(nowNanos);
+        return Optional.of(grant(entry, nowNanos));
+    }
+
+    boolean overtaken(ShareEntry entry, ShareAsk ask) {
+        return ask.number() < entry.lastNumber;
+    }
+
+    /** Counts a share that an earlier grantor gave, as far as the rest of the rate allows. */
+    private void adopt(ShareEntry entry, ShareAsk ask) {
+        if (!adoptable(ask)) {
+            return;
+        }
+        double restRate = mRate - countedRate();
+        double restBurst = mBurst - countedCapacity();
+        if (ask.ratePerSecond() <= restRate + 1e-9 && ask.capacity() <= restBurst + 1e-9) {
+            entry.rate = ask.ratePerSecond();
+            entry.capacity = ask.capacity();
+        }
+    }
+
+    /** Returns whether a reported share was given by an earlier grantor and is still valid. */
+    boolean adoptable(ShareAsk ask) {
+        return mSettling
+                && ask.adoptedSequence() != 0
+                && ask.grantorFence() < mFence
+                && ask.remainingMillis() > 0;
+    }
+
+    /** Finds out whether the last reply was adopted; it never will be if this one does not say. */
+    private void resolve(ShareEntry entry, ShareAsk ask, long nowNanos) {
+        ShareGrant pending = entry.lastGrant;
+        boolean current = ask.grantorFence() == mFence && ask.adoptedSequence() != 0;
+        if (current && pending != null && ask.adoptedSequence() == pending.sequence()) {
+            entry.rate = pending.ratePerSecond();
+            entry.capacity = pending.capacity();
+            entry.pendingTokens = 0;
+            entry.lastGrant = null;
+            reshapeCentral(nowNanos);
+            mCentral.add(credit(ask, entry), nowNanos);
+            return;
+        }
+        double lost = entry.pendingTokens;
+        entry.pendingTokens = 0;
+        entry.lastGrant = null;
+        if (ask.adoptedSequence() == 0) {
+            entry.rate = 0;
+            entry.capacity = 0;
+        }
+        reshapeCentral(nowNanos);
+        mCentral.add(lost, nowNanos);
+    }
+
+    /** Returns the tokens that a report gives back; a holder cannot give more than it can hold. */
+    private static double credit(ShareAsk ask, ShareEntry entry) {
+        return Math.min(ask.returnedTokens(), entry.countedBefore);
+    }
+
+    private ShareGrant grant(ShareEntry entry, long nowNanos) {
+        double freeRate = Math.max(0, mRate - outstandingRate());
+        double freeCapacity = Math.max(0, mBurst - outstandingCapacity());
+        SharePolicy.Target target =
+                mPolicy.target(entry, mEntries.values(), mRate, mBurst, mCentral.tokens());
+        double rate = Math.min(target.rate(), entry.rate + freeRate);
+        double capacity = Math.min(target.capacity(), entry.capacity + freeCapacity);
+        double added = 0;
+        if (target.tokens() > entry.tokens) {
+            // In flight, the holder may have the old capacity and the added tokens at once.
+            double wanted = Math.min(target.tokens(), capacity) - entry.tokens;
+            added = mCentral.takeUpTo(Math.min(wanted, freeCapacity), nowNanos);
+        } else if (entry.tokens - target.tokens() >= target.slack()) {
+            added = target.tokens() - entry.tokens;
+        }
+        // Capacity moves only as far as the tokens that stay behind still fit the central bucket.
+        double movable = Math.max(0, freeCapacity - mCentral.tokens());
+        capacity = Math.min(capacity, entry.capacity + movable);
+        ShareGrant grant =
+                new ShareGrant(mNextSequence++, rate, capacity, added, VALID_MILLIS, mFence);
+        entry.lastGrant = grant;
+        entry.pendingTokens = Math.max(0, added);
+        entry.countedBefore = entry.countedCapacity();
+        reshapeCentral(nowNanos);
+        return grant;
+    }
+
+    private void expire(long nowNanos) {
+        mCentral.fill(nowNanos);
+        boolean removed = mEntries.values().removeIf(entry -> expired(entry, nowNanos));
+        boolean settled = mSettling && nowNanos - mTakeoverNanos >= VALID_NANOS;
+        if (settled) {
+            mSettling = false;
+        }
+        if (removed || settled) {
+            reshapeCentral(nowNanos);
+        }
+    }
+
+    boolean expired(ShareEntry entry, long nowNanos) {
+        return nowNanos - entry.receivedNanos >= VALID_NANOS;
+    }
+
+    private double countedRate() {
+        double sum = 0;
+        for (ShareEntry entry : mEntries.values()) {
+            sum += entry.countedRate();
+        }
+        return sum;
+    }
+
+    private double countedCapacity() {
+        double sum = 0;
+        for (ShareEntry entry : mEntries.values()) {
+            sum += entry.countedCapacity();
+        }
+        return sum;
+    }
+
+    /** Returns the fill rate that holders may be using, unknown holders included. */
+    double outstandingRate() {
+        return mSettling ? Math.max(mRate, countedRate()) : countedRate();
+    }
+
+    /** Returns the capacity that holders may be using, unknown holders included. */
+    double outstandingCapacity() {
+        return mSettling ? Math.max(mBurst, countedCapacity()) : countedCapacity();
+    }
+
+    private void reshapeCentral(long nowNanos) {
+        mCentral.reshape(mRate - outstandingRate(), mBurst - outstandingCapacity(), nowNanos);
+    }
+
+    /** Returns the tokens in the central bucket. */
+    public double centralTokens(long nowNanos) {
+        expire(nowNanos);
+        return mCentral.tokens();
+    }
+
+    /** Returns the number of holders whose shares count. */
+    public int holders() {
+        return mEntries.size();
+    }
+}
--- /dev/null
+++ b/src/main/java/org/heathercourse/daemon/config/ConfigTable.java
@@ -0,0 +1,148 @@
+package org.heathercourse.daemon.config;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.util.Optional;
+import org.heathercourse.core.config.DeploymentConfig;
+import org.heathercourse.core.error.ErrorKind;
+import org.heathercourse.core.error.HeathercourseException;
+import org.heathercourse.platform.ObjectStore;
+import org.heathercourse.platform.Row;
+import org.heathercourse.platform.TableStore;
+import org.heathercourse.platform.Transaction;
+
+/**
+ * The rows that hold the configuration.
+ *
+ * <p>Row {@code config/head} holds the latest revision only, so that the read that every daemon
+ * makes each second stays small. Row {@code config/rev/<n>} holds the body of revision n, or the
+ * name of an object for bodies above {@link #MAX_INLINE_BYTES}. One transaction writes both. Calls
+ * block. Safe for use by several threads.
+ */
+public final class ConfigTable {
+    /** Largest body that is kept in a row, in bytes. */
+    public static final int MAX_INLINE_BYTES = 256 * 1024;
+
+    static final String HEAD = "config/head";
+
+    private static final ObjectMapper MAPPER = new ObjectMapper();
+
+    private final TableStore mTable;
+    private final ObjectStore mObjects;
+    private final ConfigCodec mCodec;
+
+    /**
+     * The latest revision.
+     *
+     * @param revision the revision; 0 if the table is empty
+     * @param rowVersion version of the row; {@link Row#ABSENT} if the table is empty
+     */
+    public record Head(long revision, long rowVersion) {}
+
+    /** Creates a view of the rows. */
+    public ConfigTable(TableStore table, ObjectStore objects, ConfigCodec codec) {
+        mTable = table;
+        mObjects = objects;
+        mCodec = codec;
+    }
+
+    /** Reads the latest revision. */
+    public Head readHead() {
+        Optional<Row> row = mTable.read(HEAD);
+        return row.map(r -> new Head(parse(r).path("revision").asLong(), r.version()))
+                .orElse(new Head(0, Row.ABSENT));
+    }
+
+    /**
+     * Reads a revision.
+     *
+     * @param revision the revision; 0 stands for the empty configuration
+     * @return the configuration, or empty if there is no such revision
+     */
+    public Optional<DeploymentConfig> readRevision(long revision) {
+        if (revision == 0) {
+            return Optional.of(DeploymentConfig.empty());
+        }
+        return mTable.read(revisionKey(revision))
+                .map(row -> mCodec.readStored(body(row)).withRevision(revision));
+    }
+
+    /** Returns the identity of the transaction that wrote a revision, or empty if none did. */
+    Optional<String> commitIdOf(long revision) {
+        return mTable.read(revisionKey(revision)).map(Row::commitId);
+    }
+
+    /**
+     * Prepares the transaction that makes a configuration the latest; stores a large body.
+     *
+     * @param head head that must still be present
+     * @param config the configuration with its new revision
+     * @param commitId identity of the transaction
+     */
+    Transaction prepare(Head head, DeploymentConfig config, String commitId) {
+        byte[] body = mCodec.write(config);
+        ObjectNode row = MAPPER.createObjectNode().put("revision", config.revision());
+        if (body.length <= MAX_INLINE_BYTES) {
+            row.set("config", tree(body));
+        } else {
+            String name = "config/rev/" + config.revision() + "/" + commitId;
+            mObjects.put(name, body);
+            row.put("object", name);
+        }
+        ObjectNode headRow = MAPPER.createObjectNode().put("revision", config.revision());
+        return Transaction.builder(commitId)
+                .put(HEAD, head.rowVersion(), bytes(headRow))
+                .put(revisionKey(config.revision()), Row.ABSENT, bytes(row))
+                .build();
+    }
+
+    private byte[] body(Row row) {
+        JsonNode content = parse(row);
+        String object = content.path("object").asText("");
+        if (object.isEmpty()) {
+            return bytes(content.path("config"));
+        }
+        return mObjects.get(object)
+                .orElseThrow(() -> damaged("object " + object + " is missing", null));
+    }
+
+    static String revisionKey(long revision) {
+        return "config/rev/" + revision;
+    }
+
+    private static JsonNode parse(Row row) {
+        try {
+            return MAPPER.readTree(row.value());
+        } catch (IOException e) {
+            throw damaged("row " + row.key() + " is not JSON", e);
+        }
+    }
+
+    private static JsonNode tree(byte[] body) {
+        try {
+            return MAPPER.readTree(body);
+        } catch (IOException e) {
+            throw new UncheckedIOException("configuration was not written as JSON", e);
+        }
+    }
+
+    private static byte[] bytes(JsonNode node) {
+        try {
+            return MAPPER.writeValueAsBytes(node);
+        } catch (JsonProcessingException e) {
+            throw new UncheckedIOException("row cannot be written as JSON", e);
+        }
+    }
+
+    private static HeathercourseException damaged(String message, Throwable cause) {
+        return HeathercourseException.builder(ErrorKind.INTERNAL)
+                .message(message + ", expected a configuration")
+                .remedy("restore the row from a backup of the table")
+                .cause(cause)
+                .build();
+    }
+}
--- /dev/null
+++ b/src/main/java/org/heathercourse/daemon/config/KeyAuthenticator.java
@@ -0,0 +1,139 @@
+package org.heathercourse.daemon.config;
+
+import io.vavr.control.Either;
+import java.security.MessageDigest;
+import java.util.HashMap;
+import java.util.HexFormat;
+import java.util.Map;
+import org.heathercourse.core.config.DeploymentConfig;
+import org.heathercourse.core.config.KeySpec;
+import org.heathercourse.core.config.WorkspaceSpec;
+import org.heathercourse.core.error.ErrorKind;
+import org.heathercourse.core.error.HeathercourseException;
+import org.heathercourse.core.model.WorkspaceId;
+
+/**
+ * Checks keys against the digests in the configuration in force.
+ *
+ * <p>Each check costs one digest and one comparison in constant time, whether or not the key is
+ * known, so that the time taken tells nothing about which keys exist. Safe for use by several
+ * threads.
+ */
+public final class KeyAuthenticator implements Authenticator {
+    private static final String SCHEME = "Bearer ";
+    private static final int MAX_KEY_LENGTH = 512;
+
+    /** Compared with the digest of unknown keys; no key is known to have it. */
+    private static final byte[] NO_DIGEST = new byte[32];
+
+    private final ConfigSource mConfig;
+    private volatile Index mIndex = new Index(null, Map.of());
+
+    /** A key as the index holds it. */
+    private record Entry(WorkspaceId workspace, byte[] digest, boolean withdrawn) {}
+
+    /** The keys of one configuration. */
+    private record Index(DeploymentConfig config, Map<String, Entry> keys) {}
+
+    /**
+     * Creates an authenticator.
+     *
+     * @param config the configuration in force
+     */
+    public KeyAuthenticator(ConfigSource config) {
+        mConfig = config;
+    }
+
+    @Override
+    public Either<HeathercourseException, Principal> authenticate(String authorization) {
+        if (authorization == null) {
+            return Either.left(unauthenticated("there is no Authorization header"));
+        }
+        if (!authorization.regionMatches(true, 0, SCHEME, 0, SCHEME.length())
+                || authorization.length() > MAX_KEY_LENGTH) {
+            return Either.left(unauthenticated("the Authorization header has another form"));
+        }
+        String key = authorization.substring(SCHEME.length()).trim();
+        // Freshness is read before the index: a configuration that becomes stale in between was
+        // fresh when the check began.
+        boolean fresh = mConfig.fresh();
+        String keyId = keyId(key);
+        Entry entry = index().get(keyId);
+        byte[] digest = KeyDigest.of(key);
+        boolean matches = MessageDigest.isEqual(digest, entry == null ? NO_DIGEST : entry.digest());
+        if (!fresh) {
+            return Either.left(stale());
+        }
+        if (entry == null || !matches) {
+            return Either.left(unauthenticated("the key is not known"));
+        }
+        if (entry.withdrawn()) {
+            return Either.left(withdrawn(keyId));
+        }
+        return Either.right(new Principal(entry.workspace(), keyId));
+    }
+
+    @Override
+    public boolean stillValid(Principal principal) {
+        if (!mConfig.fresh()) {
+            return false;
+        }
+        Entry entry = index().get(principal.keyId());
+        return entry != null
+                && !entry.withdrawn()
+                && entry.workspace().equals(principal.workspace());
+    }
+
+    /** Returns the public part of a key, or an empty text if the key has another form. */
+    private static String keyId(String key) {
+        int end = key.indexOf('_', KeyDigest.PREFIX.length());
+        return key.startsWith(KeyDigest.PREFIX) && end > 0
+                ? key.substring(KeyDigest.PREFIX.length(), end)
+                : "";
+    }
+
+    private Map<String, Entry> index() {
+        DeploymentConfig config = mConfig.current();
+        Index index = mIndex;
+        if (index.config() != config) {
+            index = new Index(config, build(config));
+            mIndex = index;
+        }
+        return index.keys();
+    }
+
+    private static Map<String, Entry> build(DeploymentConfig config) {
+        Map<String, Entry> keys = new HashMap<>();
+        for (WorkspaceSpec workspace : config.workspaces()) {
+            for (KeySpec key : workspace.keys()) {
+                byte[] digest = HexFormat.of().parseHex(key.sha256Hex());
+                keys.put(key.keyId(), new Entry(workspace.workspace(), digest, key.withdrawn()));
+            }
+        }
+        return keys;
+    }
+
+    private static HeathercourseException unauthenticated(String met) {
+        return new HeathercourseException(
+                ErrorKind.UNAUTHENTICATED,
+                met + ", expected Authorization: Bearer with a key of a workspace",
+                "send a key that an operator has issued");
+    }
+
+    private static HeathercourseException withdrawn(String keyId) {
+        return new HeathercourseException(
+                ErrorKind.KEY_WITHDRAWN,
+                "key " + keyId + " has been withdrawn",
+                "send another key of the workspace");
+    }
+
+    private static HeathercourseException stale() {
+        return HeathercourseException.builder(ErrorKind.STALE_CONFIGURATION)
+                .message(
+                        "this daemon reaches neither the store nor a majority of the daemons, so a"
+                                + " key may have been withdrawn without its knowledge")
+                .remedy("repeat the request at another daemon")
+                .retryAfterMillis(1_000)
+                .build();
+    }
+}
--- /dev/null
+++ b/src/main/java/org/heathercourse/daemon/limits/LocalShare.java
@@ -0,0 +1,111 @@
+package org.heathercourse.daemon.limits;
+
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.locks.Condition;
+import java.util.concurrent.locks.ReentrantLock;
+import org.heathercourse.core.limits.HeldShare;
+import org.heathercourse.core.limits.ShareAsk;
+import org.heathercourse.core.limits.ShareGrant;
+import org.heathercourse.core.model.VmId;
+import org.heathercourse.core.time.Ticker;
+
+/**
+ * A {@link HeldShare} that traffic threads and the control thread use together.
+ *
+ * <p>Safe for use by several threads.
+ */
+final class LocalShare {
+    private final Ticker mTicker;
+    private final ReentrantLock mLock = new ReentrantLock();
+    private final Condition mArrived = mLock.newCondition();
+    private final AtomicBoolean mAskPending = new AtomicBoolean();
+    private final HeldShare mShare;
+
+    /** Result of an attempt to take one request out of the share. */
+    record Admission(boolean admitted, boolean holdsShare, long retryAfterMillis) {
+        static final Admission ADMITTED = new Admission(true, true, 0);
+    }
+
+    LocalShare(VmId vm, long incarnation, Ticker ticker) {
+        mTicker = ticker;
+        mShare = new HeldShare(vm, incarnation, ticker.readNanos());
+    }
+
+    /**
+     * Takes one request, waiting for a first share if none is held.
+     *
+     * @param maxWaitMillis longest time to wait
+     * @param requestAsk run if a request to the grantor is due and none is scheduled yet
+     */
+    Admission acquire(long maxWaitMillis, Runnable requestAsk) {
+        mLock.lock();
+        try {
+            boolean admitted = mShare.tryAcquire(mTicker.readNanos());
+            if (mShare.askDue(mTicker.readNanos()) && mAskPending.compareAndSet(false, true)) {
+                requestAsk.run();
+            }
+            long rest = TimeUnit.MILLISECONDS.toNanos(maxWaitMillis);
+            while (!admitted && rest > 0 && !mShare.holdsShare(mTicker.readNanos())) {
+                rest = mArrived.awaitNanos(rest);
+                admitted = mShare.retryAcquire(mTicker.readNanos());
+            }
+            return admitted ? Admission.ADMITTED : refusal();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            return refusal();
+        } finally {
+            mLock.unlock();
+        }
+    }
+
+    private Admission refusal() {
+        long now = mTicker.readNanos();
+        long retryAfter = TimeUnit.NANOSECONDS.toMillis(mShare.retryAfterNanos(now)) + 1;
+        return new Admission(false, mShare.holdsShare(now), retryAfter);
+    }
+
+    Optional<ShareAsk> askIfDue() {
+        mLock.lock();
+        try {
+            mAskPending.set(false);
+            long now = mTicker.readNanos();
+            return mShare.askDue(now) ? Optional.of(mShare.ask(now)) : Optional.empty();
+        } finally {
+            mLock.unlock();
+        }
+    }
+
+    void clearAskPending() {
+        mAskPending.set(false);
+    }
+
+    void onGrant(long number, ShareGrant grant) {
+        mLock.lock();
+        try {
+            mShare.onGrant(number, grant, mTicker.readNanos());
+            mArrived.signalAll();
+        } finally {
+            mLock.unlock();
+        }
+    }
+
+    void onFailure(long number) {
+        mLock.lock();
+        try {
+            mShare.onFailure(number);
+        } finally {
+            mLock.unlock();
+        }
+    }
+
+    boolean retireIfUnused() {
+        mLock.lock();
+        try {
+            return mShare.droppedOut(mTicker.readNanos()) && !mLock.hasWaiters(mArrived);
+        } finally {
+            mLock.unlock();
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/heathercourse/daemon/limits/ShareMessages.java
@@ -0,0 +1,64 @@
+package org.heathercourse.daemon.limits;
+
+import org.heathercourse.core.limits.ShareAsk;
+import org.heathercourse.core.limits.ShareGrant;
+import org.heathercourse.core.model.WorkspaceId;
+import org.heathercourse.daemon.peer.PeerMessage.ShareReply;
+import org.heathercourse.daemon.peer.PeerMessage.ShareRequest;
+
+/** Converts between the values of {@code core.limits} and messages. */
+final class ShareMessages {
+    private ShareMessages() {}
+
+    static ShareRequest toMessage(WorkspaceId workspace, ShareAsk ask) {
+        return new ShareRequest(
+                workspace,
+                ask.holder(),
+                ask.holderIncarnation(),
+                ask.demandPerSecond(),
+                ask.adoptedSequence(),
+                ask.ratePerSecond(),
+                ask.capacity(),
+                ask.tokens(),
+                ask.remainingMillis(),
+                ask.grantorFence(),
+                ask.number(),
+                ask.returnedTokens());
+    }
+
+    static ShareAsk fromMessage(ShareRequest message) {
+        return new ShareAsk(
+                message.holder(),
+                message.holderIncarnation(),
+                message.number(),
+                message.demandPerSecond(),
+                message.adoptedSequence(),
+                message.ratePerSecond(),
+                message.capacity(),
+                message.tokens(),
+                message.returnedTokens(),
+                message.remainingMillis(),
+                message.grantorFence());
+    }
+
+    static ShareReply toMessage(WorkspaceId workspace, ShareGrant grant) {
+        return new ShareReply(
+                workspace,
+                grant.sequence(),
+                grant.ratePerSecond(),
+                grant.capacity(),
+                grant.addedTokens(),
+                grant.validMillis(),
+                grant.grantorFence());
+    }
+
+    static ShareGrant fromMessage(ShareReply message) {
+        return new ShareGrant(
+                message.sequence(),
+                message.ratePerSecond(),
+                message.capacity(),
+                message.addedTokens(),
+                message.validMillis(),
+                message.grantorFence());
+    }
+}
--- a/src/main/java/org/heathercourse/daemon/peer/PeerMessage.java
+++ b/src/main/java/org/heathercourse/daemon/peer/PeerMessage.java
@@ -71,6 +71,9 @@
      * @param tokens tokens left in it
      * @param remainingMillis validity left in milliseconds
      * @param grantorFence fencing number of the grantor that gave it; 0 if there is none
+     * @param number number of this request at its holder, rising, by which a grantor recognises
+     *     repeated and overtaken requests
+     * @param returnedTokens tokens that the holder gave up when it adopted this sequence number
      */
     record ShareRequest(
             WorkspaceId workspace,
@@ -82,7 +85,9 @@
             double capacity,
             double tokens,
             long remainingMillis,
-            long grantorFence)
+            long grantorFence,
+            long number,
+            double returnedTokens)
             implements PeerMessage {}
 
     /**
@@ -92,7 +97,8 @@
      * @param sequence sequence number of the share at its holder, rising
      * @param ratePerSecond fill rate of the share
      * @param capacity capacity of the share
-     * @param addedTokens tokens that move to the holder; negative if they move back
+     * @param addedTokens tokens that move to the holder; if negative, the most tokens that the
+     *     holder is to give back with its next request
      * @param validMillis validity in milliseconds, counted from the sending of the request
      * @param grantorFence fencing number of the grantor
      */
