Add the operator schema, its service and the ctl command line

Cause: operators drive everything by remote procedure calls described in a schema. Change: versioned proto package, gRPC service with credential check, YAML declarations checked against the schema with file, line and field, ctl commands with exit codes; drivers and benches that start whole deployments as processes.

--- a/src/main/java/org/heathercourse/core/config/WorkspaceSpec.java
+++ b/src/main/java/org/heathercourse/core/config/WorkspaceSpec.java
@@ -25,4 +25,10 @@
         keys = keys == null ? List.of() : List.copyOf(keys);
         weight = weight == 0 ? 1 : weight;
     }
+
+    /** Returns a copy with other keys. */
+    public WorkspaceSpec withKeys(List<KeySpec> newKeys) {
+        return new WorkspaceSpec(
+                workspace, newKeys, ratePerSecond, burst, programBudgetTokens, weight);
+    }
 }
--- a/src/main/java/org/heathercourse/daemon/settings/Setting.java
+++ b/src/main/java/org/heathercourse/daemon/settings/Setting.java
@@ -17,6 +17,10 @@
     PEER_PORT(ValueType.PORT, "8081", "port for other daemons"),
     OPERATOR_PORT(ValueType.PORT, "8082", "port for operators (gRPC)"),
     ADMIN_PORT(ValueType.PORT, "8083", "port for health and metrics"),
+    ADVERTISED_CALLER_PORT(
+            ValueType.PORT, "", "port at which callers reach the caller port, if another"),
+    ADVERTISED_PEER_PORT(
+            ValueType.PORT, "", "port at which daemons reach the peer port, if another"),
     TABLE_URL(ValueType.HTTP_URL, null, "address of the platform's table service"),
     OBJECTS_URL(ValueType.HTTP_URL, null, "address of the platform's object store"),
     VM_LIST_URL(ValueType.HTTP_URL, null, "address of the platform's VM list"),
--- a/src/main/java/org/heathercourse/daemon/settings/Settings.java
+++ b/src/main/java/org/heathercourse/daemon/settings/Settings.java
@@ -189,6 +189,11 @@
         return Integer.parseInt(mValues.get(setting));
     }
 
+    /** Returns a port, or another one if the first is not set. */
+    public int portOr(Setting setting, Setting fallback) {
+        return mValues.get(setting).isEmpty() ? port(fallback) : port(setting);
+    }
+
     /** Returns the identity of the VM. */
     public VmId vm() {
         return new VmId(mValues.get(Setting.VM_ID));
--- /dev/null
+++ b/src/main/java/org/heathercourse/ops/ctl/CtlSession.java
@@ -0,0 +1,88 @@
+package org.heathercourse.ops.ctl;
+
+import java.io.PrintStream;
+import java.nio.file.Path;
+import java.util.UUID;
+import joptsimple.OptionSet;
+import org.heathercourse.ops.v1.Configuration;
+
+/** What one run of the command line works with. Not safe for use by several threads. */
+final class CtlSession {
+    private final OperatorConnection mConnection;
+    private final OptionSet mOptions;
+    private final PrintStream mOut;
+    private final PrintStream mProgress;
+
+    CtlSession(
+            OperatorConnection connection,
+            OptionSet options,
+            PrintStream out,
+            PrintStream progress) {
+        mConnection = connection;
+        mOptions = options;
+        mOut = out;
+        mProgress = progress;
+    }
+
+    ChangeCommands changes() {
+        return new ChangeCommands(this);
+    }
+
+    ViewCommands views() {
+        return new ViewCommands(this);
+    }
+
+    OperatorConnection connection() {
+        return mConnection;
+    }
+
+    PrintStream out() {
+        return mOut;
+    }
+
+    PrintStream progress() {
+        return mProgress;
+    }
+
+    Output output() {
+        return switch (String.valueOf(mOptions.valueOf(Ctl.OUTPUT))) {
+            case "json" -> Output.JSON;
+            case "table" -> Output.TABLE;
+            default -> throw new UsageException("--output takes table or json");
+        };
+    }
+
+    boolean waits() {
+        return mOptions.has(Ctl.WAIT);
+    }
+
+    long revision() {
+        return mOptions.has(Ctl.REVISION)
+                ? wholeNumber((String) mOptions.valueOf(Ctl.REVISION))
+                : 0;
+    }
+
+    boolean hasRevision() {
+        return mOptions.has(Ctl.REVISION);
+    }
+
+    Configuration declaration() {
+        if (!mOptions.has(Ctl.FILE)) {
+            throw new UsageException("-f is not set, expected the path of a declaration");
+        }
+        return DeclarationReader.read(Path.of((String) mOptions.valueOf(Ctl.FILE)));
+    }
+
+    /** Returns a new identity for a change; retries within one run reuse it. */
+    String changeId() {
+        return UUID.randomUUID().toString();
+    }
+
+    static long wholeNumber(String text) {
+        try {
+            return Long.parseLong(text);
+        } catch (NumberFormatException e) {
+            throw new UsageException("\"" + text + "\" is not a whole number");
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/heathercourse/ops/ctl/UsageException.java
@@ -0,0 +1,13 @@
+package org.heathercourse.ops.ctl;
+
+import org.heathercourse.core.error.ErrorKind;
+import org.heathercourse.core.error.HeathercourseException;
+
+/** The command line is used wrongly. Immutable. */
+final class UsageException extends HeathercourseException {
+    private static final long serialVersionUID = 1L;
+
+    UsageException(String message) {
+        super(ErrorKind.BAD_REQUEST, message, "see heathercourse ctl --help");
+    }
+}
--- /dev/null
+++ b/src/main/java/org/heathercourse/ops/ctl/package-info.java
@@ -0,0 +1,2 @@
+/** The operator's command line. */
+package org.heathercourse.ops.ctl;
--- /dev/null
+++ b/src/main/java/org/heathercourse/testing/deployment/LocalDeployment.java
@@ -0,0 +1,412 @@
+package org.heathercourse.testing.deployment;
+
+import io.grpc.StatusRuntimeException;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.UUID;
+import java.util.function.BooleanSupplier;
+import javax.net.ssl.SSLException;
+import okhttp3.OkHttpClient;
+import okhttp3.Request;
+import okhttp3.Response;
+import org.heathercourse.core.time.Ticker;
+import org.heathercourse.ops.ctl.OperatorConnection;
+import org.heathercourse.ops.v1.AddKeyRequest;
+import org.heathercourse.ops.v1.AddKeyResponse;
+import org.heathercourse.ops.v1.ApplyRequest;
+import org.heathercourse.ops.v1.Configuration;
+import org.heathercourse.ops.v1.PlanRequest;
+import org.heathercourse.testing.load.Pauses;
+import org.heathercourse.testing.load.StandInStats;
+
+/**
+ * A deployment on loopback: one process of stand-ins with fault-injecting proxies, and daemons as
+ * processes of their own, with a declared configuration and keys.
+ *
+ * <p>{@link #start()} once, then {@link #close()} once, which ends every process that was started.
+ * Not safe for use by several threads, except {@link #stats()} and {@link #entries()}.
+ */
+public final class LocalDeployment implements AutoCloseable {
+    private static final long START_MILLIS = 60_000;
+    private static final String OPERATOR_TOKEN = "operator-token-for-trials";
+    private static final String PEER_SECRET = "peer-secret-for-local-trials";
+
+    private final Builder mOptions;
+    private final Path mDirectory;
+    private final Ticker mTicker = Ticker.system();
+    private final OkHttpClient mHttp = new OkHttpClient();
+    private final List<DaemonProcess> mDaemons = new ArrayList<>();
+    private final Map<String, String> mKeys = new LinkedHashMap<>();
+    private final Map<String, String> mKeyIds = new HashMap<>();
+    private final Map<String, Integer> mTargetPorts = new LinkedHashMap<>();
+    private ChildProcess mStandIns;
+    private StandInStats mStats;
+    private OperatorConnection mOperator;
+
+    private LocalDeployment(Builder options) {
+        mOptions = options;
+        try {
+            mDirectory = Files.createTempDirectory("heathercourse");
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
+    /** Returns a builder of a deployment with three daemons, four engines and two plain targets. */
+    public static Builder builder() {
+        return new Builder();
+    }
+
+    // ---- life cycle ----
+
+    /**
+     * Starts all processes, applies the configuration and adds a key to each workspace.
+     *
+     * @return this deployment
+     */
+    public LocalDeployment start() {
+        startStandIns();
+        for (DaemonProcess daemon : mDaemons) {
+            daemon.start();
+        }
+        List<String> operators =
+                mDaemons.stream().map(d -> "127.0.0.1:" + d.place().operatorPort()).toList();
+        try {
+            mOperator = new OperatorConnection(operators, OPERATOR_TOKEN, "");
+        } catch (SSLException e) {
+            throw new UncheckedIOException(e);
+        }
+        apply(mOptions.configuration(this));
+        for (String workspace : mOptions.mWorkspaces) {
+            addKey(workspace);
+        }
+        awaitReady();
+        return this;
+    }
+
+    private void startStandIns() {
+        int daemons = mOptions.mDaemons;
+        List<Integer> ports = Ports.free(5 + mOptions.mEngines + mOptions.mPlain + 7 * daemons);
+        int next = 0;
+        int table = ports.get(next++);
+        int objects = ports.get(next++);
+        int vmList = ports.get(next++);
+        int weights = ports.get(next++);
+        int control = ports.get(next++);
+        List<String> arguments = new ArrayList<>(List.of("standins"));
+        flag(arguments, "table", table);
+        flag(arguments, "objects", objects);
+        flag(arguments, "vm-list", vmList);
+        flag(arguments, "weights", weights);
+        flag(arguments, "control", control);
+        for (int i = 1; i <= mOptions.mEngines; i++) {
+            int port = ports.get(next++);
+            String fencing = i % 2 == 0 ? "ignore" : "check";
+            mTargetPorts.put("engine-" + i, port);
+            flag(arguments, "engine", "engine-" + i + "=" + port + ":" + fencing);
+        }
+        for (int i = 1; i <= mOptions.mPlain; i++) {
+            int port = ports.get(next++);
+            mTargetPorts.put("works-" + i, port);
+            flag(arguments, "plain", "works-" + i + "=" + port);
+        }
+        for (int i = 0; i < daemons; i++) {
+            String vm = "vm-" + (i + 1);
+            int peer = ports.get(next++);
+            int peerProxy = ports.get(next++);
+            int tableProxy = ports.get(next++);
+            int objectsProxy = ports.get(next++);
+            flag(arguments, "proxy", "peer-" + vm + "=" + peerProxy + ":" + peer);
+            flag(arguments, "proxy", "table-" + vm + "=" + tableProxy + ":" + table);
+            flag(arguments, "proxy", "objects-" + vm + "=" + objectsProxy + ":" + objects);
+            DaemonProcess.Place place =
+                    new DaemonProcess.Place(
+                            vm,
+                            mOptions.mZones.get(i % mOptions.mZones.size()),
+                            ports.get(next++),
+                            peer,
+                            mOptions.mProxies ? peerProxy : peer,
+                            ports.get(next++),
+                            ports.get(next++),
+                            mOptions.mProxies ? tableProxy : table,
+                            mOptions.mProxies ? objectsProxy : objects,
+                            vmList,
+                            weights);
+            mDaemons.add(
+                    new DaemonProcess(place, mDirectory, mOptions.mJavaOptions, environment()));
+        }
+        arguments.addAll(mOptions.mStandInFlags);
+        mStandIns =
+                ChildProcess.start(
+                        "standins",
+                        mDirectory,
+                        List.of("-XX:+UseSerialGC", "-Xmx1g"),
+                        arguments,
+                        Map.of());
+        await("stand-ins are ready", () -> mStandIns.printed("\"ready\""));
+        mStats = new StandInStats("http://127.0.0.1:" + control);
+    }
+
+    private static Map<String, String> environment() {
+        return Map.of(
+                "HEATHERCOURSE_PEER_SECRET", PEER_SECRET,
+                "HEATHERCOURSE_OPERATOR_TOKEN", OPERATOR_TOKEN);
+    }
+
+    private static void flag(List<String> arguments, String name, Object value) {
+        arguments.add("--" + name);
+        arguments.add(String.valueOf(value));
+    }
+
+    /** Waits until every running daemon says that it is ready. */
+    public void awaitReady() {
+        for (DaemonProcess daemon : mDaemons) {
+            if (daemon.process().alive()) {
+                await(daemon.place().vm() + " is ready", () -> ready(daemon));
+            }
+        }
+    }
+
+    private boolean ready(DaemonProcess daemon) {
+        Request request = new Request.Builder().url(daemon.adminUrl() + "/readyz").build();
+        try (Response response = mHttp.newCall(request).execute()) {
+            return response.isSuccessful();
+        } catch (IOException e) {
+            return false;
+        }
+    }
+
+    private void await(String what, BooleanSupplier condition) {
+        long end = mTicker.readMillis() + START_MILLIS;
+        while (!condition.getAsBoolean()) {
+            if (mTicker.readMillis() >= end) {
+                throw new IllegalStateException(
+                        "waited " + START_MILLIS + " ms until " + what + "\n" + logTails());
+            }
+            Pauses.pause(50);
+        }
+    }
+
+    /** Returns the last lines of the logs of all processes. */
+    public String logTails() {
+        StringBuilder out = new StringBuilder();
+        if (mStandIns != null) {
+            out.append(mStandIns.logTail()).append('\n');
+        }
+        for (DaemonProcess daemon : mDaemons) {
+            if (daemon.process() != null) {
+                out.append(daemon.process().logTail()).append('\n');
+            }
+        }
+        return out.toString();
+    }
+
+    @Override
+    public void close() {
+        if (mOperator != null) {
+            mOperator.close();
+        }
+        for (DaemonProcess daemon : mDaemons) {
+            if (daemon.process() != null) {
+                daemon.process().kill();
+            }
+        }
+        if (mStandIns != null) {
+            mStandIns.kill();
+        }
+    }
+
+    // ---- operation ----
+
+    /**
+     * Applies a configuration, trying again until a daemon accepts it.
+     *
+     * @param configuration the configuration
+     * @return its revision
+     */
+    public long apply(Configuration configuration) {
+        long end = mTicker.readMillis() + START_MILLIS;
+        while (true) {
+            try {
+                PlanRequest plan = PlanRequest.newBuilder().setConfiguration(configuration).build();
+                long base = mOperator.call(stub -> stub.plan(plan)).getBaseRevision();
+                ApplyRequest request =
+                        ApplyRequest.newBuilder()
+                                .setConfiguration(configuration)
+                                .setBaseRevision(base)
+                                .setChangeId(UUID.randomUUID().toString())
+                                .build();
+                return mOperator.call(stub -> stub.apply(request)).getRevision();
+            } catch (StatusRuntimeException e) {
+                if (mTicker.readMillis() >= end) {
+                    throw new IllegalStateException("no change accepted\n" + logTails(), e);
+                }
+                Pauses.pause(100);
+            }
+        }
+    }
+
+    /**
+     * Adds a key to a workspace and remembers it as the workspace's key.
+     *
+     * @param workspace the workspace
+     * @return the key
+     */
+    public String addKey(String workspace) {
+        AddKeyRequest request =
+                AddKeyRequest.newBuilder()
+                        .setWorkspace(workspace)
+                        .setChangeId(UUID.randomUUID().toString())
+                        .build();
+        AddKeyResponse response = mOperator.call(stub -> stub.addKey(request));
+        mKeys.put(workspace, response.getKey());
+        mKeyIds.put(response.getKey(), response.getKeyId());
+        return response.getKey();
+    }
+
+    /** Returns the connection of the operator. */
+    public OperatorConnection operator() {
+        return mOperator;
+    }
+
+    /** Returns a connection of an operator to one daemon alone. */
+    public OperatorConnection operatorAt(DaemonProcess daemon) {
+        try {
+            return new OperatorConnection(
+                    List.of("127.0.0.1:" + daemon.place().operatorPort()), OPERATOR_TOKEN, "");
+        } catch (SSLException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
+    // ---- reading ----
+
+    /** Returns the daemons. */
+    public List<DaemonProcess> daemons() {
+        return mDaemons;
+    }
+
+    /** Returns the base URLs of all daemons for callers. */
+    public List<String> entries() {
+        return mDaemons.stream().map(DaemonProcess::callerUrl).toList();
+    }
+
+    /** Returns the present key of a workspace. */
+    public String key(String workspace) {
+        return mKeys.get(workspace);
+    }
+
+    /** Returns the public part of a key. */
+    public String keyId(String key) {
+        return mKeyIds.get(key);
+    }
+
+    /** Returns the workspaces. */
+    public List<String> workspaces() {
+        return mOptions.mWorkspaces;
+    }
+
+    /** Returns the counts and the faults of the stand-ins. */
+    public StandInStats stats() {
+        return mStats;
+    }
+
+    /** Returns the ports of the targets by identity. */
+    public Map<String, Integer> targetPorts() {
+        return mTargetPorts;
+    }
+
+    /** Collects the options of a {@link LocalDeployment}. Not safe for several threads. */
+    public static final class Builder {
+        private int mDaemons = 3;
+        private int mEngines = 4;
+        private int mPlain = 2;
+        private boolean mProxies;
+        private double mRatePerSecond = 1_000;
+        private double mBurst = 1_000;
+        private long mBudgetTokens = 1_000_000;
+        private List<String> mZones = List.of("north", "south", "east");
+        private List<String> mWorkspaces = List.of("loom-hall", "harbour-mill", "dance-school");
+        private List<String> mJavaOptions = List.of("-XX:+UseSerialGC", "-Xmx256m");
+        private List<String> mStandInFlags = List.of();
+
+        private Builder() {}
+
+        /** Sets the number of daemons. */
+        public Builder daemons(int daemons) {
+            mDaemons = daemons;
+            return this;
+        }
+
+        /** Sets the number of model engines. */
+        public Builder engines(int engines) {
+            mEngines = engines;
+            return this;
+        }
+
+        /** Sets the number of plain targets. */
+        public Builder plain(int plain) {
+            mPlain = plain;
+            return this;
+        }
+
+        /** Sets whether links to peers and the store pass through proxies. */
+        public Builder proxies(boolean proxies) {
+            mProxies = proxies;
+            return this;
+        }
+
+        /** Sets the rate and burst of every workspace. */
+        public Builder rate(double ratePerSecond, double burst) {
+            mRatePerSecond = ratePerSecond;
+            mBurst = burst;
+            return this;
+        }
+
+        /** Sets the workspaces. */
+        public Builder workspaces(List<String> workspaces) {
+            mWorkspaces = List.copyOf(workspaces);
+            return this;
+        }
+
+        /** Sets the zones, which daemons and targets take in turn. */
+        public Builder zones(List<String> zones) {
+            mZones = List.copyOf(zones);
+            return this;
+        }
+
+        /** Sets the options of the daemons' Java runtime. */
+        public Builder javaOptions(List<String> javaOptions) {
+            mJavaOptions = List.copyOf(javaOptions);
+            return this;
+        }
+
+        /** Sets further flags of the stand-ins. */
+        public Builder standInFlags(List<String> standInFlags) {
+            mStandInFlags = List.copyOf(standInFlags);
+            return this;
+        }
+
+        /** Creates the deployment; nothing is started yet. */
+        public LocalDeployment build() {
+            return new LocalDeployment(this);
+        }
+
+        private Configuration configuration(LocalDeployment deployment) {
+            return TrialConfiguration.create(
+                    mZones,
+                    mWorkspaces,
+                    deployment.mTargetPorts,
+                    mRatePerSecond,
+                    mBurst,
+                    mBudgetTokens);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/heathercourse/testing/deployment/package-info.java
@@ -0,0 +1,2 @@
+/** Whole deployments on loopback, as separate processes, for tests and benches. */
+package org.heathercourse.testing.deployment;
--- /dev/null
+++ b/src/main/java/org/heathercourse/testing/load/LoadCounters.java
@@ -0,0 +1,53 @@
+package org.heathercourse.testing.load;
+
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicLong;
+
+/** What callers have seen. Safe for use by several threads. */
+public final class LoadCounters {
+    /** Things that callers count. */
+    public enum Counter {
+        PROGRAMS,
+        COMPLETED,
+        TURNS,
+        REQUESTS,
+        RETRIES,
+        CROSSED_ANSWERS,
+        TRUNCATED_ANSWERS,
+        CHANGED_ANSWERS,
+        UNKNOWN_OUTCOMES,
+        REFUSED_NOT_RUN,
+        PENDING_ANSWERS,
+        FAILED_PROGRAMS
+    }
+
+    private final Map<Counter, AtomicLong> mCounts = new ConcurrentHashMap<>();
+
+    /** Creates counters at zero. */
+    public LoadCounters() {
+        for (Counter counter : Counter.values()) {
+            mCounts.put(counter, new AtomicLong());
+        }
+    }
+
+    /** Adds one. */
+    public void add(Counter counter) {
+        mCounts.get(counter).incrementAndGet();
+    }
+
+    /** Returns a count. */
+    public long get(Counter counter) {
+        return mCounts.get(counter).get();
+    }
+
+    /** Returns all counts by lower-case name. */
+    public Map<String, Long> all() {
+        Map<String, Long> all = new LinkedHashMap<>();
+        for (Counter counter : Counter.values()) {
+            all.put(counter.name().toLowerCase(), get(counter));
+        }
+        return all;
+    }
+}
--- /dev/null
+++ b/src/main/java/org/heathercourse/testing/load/TraceProgram.java
@@ -0,0 +1,57 @@
+package org.heathercourse.testing.load;
+
+import com.fasterxml.jackson.annotation.JsonProperty;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+
+/**
+ * A program of a trace.
+ *
+ * @param program identity of the program
+ * @param workspace workspace that it belongs to
+ * @param requestClass class of its calls
+ * @param history how the history is sent: full or append
+ * @param budgetTokens tokens that it may spend
+ * @param steps its steps, in order
+ */
+public record TraceProgram(
+        String program,
+        String workspace,
+        @JsonProperty("class") String requestClass,
+        String history,
+        @JsonProperty("budget_tokens") long budgetTokens,
+        List<TraceStep> steps) {
+    private static final ObjectMapper MAPPER = new ObjectMapper();
+
+    /**
+     * Reads a trace: one program in JSON on each line.
+     *
+     * @param path the file
+     * @return the programs
+     * @throws IOException if the file cannot be read
+     */
+    public static List<TraceProgram> read(Path path) throws IOException {
+        List<TraceProgram> programs = new ArrayList<>();
+        for (String line : Files.readAllLines(path)) {
+            if (!line.isBlank()) {
+                programs.add(MAPPER.readValue(line, TraceProgram.class));
+            }
+        }
+        return programs;
+    }
+
+    /** Returns a copy under another identity and workspace. */
+    public TraceProgram as(String newProgram, String newWorkspace) {
+        return new TraceProgram(
+                newProgram, newWorkspace, requestClass, history, budgetTokens, steps);
+    }
+
+    /** Returns a sub-agent of this program. */
+    TraceProgram child(String name, long budget, TraceStep.Agent agent) {
+        return new TraceProgram(name, workspace, requestClass, history, budget, agent.steps());
+    }
+}
