Add HTTP adapters of the platform interfaces

Cause: daemons need one adapter for each outside service. Change: adapters over OkHttp. Automatic repeats, redirects and the repeat on 503 with Retry-After: 0 are off.

--- /dev/null
+++ b/src/main/java/org/heathercourse/platform/http/HttpSettings.java
@@ -0,0 +1,84 @@
+package org.heathercourse.platform.http;
+
+/**
+ * Settings of the HTTP adapters. Immutable.
+ *
+ * @param connectTimeoutMillis longest time to open a connection, in milliseconds
+ * @param readTimeoutMillis longest time without a byte of the answer, in milliseconds
+ * @param writeTimeoutMillis longest time in which no byte of a request can be sent, in milliseconds
+ * @param callTimeoutMillis longest time for a whole blocking exchange with a store or an engine, in
+ *     milliseconds; plain requests and streams carry their own limit
+ * @param maxIdleConnections idle connections that are kept open
+ * @param keepAliveMillis time after which an idle connection is closed, in milliseconds
+ */
+public record HttpSettings(
+        long connectTimeoutMillis,
+        long readTimeoutMillis,
+        long writeTimeoutMillis,
+        long callTimeoutMillis,
+        int maxIdleConnections,
+        long keepAliveMillis) {
+    /** Returns a builder with the defaults. */
+    public static Builder builder() {
+        return new Builder();
+    }
+
+    /** Collects settings. Not safe for several threads. */
+    public static final class Builder {
+        private long mConnectTimeoutMillis = 1_000;
+        private long mReadTimeoutMillis = 3_000;
+        private long mWriteTimeoutMillis = 3_000;
+        private long mCallTimeoutMillis = 5_000;
+        private int mMaxIdleConnections = 256;
+        private long mKeepAliveMillis = 30_000;
+
+        private Builder() {}
+
+        /** Sets the longest time to open a connection, in milliseconds. */
+        public Builder connectTimeoutMillis(long millis) {
+            mConnectTimeoutMillis = millis;
+            return this;
+        }
+
+        /** Sets the longest time without a byte of the answer, in milliseconds. */
+        public Builder readTimeoutMillis(long millis) {
+            mReadTimeoutMillis = millis;
+            return this;
+        }
+
+        /** Sets the longest time in which no byte of a request can be sent, in milliseconds. */
+        public Builder writeTimeoutMillis(long millis) {
+            mWriteTimeoutMillis = millis;
+            return this;
+        }
+
+        /** Sets the longest time for a whole blocking exchange, in milliseconds. */
+        public Builder callTimeoutMillis(long millis) {
+            mCallTimeoutMillis = millis;
+            return this;
+        }
+
+        /** Sets the number of idle connections that are kept open. */
+        public Builder maxIdleConnections(int connections) {
+            mMaxIdleConnections = connections;
+            return this;
+        }
+
+        /** Sets the time after which an idle connection is closed, in milliseconds. */
+        public Builder keepAliveMillis(long millis) {
+            mKeepAliveMillis = millis;
+            return this;
+        }
+
+        /** Creates the settings. */
+        public HttpSettings build() {
+            return new HttpSettings(
+                    mConnectTimeoutMillis,
+                    mReadTimeoutMillis,
+                    mWriteTimeoutMillis,
+                    mCallTimeoutMillis,
+                    mMaxIdleConnections,
+                    mKeepAliveMillis);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/heathercourse/platform/http/HttpTransport.java
@@ -0,0 +1,183 @@
+package org.heathercourse.platform.http;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.io.IOException;
+import java.util.List;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.SynchronousQueue;
+import java.util.concurrent.ThreadPoolExecutor;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import okhttp3.Call;
+import okhttp3.ConnectionPool;
+import okhttp3.Dispatcher;
+import okhttp3.EventListener;
+import okhttp3.Interceptor;
+import okhttp3.MediaType;
+import okhttp3.OkHttpClient;
+import okhttp3.Protocol;
+import okhttp3.Request;
+import okhttp3.RequestBody;
+import okhttp3.Response;
+
+/**
+ * The connections that the HTTP adapters share.
+ *
+ * <p>No request is repeated or redirected by the library: a repeat could run a non-idempotent
+ * request twice. Safe for use by several threads; closing it ends all exchanges.
+ */
+public final class HttpTransport implements AutoCloseable {
+    static final ObjectMapper JSON = new ObjectMapper();
+    static final MediaType JSON_TYPE = MediaType.get("application/json");
+
+    private static final String HELD_RETRY_AFTER = "X-Held-Retry-After";
+
+    private final OkHttpClient mClient;
+    private final ExecutorService mExecutor;
+    private final HttpSettings mSettings;
+
+    /**
+     * Creates a transport.
+     *
+     * @param settings timeouts and pool sizes
+     */
+    public HttpTransport(HttpSettings settings) {
+        mSettings = settings;
+        AtomicInteger threads = new AtomicInteger();
+        mExecutor =
+                new ThreadPoolExecutor(
+                        0,
+                        Integer.MAX_VALUE,
+                        30,
+                        TimeUnit.SECONDS,
+                        new SynchronousQueue<>(),
+                        task -> {
+                            Thread thread = new Thread(task, "http-" + threads.incrementAndGet());
+                            thread.setDaemon(true);
+                            return thread;
+                        });
+        Dispatcher dispatcher = new Dispatcher(mExecutor);
+        // Admission is decided before a request gets here; a second limit would only queue it
+        // where its deadline is not seen.
+        dispatcher.setMaxRequests(Integer.MAX_VALUE);
+        dispatcher.setMaxRequestsPerHost(Integer.MAX_VALUE);
+        mClient =
+                new OkHttpClient.Builder()
+                        .dispatcher(dispatcher)
+                        .connectionPool(
+                                new ConnectionPool(
+                                        settings.maxIdleConnections(),
+                                        settings.keepAliveMillis(),
+                                        TimeUnit.MILLISECONDS))
+                        .connectTimeout(settings.connectTimeoutMillis(), TimeUnit.MILLISECONDS)
+                        .readTimeout(settings.readTimeoutMillis(), TimeUnit.MILLISECONDS)
+                        .writeTimeout(settings.writeTimeoutMillis(), TimeUnit.MILLISECONDS)
+                        .protocols(List.of(Protocol.HTTP_1_1))
+                        .retryOnConnectionFailure(false)
+                        .followRedirects(false)
+                        .followSslRedirects(false)
+                        .eventListenerFactory(HttpTransport::listenerOf)
+                        .addInterceptor(HttpTransport::restoreRetryAfter)
+                        .addInterceptor(HttpTransport::applyReadTimeout)
+                        .addNetworkInterceptor(HttpTransport::holdRetryAfter)
+                        .build();
+    }
+
+    @Override
+    public void close() {
+        mClient.dispatcher().cancelAll();
+        mExecutor.shutdown();
+        mClient.connectionPool().evictAll();
+    }
+
+    /** Remembers whether any byte of a request may have been sent. */
+    static final class SentTracker extends EventListener {
+        private volatile boolean mSent;
+
+        @Override
+        public void requestHeadersStart(Call call) {
+            mSent = true;
+        }
+
+        boolean sent() {
+            return mSent;
+        }
+    }
+
+    /**
+     * Longest time without a byte of the answer, for one request.
+     *
+     * @param millis the time in milliseconds
+     */
+    record ReadTimeout(int millis) {}
+
+    /**
+     * A whole answer.
+     *
+     * @param status HTTP status
+     * @param body the body
+     */
+    record Reply(int status, byte[] body) {
+        JsonNode json() throws IOException {
+            JsonNode node = JSON.readTree(body);
+            return node == null ? JSON.missingNode() : node;
+        }
+    }
+
+    Call newCall(Request request) {
+        return mClient.newCall(request);
+    }
+
+    /** Sends a request and reads the whole answer. */
+    Reply exchange(Request.Builder request, SentTracker tracker) throws IOException {
+        Call call = mClient.newCall(request.tag(SentTracker.class, tracker).build());
+        call.timeout().timeout(mSettings.callTimeoutMillis(), TimeUnit.MILLISECONDS);
+        try (Response response = call.execute()) {
+            return new Reply(response.code(), response.body().bytes());
+        }
+    }
+
+    /** Returns a JSON body. */
+    static RequestBody jsonBody(JsonNode node) {
+        try {
+            return RequestBody.create(JSON.writeValueAsBytes(node), JSON_TYPE);
+        } catch (IOException e) {
+            throw new IllegalStateException("JSON tree could not be written", e);
+        }
+    }
+
+    private static EventListener listenerOf(Call call) {
+        SentTracker tracker = call.request().tag(SentTracker.class);
+        return tracker == null ? EventListener.NONE : tracker;
+    }
+
+    private static Response applyReadTimeout(Interceptor.Chain chain) throws IOException {
+        ReadTimeout timeout = chain.request().tag(ReadTimeout.class);
+        if (timeout == null) {
+            return chain.proceed(chain.request());
+        }
+        return chain.withReadTimeout(timeout.millis(), TimeUnit.MILLISECONDS)
+                .proceed(chain.request());
+    }
+
+    /**
+     * Hides the header {@code Retry-After}: OkHttp repeats a request that was answered with 503 and
+     * {@code Retry-After: 0}, even one that may not be repeated.
+     */
+    private static Response holdRetryAfter(Interceptor.Chain chain) throws IOException {
+        return renameHeader(chain.proceed(chain.request()), "Retry-After", HELD_RETRY_AFTER);
+    }
+
+    private static Response restoreRetryAfter(Interceptor.Chain chain) throws IOException {
+        return renameHeader(chain.proceed(chain.request()), HELD_RETRY_AFTER, "Retry-After");
+    }
+
+    private static Response renameHeader(Response response, String from, String to) {
+        String value = response.header(from);
+        if (value == null) {
+            return response;
+        }
+        return response.newBuilder().removeHeader(from).header(to, value).build();
+    }
+}
