Add stand-ins for the platform and a fault-injecting proxy

Change: table, objects, VM list, weights, engines and plain services over real sockets on three Netty event loops in one process, with accounting, a control port and TCP proxies. Netty instead of Javalin, as it can refuse connections, close them without an answer and tell at once that a client has gone.

--- /dev/null
+++ b/src/main/java/org/heathercourse/testing/proxy/FaultProxy.java
@@ -0,0 +1,263 @@
+package org.heathercourse.testing.proxy;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelFutureListener;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.group.ChannelGroup;
+import io.netty.channel.group.DefaultChannelGroup;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.util.concurrent.GlobalEventExecutor;
+import java.net.InetSocketAddress;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicReference;
+import java.util.random.RandomGenerator;
+import org.heathercourse.core.time.Ticker;
+
+/**
+ * A TCP proxy on one loopback port that shows faults. Many proxies share the event loops of a
+ * process. Faults apply to bytes that arrive after the change. Safe for use by several threads;
+ * must not be changed or closed from an event loop.
+ */
+public final class FaultProxy implements AutoCloseable {
+    private static final long MAX_HELD_BYTES = 1 << 20;
+
+    private final EventLoopGroup mLoops;
+    private final int mTargetPort;
+    private final Ticker mTicker;
+    private final RandomGenerator mRandom;
+    private final AtomicReference<ProxyFaults> mFaults = new AtomicReference<>(ProxyFaults.NONE);
+    private final ChannelGroup mConnections = new DefaultChannelGroup(GlobalEventExecutor.INSTANCE);
+    private final Channel mListener;
+
+    /**
+     * Opens a proxy.
+     *
+     * @param loops event loops that carry the connections
+     * @param listenPort port to listen on; 0 for any free one
+     * @param targetPort loopback port to connect to
+     * @param ticker time source for delays
+     * @param random source of jitter and stalls
+     */
+    public FaultProxy(
+            EventLoopGroup loops,
+            int listenPort,
+            int targetPort,
+            Ticker ticker,
+            RandomGenerator random) {
+        mLoops = loops;
+        mTargetPort = targetPort;
+        mTicker = ticker;
+        mRandom = random;
+        mListener =
+                new ServerBootstrap()
+                        .group(loops)
+                        .channel(NioServerSocketChannel.class)
+                        .option(ChannelOption.SO_REUSEADDR, true)
+                        .option(ChannelOption.SO_BACKLOG, 1024)
+                        .childOption(ChannelOption.AUTO_READ, false)
+                        .childOption(ChannelOption.TCP_NODELAY, true)
+                        .childHandler(
+                                new ChannelInitializer<Channel>() {
+                                    @Override
+                                    protected void initChannel(Channel client) {
+                                        accept(client);
+                                    }
+                                })
+                        .bind(new InetSocketAddress("127.0.0.1", listenPort))
+                        .syncUninterruptibly()
+                        .channel();
+    }
+
+    /** Returns the port on which the proxy listens. */
+    public int port() {
+        return ((InetSocketAddress) mListener.localAddress()).getPort();
+    }
+
+    /** Returns the present faults. */
+    public ProxyFaults faults() {
+        return mFaults.get();
+    }
+
+    /** Sets the faults; a cut closes the open connections. */
+    public void faults(ProxyFaults faults) {
+        mFaults.set(faults);
+        if (faults.cut()) {
+            closeConnections();
+        }
+    }
+
+    /** Closes the open connections; new ones are accepted unless the proxy is cut. */
+    public void closeConnections() {
+        mConnections.close().awaitUninterruptibly();
+    }
+
+    @Override
+    public void close() {
+        mListener.close().syncUninterruptibly();
+        closeConnections();
+    }
+
+    private void accept(Channel client) {
+        if (mFaults.get().cut()) {
+            client.close();
+            return;
+        }
+        mConnections.add(client);
+        ChannelFuture connected =
+                new Bootstrap()
+                        .group(client.eventLoop())
+                        .channel(NioSocketChannel.class)
+                        .option(ChannelOption.AUTO_READ, false)
+                        .option(ChannelOption.TCP_NODELAY, true)
+                        .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, 2_000)
+                        .handler(
+                                new ChannelInitializer<Channel>() {
+                                    @Override
+                                    protected void initChannel(Channel target) {
+                                        mConnections.add(target);
+                                        target.pipeline().addLast(new Pipe(client, false));
+                                        client.pipeline().addLast(new Pipe(target, true));
+                                    }
+                                })
+                        .connect(new InetSocketAddress("127.0.0.1", mTargetPort));
+        connected.addListener(
+                (ChannelFutureListener)
+                        future -> {
+                            if (future.isSuccess()) {
+                                client.config().setAutoRead(true);
+                                future.channel().config().setAutoRead(true);
+                            } else {
+                                client.close();
+                            }
+                        });
+    }
+
+    private synchronized long drawDelayNanos(ProxyFaults faults) {
+        double millis = faults.delayMillis() + mRandom.nextDouble() * faults.jitterMillis();
+        if (faults.stallRate() > 0 && mRandom.nextDouble() < faults.stallRate()) {
+            millis += faults.stallMillis();
+        }
+        return (long) (millis * 1e6);
+    }
+
+    private boolean takeLostReply() {
+        ProxyFaults before =
+                mFaults.getAndUpdate(
+                        f -> f.loseReplies() > 0 ? f.withLoseReplies(f.loseReplies() - 1) : f);
+        return before.loseReplies() > 0;
+    }
+
+    /** An action that waits for its time. */
+    private record Held(long releaseNanos, Runnable action) {}
+
+    /** Passes bytes on in one direction, in order. Used by one event loop only. */
+    private final class Pipe extends ChannelInboundHandlerAdapter {
+        private final Channel mOut;
+        private final boolean mToTarget;
+        private final Deque<Held> mHeld = new ArrayDeque<>();
+        private long mLastReleaseNanos;
+        private long mHeldBytes;
+
+        Pipe(Channel out, boolean toTarget) {
+            mOut = out;
+            mToTarget = toTarget;
+            mLastReleaseNanos = mTicker.readNanos();
+        }
+
+        @Override
+        public void channelRead(ChannelHandlerContext ctx, Object message) {
+            ByteBuf bytes = (ByteBuf) message;
+            ProxyFaults faults = mFaults.get();
+            if (faults.halfOpen().swallows(mToTarget)) {
+                bytes.release();
+                return;
+            }
+            if (!mToTarget && takeLostReply()) {
+                bytes.release();
+                mOut.close();
+                ctx.close();
+                return;
+            }
+            long size = bytes.readableBytes();
+            mHeldBytes += size;
+            if (mHeldBytes > MAX_HELD_BYTES) {
+                ctx.channel().config().setAutoRead(false);
+            }
+            later(
+                    ctx,
+                    faults,
+                    () ->
+                            mOut.writeAndFlush(bytes)
+                                    .addListener(future -> passedOn(ctx.channel(), size)));
+        }
+
+        @Override
+        public void channelInactive(ChannelHandlerContext ctx) {
+            ProxyFaults faults = mFaults.get();
+            if (!faults.halfOpen().swallows(mToTarget)) {
+                later(
+                        ctx,
+                        faults,
+                        () ->
+                                mOut.writeAndFlush(Unpooled.EMPTY_BUFFER)
+                                        .addListener(ChannelFutureListener.CLOSE));
+            }
+        }
+
+        @Override
+        public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+            ctx.close();
+        }
+
+        private void later(ChannelHandlerContext ctx, ProxyFaults faults, Runnable action) {
+            long now = mTicker.readNanos();
+            long releaseNanos = Math.max(mLastReleaseNanos, now + drawDelayNanos(faults));
+            mLastReleaseNanos = releaseNanos;
+            if (releaseNanos <= now && mHeld.isEmpty()) {
+                action.run();
+                return;
+            }
+            mHeld.add(new Held(releaseNanos, action));
+            if (mHeld.size() == 1) {
+                scheduleRelease(ctx);
+            }
+        }
+
+        /** Releases from one queue, as timers with nearly equal deadlines may run out of order. */
+        private void scheduleRelease(ChannelHandlerContext ctx) {
+            long delayNanos = mHeld.getFirst().releaseNanos() - mTicker.readNanos();
+            ctx.channel()
+                    .eventLoop()
+                    .schedule(() -> release(ctx), Math.max(0, delayNanos), TimeUnit.NANOSECONDS);
+        }
+
+        private void release(ChannelHandlerContext ctx) {
+            long now = mTicker.readNanos();
+            while (!mHeld.isEmpty() && mHeld.getFirst().releaseNanos() <= now) {
+                mHeld.removeFirst().action().run();
+            }
+            if (!mHeld.isEmpty()) {
+                scheduleRelease(ctx);
+            }
+        }
+
+        private void passedOn(Channel in, long size) {
+            mHeldBytes -= size;
+            if (mHeldBytes <= MAX_HELD_BYTES && !in.config().isAutoRead()) {
+                in.config().setAutoRead(true);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/heathercourse/testing/proxy/package-info.java
@@ -0,0 +1,2 @@
+/** A fault-injecting TCP proxy. */
+package org.heathercourse.testing.proxy;
--- /dev/null
+++ b/src/main/java/org/heathercourse/testing/standin/EngineStandIn.java
@@ -0,0 +1,240 @@
+package org.heathercourse.testing.standin;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.netty.channel.EventLoop;
+import java.io.IOException;
+import java.util.TreeSet;
+import java.util.concurrent.TimeUnit;
+import org.heathercourse.core.time.Ticker;
+
+/**
+ * A model engine: the HTTP side. All its state belongs to one event loop. Safe for use by several
+ * threads.
+ */
+final class EngineStandIn implements HttpPort.Handler {
+    private final String mId;
+    private final EventLoop mLoop;
+    private final FaultSwitches mFaults;
+    private final EngineSettings mSettings;
+    private final EngineFleet mFleet;
+    private final PrefixCache mCache;
+    private final EngineBatch mBatch;
+    private final LoadReports mReports;
+    private final boolean mChecksFence;
+    private final TreeSet<String> mModels;
+    private final TreeSet<String> mUnloaded = new TreeSet<>();
+    private final TreeSet<String> mAdapters = new TreeSet<>();
+    private String mRole = "any";
+    private long mHighestFence = Long.MIN_VALUE;
+
+    EngineStandIn(
+            String id,
+            EventLoop loop,
+            Ticker ticker,
+            FaultSwitches faults,
+            EngineSettings settings,
+            EngineFleet fleet,
+            boolean checksFence) {
+        mId = id;
+        mLoop = loop;
+        mFaults = faults;
+        mSettings = settings;
+        mFleet = fleet;
+        mChecksFence = checksFence;
+        mModels = new TreeSet<>(settings.models());
+        mCache = new PrefixCache(ticker, faults, settings.cacheTokens());
+        fleet.add(mCache);
+        mBatch = new EngineBatch(loop, ticker, faults, settings, fleet, mCache);
+        mReports = new LoadReports(ticker, faults, settings.lagMillis());
+    }
+
+    /** Starts the load reports. */
+    void start() {
+        long periodMillis = Math.max(20, mSettings.lagMillis() / 4);
+        mLoop.scheduleAtFixedRate(
+                () -> mReports.add(loadNow()), 0, periodMillis, TimeUnit.MILLISECONDS);
+    }
+
+    @Override
+    public void arrived(Exchange exchange) {
+        mFleet.accounting().arrived(mId, exchange);
+    }
+
+    @Override
+    public void handle(Exchange exchange) throws IOException {
+        mFleet.accounting().scanBody(exchange.body());
+        JsonNode body =
+                exchange.body().length == 0 ? Exchange.JSON.createObjectNode() : exchange.json();
+        // A prompt is hashed by the event loop of its connection, so that one engine loop is not
+        // held up by the long histories of all its callers.
+        Prompt prompt =
+                exchange.path().equals("/v1/chat/completions")
+                        ? Prompt.of(body.path("messages"))
+                        : null;
+        mLoop.execute(() -> route(exchange, body, prompt));
+    }
+
+    @Override
+    public boolean changesSomething(Exchange exchange) {
+        return !exchange.method().equals("GET");
+    }
+
+    /** Adds the counters to the statistics. */
+    void addTo(ObjectNode stats) {
+        stats.withObject("/held_cache_tokens").put(mId, mCache.usedTokens());
+        mBatch.addTo(stats.withObject("/engines").putObject(mId));
+    }
+
+    private void route(Exchange exchange, JsonNode body, Prompt prompt) {
+        switch (exchange.method() + " " + exchange.path()) {
+            case "POST /v1/chat/completions" -> generate(exchange, body, prompt);
+            case "GET /v1/models" -> exchange.reply(200, models());
+            case "GET /load" -> exchange.reply(200, mReports.read());
+            case "GET /cache/events" -> exchange.reply(200, events(exchange));
+            case "GET /cache/sessions" -> exchange.reply(200, sessions());
+            case "DELETE /cache/sessions" -> {
+                mCache.release(exchange.query("session"));
+                exchange.reply(200, Exchange.JSON.createObjectNode());
+            }
+            case "POST /cache/export" -> exportCache(exchange, body);
+            case "POST /cache/import" -> importCache(exchange, body);
+            case "POST /orders" -> order(exchange, body);
+            default -> exchange.error(404, "no such path: " + exchange.path(), true);
+        }
+    }
+
+    // ---- Generation ----
+
+    private void generate(Exchange exchange, JsonNode body, Prompt prompt) {
+        String model = body.path("model").asText();
+        boolean known = mSettings.models().isEmpty() || mModels.contains(model);
+        if (!known || mUnloaded.contains(model)) {
+            exchange.error(404, "model " + model + " is not loaded", true);
+            return;
+        }
+        mBatch.submit(exchange, body, prompt);
+    }
+
+    private ObjectNode models() {
+        ObjectNode json = Exchange.JSON.createObjectNode().put("object", "list");
+        ArrayNode data = json.putArray("data");
+        for (String model : mModels) {
+            data.addObject().put("id", model).put("object", "model").put("owned_by", mId);
+        }
+        return json;
+    }
+
+    private ObjectNode loadNow() {
+        ObjectNode load = mBatch.load();
+        load.put("cache_used_tokens", mCache.usedTokens());
+        load.put("cache_capacity_tokens", mCache.capacityTokens());
+        load.put("role", mRole);
+        ArrayNode models = load.putArray("models");
+        mModels.forEach(models::add);
+        ArrayNode adapters = load.putArray("adapters");
+        mAdapters.forEach(adapters::add);
+        return load;
+    }
+
+    // ---- Cache ----
+
+    private ObjectNode events(Exchange exchange) {
+        long lagMillis = (long) mFaults.peek(Fault.LAG_MS).orElse(mSettings.lagMillis());
+        ObjectNode json = Exchange.JSON.createObjectNode();
+        ArrayNode events = json.putArray("events");
+        for (PrefixCache.Event event : mCache.events(exchange.longQuery("after", 0), lagMillis)) {
+            events.addObject()
+                    .put("sequence", event.sequence())
+                    .put("session", event.session())
+                    .put("cached_tokens", event.cachedTokens());
+        }
+        return json;
+    }
+
+    private ObjectNode sessions() {
+        ObjectNode json = Exchange.JSON.createObjectNode();
+        ArrayNode sessions = json.putArray("sessions");
+        mCache.sessions().forEach(sessions::add);
+        return json;
+    }
+
+    private void exportCache(Exchange exchange, JsonNode body) {
+        PrefixCache.Conversation held = mCache.get(body.path("session").asText());
+        if (held == null) {
+            exchange.error(404, "the session is not cached", true);
+            return;
+        }
+        ObjectNode json = Exchange.JSON.createObjectNode();
+        json.put("handle", mFleet.export(held)).put("tokens", held.total());
+        exchange.reply(200, json);
+    }
+
+    private void importCache(Exchange exchange, JsonNode body) {
+        PrefixCache.Conversation taken = mFleet.takeExport(body.path("handle").asText());
+        if (taken == null) {
+            exchange.error(404, "no such export", true);
+            return;
+        }
+        // Copying a cache takes a tenth of the time to compute it.
+        double millis = taken.total() * 100.0 / mSettings.prefillTokensPerSecond();
+        mLoop.schedule(
+                () -> {
+                    mCache.put(body.path("session").asText(), taken);
+                    mFleet.accounting().add("migrated_tokens", taken.total());
+                    exchange.reply(
+                            200, Exchange.JSON.createObjectNode().put("tokens", taken.total()));
+                },
+                (long) (millis * 1_000_000),
+                TimeUnit.NANOSECONDS);
+    }
+
+    // ---- Orders ----
+
+    private void order(Exchange exchange, JsonNode body) {
+        long fence = exchange.longHeader("X-Fencing-Token", body.path("fence").asLong());
+        boolean old = fence < mHighestFence;
+        boolean ignores = !mChecksFence || mFaults.take(Fault.IGNORE_FENCING).isPresent();
+        if (old && !ignores) {
+            mFleet.accounting().count("refused_orders");
+            exchange.error(409, "fence " + fence + " is older than " + mHighestFence, true);
+            return;
+        }
+        if (old) {
+            mFleet.accounting().count("stale_orders");
+        }
+        mHighestFence = Math.max(mHighestFence, fence);
+        String subject = body.path("subject").asText();
+        switch (body.path("kind").asText()) {
+            case "load_model" -> fetch(() -> load(subject));
+            case "load_adapter" -> fetch(() -> mAdapters.add(subject));
+            case "unload_model" -> {
+                mModels.remove(subject);
+                mUnloaded.add(subject);
+            }
+            case "set_role" -> mRole = subject;
+            default -> {
+                exchange.error(400, "no such order: " + body.path("kind").asText(), true);
+                return;
+            }
+        }
+        mFleet.accounting().count("orders");
+        exchange.reply(200, Exchange.JSON.createObjectNode().put("accepted", true));
+    }
+
+    private void fetch(Runnable loaded) {
+        mLoop.schedule(
+                () -> {
+                    mFleet.weights().endFetch();
+                    loaded.run();
+                },
+                mFleet.weights().startFetch(),
+                TimeUnit.NANOSECONDS);
+    }
+
+    private void load(String model) {
+        mModels.add(model);
+        mUnloaded.remove(model);
+    }
+}
--- /dev/null
+++ b/src/test/java/org/heathercourse/testing/standin/EngineStandInTest.java
@@ -0,0 +1,179 @@
+package org.heathercourse.testing.standin;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.catchThrowableOfType;
+import static org.awaitility.Awaitility.await;
+
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import org.heathercourse.core.model.ChatMessage;
+import org.heathercourse.platform.EngineClient;
+import org.heathercourse.platform.TargetException;
+import org.heathercourse.platform.TargetFailure;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+
+/** The engine adapter against the engine stand-in. */
+class EngineStandInTest {
+    private final Fixture mFixture =
+            new Fixture(EngineSettings.DEFAULT.withSizes(1, 1_000).withLagMillis(0));
+    private final StandIns mStandIns = mFixture.mStandIns;
+
+    @AfterEach
+    void close() {
+        mFixture.close();
+    }
+
+    /** Guards against answers that differ between engines and against lost cached tokens. */
+    @Test
+    void answersAreDeterministicAndSecondTurnIsCached() throws Exception {
+        List<ChatMessage> chat = List.of(Fixture.user("p1", 0, 10_000, 20));
+        Fixture.Answer first = mFixture.run("engine-1", "c1", chat);
+        assertThat(first.mEnd.get()).isEqualTo("stop");
+        assertThat(first.mText.toString()).startsWith("[[answer program=p1 turn=0 digest=");
+        assertThat(first.mText.toString().split(" ")).hasSize(24);
+        assertThat(first.mUsage.completionTokens()).isEqualTo(24);
+        assertThat(mFixture.run("engine-2", "c2", chat).mText.toString())
+                .isEqualTo(first.mText.toString());
+        Fixture.Answer second =
+                mFixture.run(
+                        "engine-1",
+                        "c3",
+                        Fixture.next(
+                                chat, first.mText.toString(), Fixture.user("p1", 1, 10_000, 5)));
+        assertThat(second.mUsage.cachedTokens())
+                .isEqualTo(first.mUsage.promptTokens() + first.mUsage.completionTokens());
+        assertThat(mStandIns.stat("lost_history")).isZero();
+        assertThat(mStandIns.stat("out_of_order")).isZero();
+        assertThat(mStandIns.stat("repeated_turns")).isEqualTo(1);
+    }
+
+    /** Guards against history violations that the check does not notice. */
+    @Test
+    void historyViolationsAreCounted() throws Exception {
+        List<ChatMessage> chat = List.of(Fixture.user("p1", 0, 40, 20));
+        String answer = mFixture.run("engine-1", "c1", chat).mText.toString();
+        ChatMessage turnOne = Fixture.user("p1", 1, 40, 5);
+        mFixture.run("engine-2", "c2", List.of(turnOne));
+        assertThat(mStandIns.stat("lost_history")).isEqualTo(1);
+        mFixture.run("engine-2", "c3", Fixture.next(chat, answer + " tampered", turnOne));
+        assertThat(mStandIns.stat("lost_history")).isEqualTo(2);
+        assertThat(mStandIns.stat("over_budget")).isEqualTo(1);
+        assertThat(mStandIns.stat("mixed_history")).isZero();
+        mFixture.run(
+                "engine-2",
+                "c4",
+                List.of(Fixture.user("p2", 0, 40, 1), Fixture.user("p1", 0, 40, 1)));
+        assertThat(mStandIns.stat("mixed_history")).isEqualTo(1);
+        assertThat(mStandIns.stat("out_of_order")).isZero();
+        mFixture.run("engine-2", "c5", List.of(Fixture.user("p1", 5, 40, 1)));
+        assertThat(mStandIns.stat("out_of_order")).isEqualTo(1);
+    }
+
+    /** Guards against a resumed stream that repeats or skips tokens. */
+    @Test
+    void brokenStreamIsResumedAtTheSameOrAnotherEngine() throws Exception {
+        List<ChatMessage> chat = List.of(Fixture.user("p1", 0, 100_000, 100));
+        String whole = mFixture.run("engine-1", "c0", chat).mText.toString();
+        for (String engine : List.of("engine-1", "engine-2")) {
+            String callId = "c-" + engine;
+            Fixture.Answer broken = mFixture.start("engine-1", callId, 0, 0, chat);
+            broken.mFirstTokens.await(5, TimeUnit.SECONDS);
+            broken.mCall.cancel();
+            assertThat(broken.mEnd.get(5, TimeUnit.SECONDS)).isEqualTo("CANCELLED");
+            int from = broken.mLastIndex + 1;
+            Fixture.Answer rest = mFixture.start(engine, callId, from, 0, chat);
+            assertThat(rest.mEnd.get(5, TimeUnit.SECONDS)).isEqualTo("stop");
+            assertThat(broken.mText.toString() + rest.mText).isEqualTo(whole);
+            assertThat(rest.mFirstIndex).isEqualTo(from);
+        }
+        assertThat(mStandIns.stat("resumed_calls")).isEqualTo(2);
+    }
+
+    /** Guards against a batch slot that stays taken when the client has gone. */
+    @Test
+    void cancelFreesTheBatchSlot() throws Exception {
+        Fixture.Answer endless =
+                mFixture.start("engine-1", "c1", 0, 5, List.of(Fixture.user("p1", 0, 10, 900_000)));
+        endless.mFirstTokens.await(5, TimeUnit.SECONDS);
+        Fixture.Answer batch =
+                mFixture.start("engine-1", "c2", 0, 5, List.of(Fixture.user("p2", 0, 99, 50)));
+        Fixture.Answer urgent =
+                mFixture.start("engine-1", "c3", 0, 1, List.of(Fixture.user("p3", 0, 99, 1)));
+        await().until(() -> mFixture.mEngines.load(mFixture.target("engine-1")).queued() == 2);
+        assertThat(batch.mFirstIndex).isNegative();
+        endless.mCall.cancel();
+        urgent.mEnd.get(5, TimeUnit.SECONDS);
+        assertThat(batch.mEnd).as("the urgent call runs first").isNotDone();
+        assertThat(batch.mEnd.get(5, TimeUnit.SECONDS)).isEqualTo("stop");
+    }
+
+    /** Guards against cache that is not released, evicted, reported or copied. */
+    @Test
+    void cacheIsBoundedReportedMigratedAndReleased() throws Exception {
+        EngineClient engines = mFixture.mEngines;
+        var one = mFixture.target("engine-1");
+        var two = mFixture.target("engine-2");
+        Fixture.Answer answer =
+                mFixture.run("engine-1", "c1", List.of(Fixture.user("p1", 0, 10_000, 50)));
+        long held = answer.mUsage.totalTokens();
+        assertThat(engines.sessions(one)).containsExactly("session-1");
+        assertThat(engines.migrate(one, two, "session-1")).isEqualTo(held);
+        assertThat(engines.cacheEvents(two, 0))
+                .containsExactly(new EngineClient.CacheEvent(1, "session-1", held));
+        engines.release(one, "session-1");
+        engines.release(one, "unknown");
+        assertThat(engines.sessions(one)).isEmpty();
+        mStandIns.setFault("engine-2", Fault.DROP_EVENTS, 1, 1);
+        engines.release(two, "session-1");
+        mFixture.run("engine-2", "c2", List.of(Fixture.user("p2", 0, 10_000, 50)));
+        assertThat(engines.cacheEvents(two, 1))
+                .as("event 2 is missing")
+                .extracting(EngineClient.CacheEvent::sequence)
+                .containsExactly(3L);
+        mFixture.run("engine-2", "c3", List.of(Fixture.user("p3", 0, 10_000, 2_000)));
+        assertThat(mStandIns.stats().at("/held_cache_tokens/engine-2").asLong()).isZero();
+    }
+
+    /** Guards against stand-ins that all check the fence, and an adapter that hides a refusal. */
+    @Test
+    void oneEngineRefusesOldFencesTheOtherIgnoresThem() {
+        EngineClient engines = mFixture.mEngines;
+        for (String id : List.of("engine-1", "engine-2")) {
+            engines.order(mFixture.target(id), new EngineClient.Order("load_model", "m", 7));
+        }
+        EngineClient.Order old = new EngineClient.Order("set_role", "prefill", 6);
+        engines.order(mFixture.target("engine-2"), old);
+        TargetException refused =
+                catchThrowableOfType(
+                        TargetException.class,
+                        () -> engines.order(mFixture.target("engine-1"), old));
+        assertThat(refused.failure().kind()).isEqualTo(TargetFailure.Kind.REFUSED);
+        assertThat(refused.failure().httpStatus()).isEqualTo(409);
+        assertThat(mStandIns.stat("stale_orders")).isEqualTo(1);
+        await().until(
+                        () ->
+                                engines.load(mFixture.target("engine-1"))
+                                        .models()
+                                        .equals(List.of("m")));
+    }
+
+    /** Guards against failures of a stream that are reported as the wrong kind. */
+    @Test
+    void failuresTellWhetherTheCallRan() throws Exception {
+        List<ChatMessage> chat = List.of(Fixture.user("p1", 0, 10_000, 5));
+        mStandIns.setFault("engine-1", Fault.LOSE_REPLY, 1, 1);
+        assertThat(mFixture.run("engine-1", "c1", chat).mEnd.get()).isEqualTo("BROKEN");
+        assertThat(mStandIns.stat("answered_turns")).isEqualTo(1);
+        mStandIns.setFault("engine-1", Fault.REFUSE, 1, 1);
+        assertThat(mFixture.run("engine-1", "c2", chat).mEnd.get()).isEqualTo("REFUSED");
+        mStandIns.setFault("engine-1", Fault.FAIL_RATE, 1, 1);
+        assertThat(mFixture.run("engine-1", "c3", chat).mEnd.get()).isEqualTo("BROKEN");
+        mStandIns.setFault("engine-1", Fault.PAUSE, 0, 0);
+        assertThat(mFixture.run("engine-1", "c4", chat).mEnd.get()).isEqualTo("TIMEOUT");
+        mStandIns.clearFaults("");
+        mFixture.mStandIns.close();
+        assertThat(mFixture.run("engine-1", "c5", chat).mEnd.get()).isIn("NOT_SENT", "BROKEN");
+        assertThat(mFixture.run("engine-1", "c6", chat).mEnd.get()).isEqualTo("NOT_SENT");
+    }
+}
--- /dev/null
+++ b/src/test/java/org/heathercourse/testing/standin/Fixture.java
@@ -0,0 +1,128 @@
+package org.heathercourse.testing.standin;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import org.heathercourse.core.model.ChatMessage;
+import org.heathercourse.core.model.TargetId;
+import org.heathercourse.core.model.Usage;
+import org.heathercourse.platform.EngineClient;
+import org.heathercourse.platform.TargetAddress;
+import org.heathercourse.platform.TargetFailure;
+import org.heathercourse.platform.http.HttpEngineClient;
+import org.heathercourse.platform.http.HttpSettings;
+import org.heathercourse.platform.http.HttpTransport;
+
+/** Stand-ins on free ports and adapters for them. */
+final class Fixture implements AutoCloseable {
+    final StandIns mStandIns;
+    final HttpTransport mTransport;
+    final HttpEngineClient mEngines;
+
+    Fixture(EngineSettings engine) {
+        mStandIns =
+                StandIns.start(
+                        StandInSettings.builder()
+                                .engine("engine-1", 0, true)
+                                .engine("engine-2", 0, false)
+                                .plain("plain-1", 0)
+                                .engineSettings(engine)
+                                .vmListLagMillis(0)
+                                .build());
+        mTransport =
+                new HttpTransport(
+                        HttpSettings.builder()
+                                .readTimeoutMillis(2_000)
+                                .callTimeoutMillis(2_000)
+                                .build());
+        mEngines = new HttpEngineClient(mTransport);
+    }
+
+    TargetAddress target(String id) {
+        return new TargetAddress(new TargetId(id), mStandIns.baseUrl(id));
+    }
+
+    /** Starts a call with the session of its program. */
+    Answer start(
+            String engine, String callId, int resumeFrom, int priority, List<ChatMessage> chat) {
+        Answer answer = new Answer();
+        answer.mCall =
+                mEngines.generate(
+                        target(engine),
+                        new EngineClient.GenerateRequest(
+                                "model-1",
+                                chat,
+                                1_000_000,
+                                "session-1",
+                                callId,
+                                resumeFrom,
+                                priority,
+                                1,
+                                5_000,
+                                ""),
+                        answer);
+        return answer;
+    }
+
+    /** Runs a call to its end. */
+    Answer run(String engine, String callId, List<ChatMessage> chat) throws Exception {
+        Answer answer = start(engine, callId, 0, 0, chat);
+        answer.mEnd.get(10, TimeUnit.SECONDS);
+        return answer;
+    }
+
+    static ChatMessage user(String program, int turn, long budget, int out) {
+        return new ChatMessage(
+                "user",
+                "[[program=%s turn=%d budget=%d out=%d]] plan the warp"
+                        .formatted(program, turn, budget, out));
+    }
+
+    /** Returns a conversation with two more messages. */
+    static List<ChatMessage> next(List<ChatMessage> chat, String answer, ChatMessage user) {
+        List<ChatMessage> longer = new ArrayList<>(chat);
+        longer.add(new ChatMessage("assistant", answer));
+        longer.add(user);
+        return longer;
+    }
+
+    @Override
+    public void close() {
+        mTransport.close();
+        mStandIns.close();
+    }
+
+    /** Collects an answer. */
+    static final class Answer implements EngineClient.Listener {
+        final CompletableFuture<String> mEnd = new CompletableFuture<>();
+        final CountDownLatch mFirstTokens = new CountDownLatch(5);
+        final StringBuffer mText = new StringBuffer();
+        volatile int mFirstIndex = -1;
+        volatile int mLastIndex = -1;
+        volatile Usage mUsage;
+        volatile EngineClient.Call mCall;
+
+        @Override
+        public void onToken(int index, String text) {
+            if (mFirstIndex < 0) {
+                mFirstIndex = index;
+            }
+            mLastIndex = index;
+            mText.append(text);
+            mFirstTokens.countDown();
+        }
+
+        @Override
+        public void onComplete(String finishReason, Usage usage) {
+            mUsage = usage;
+            mEnd.complete(finishReason);
+        }
+
+        @Override
+        public void onFailure(TargetFailure failure) {
+            mEnd.complete(failure.kind().name());
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/org/heathercourse/testing/standin/StoreStandInTest.java
@@ -0,0 +1,156 @@
+package org.heathercourse.testing.standin;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+import static org.assertj.core.api.Assertions.catchThrowableOfType;
+
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import org.heathercourse.core.error.HeathercourseException;
+import org.heathercourse.platform.CommitResult;
+import org.heathercourse.platform.Row;
+import org.heathercourse.platform.StoreException;
+import org.heathercourse.platform.Transaction;
+import org.heathercourse.platform.VmList;
+import org.heathercourse.platform.http.HttpObjectStore;
+import org.heathercourse.platform.http.HttpTableStore;
+import org.heathercourse.platform.http.HttpVmList;
+import org.heathercourse.platform.http.HttpWeightStore;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+
+/** The store adapters against their stand-ins. */
+class StoreStandInTest {
+    private final Fixture mFixture = new Fixture(EngineSettings.DEFAULT);
+    private final StandIns mStandIns = mFixture.mStandIns;
+    private final HttpTableStore mTable =
+            new HttpTableStore(mFixture.mTransport, mStandIns.baseUrl("table"));
+    private final HttpObjectStore mObjects =
+            new HttpObjectStore(mFixture.mTransport, mStandIns.baseUrl("objects"));
+
+    @AfterEach
+    void close() {
+        mFixture.close();
+    }
+
+    /** Guards against writes that ignore their condition or take effect in part. */
+    @Test
+    void transactionsTakeEffectTogetherOrNotAtAll() {
+        CommitResult first = put("c1", "a/1", Row.ABSENT);
+        assertThat(first.committed()).isTrue();
+        CommitResult second =
+                mTable.commit(
+                        Transaction.builder("c2")
+                                .put("a/2", Row.ABSENT, bytes("x"))
+                                .put("a/1", 7, bytes("y"))
+                                .build());
+        assertThat(second.committed()).isFalse();
+        assertThat(second.rows()).extracting(Row::version).containsExactly(1L);
+        assertThat(second.rows().get(0).value()).isEqualTo(bytes("c1"));
+        assertThat(mTable.read("a/2")).isEmpty();
+        assertThat(put("c3", "a/1", 1).rows().get(0).version()).isEqualTo(2);
+        assertThat(mTable.read("a/1").orElseThrow().commitId()).isEqualTo("c3");
+        assertThat(mStandIns.stat("table_writes")).isEqualTo(3);
+        assertThat(mStandIns.stat("table_reads")).isEqualTo(2);
+    }
+
+    /** Guards against scans that miss rows between pages or leave the prefix. */
+    @Test
+    void scansPageThroughThePrefix() {
+        for (String key : List.of("a", "b/1", "b/2", "b/3", "c")) {
+            put("c", key, Transaction.ANY_VERSION);
+        }
+        assertThat(mTable.scan("b/", "", 2)).extracting(Row::key).containsExactly("b/1", "b/2");
+        assertThat(mTable.scan("b/", "b/2", 2)).extracting(Row::key).containsExactly("b/3");
+    }
+
+    /** Guards against a lost reply that is taken for a write without effect. */
+    @Test
+    void lostReplyOfWriteIsUnknownAndTookEffect() {
+        mStandIns.setFault("table", Fault.LOSE_REPLY, 1, 1);
+        assertThat(failureOf(() -> put("c1", "k", Row.ABSENT)).outcomeUnknown()).isTrue();
+        assertThat(mTable.read("k").orElseThrow().commitId()).isEqualTo("c1");
+        mStandIns.setFault("objects", Fault.LOSE_REPLY, 1, 1);
+        assertThat(failureOf(() -> mObjects.put("o", bytes("x"))).outcomeUnknown()).isTrue();
+        assertThat(mObjects.get("o")).contains(bytes("x"));
+    }
+
+    /** Guards against a refused connection that is reported as a write that may have run. */
+    @Test
+    void refusedConnectionCertainlyHadNoEffect() {
+        put("c0", "warm", Row.ABSENT);
+        mStandIns.setFault("table", Fault.REFUSE, 1, 0);
+        // The first request may still meet the closed connection of the pool.
+        assertThatThrownBy(() -> put("c1", "k", Row.ABSENT)).isInstanceOf(StoreException.class);
+        assertThat(failureOf(() -> put("c2", "k", Row.ABSENT)).outcomeUnknown()).isFalse();
+        mStandIns.clearFaults("table");
+        assertThat(mTable.read("k")).isEmpty();
+    }
+
+    /** Guards against an outage, a late or a failed answer that is reported as no effect. */
+    @Test
+    void anythingAfterTheFirstByteIsUnknown() {
+        mStandIns.setFault("table", Fault.OUTAGE, 1, 1);
+        assertThat(failureOf(() -> put("c1", "k", Row.ABSENT)).outcomeUnknown()).isTrue();
+        assertThat(mTable.read("k")).isEmpty();
+        mStandIns.setFault("table", Fault.FAIL_RATE, 1, 1);
+        assertThat(failureOf(() -> put("c1", "k", Row.ABSENT)).outcomeUnknown()).isTrue();
+        mStandIns.setFault("table", Fault.DELAY_MS, 60_000, 1);
+        assertThat(failureOf(() -> put("c1", "k", Row.ABSENT)).outcomeUnknown()).isTrue();
+        mStandIns.setFault("table", Fault.PAUSE, 0, 0);
+        assertThat(failureOf(() -> mTable.read("k")).outcomeUnknown()).isTrue();
+        mStandIns.clearFaults("");
+        assertThat(mTable.read("k")).isEmpty();
+    }
+
+    /** Guards against objects that change under their name. */
+    @Test
+    void objectsAreWrittenOnce() {
+        mObjects.put("log/1/2", bytes("x"));
+        mObjects.put("log/1/2", bytes("x"));
+        assertThatThrownBy(() -> mObjects.put("log/1/2", bytes("y")))
+                .isInstanceOf(HeathercourseException.class)
+                .hasMessageContaining("other content");
+        mObjects.put("snap/1", new byte[0]);
+        assertThat(mObjects.list("log/")).containsExactly("log/1/2");
+        mObjects.delete("log/1/2");
+        mObjects.delete("log/1/2");
+        assertThat(mObjects.get("log/1/2")).isEmpty();
+    }
+
+    /** Guards against a stand-in that shows the truth at once, which the platform does not. */
+    @Test
+    void vmListLagsAndListsRetiredVmsAgain() {
+        HttpVmList vms = new HttpVmList(mFixture.mTransport, mStandIns.baseUrl("vmlist"));
+        mStandIns.setVm("vm-1", 3, "cesis", "live");
+        assertThat(vms.list()).extracting(VmList.Entry::incarnation).containsExactly(3L);
+        mStandIns.setFault("vmlist", Fault.LAG_MS, 3_600_000, 0);
+        assertThat(vms.list()).isEmpty();
+        mStandIns.clearFaults("vmlist");
+        mStandIns.setVm("vm-1", 3, "cesis", "gone");
+        assertThat(vms.list()).isEmpty();
+        mStandIns.relistVm("vm-1");
+        assertThat(vms.list()).extracting(VmList.Entry::incarnation).containsExactly(3L);
+    }
+
+    /** Guards against a weight store adapter that misreads the bandwidth. */
+    @Test
+    void weightStoreTellsItsBandwidth() {
+        HttpWeightStore weights =
+                new HttpWeightStore(mFixture.mTransport, mStandIns.baseUrl("weights"));
+        assertThat(weights.status().bytesPerSecond()).isEqualTo(100_000_000);
+    }
+
+    private CommitResult put(String commitId, String key, long version) {
+        return mTable.commit(
+                Transaction.builder(commitId).put(key, version, bytes(commitId)).build());
+    }
+
+    private static StoreException failureOf(Runnable action) {
+        return catchThrowableOfType(StoreException.class, action::run);
+    }
+
+    private static byte[] bytes(String text) {
+        return text.getBytes(StandardCharsets.UTF_8);
+    }
+}
