Add shard ownership, program state and the commit loop

Cause: the daemon needs durable program logs whose owner is unambiguous. Conclusion: usable for wiring; hardening and more tests follow.

--- a/src/main/java/org/heathercourse/core/program/LogRecord.java
+++ b/src/main/java/org/heathercourse/core/program/LogRecord.java
@@ -20,6 +20,8 @@
     @JsonSubTypes.Type(value = LogRecord.ProgramEnded.class, name = "ended"),
     @JsonSubTypes.Type(value = LogRecord.CacheReleaseOwed.class, name = "release_owed"),
     @JsonSubTypes.Type(value = LogRecord.CacheReleaseConfirmed.class, name = "release_confirmed"),
+    @JsonSubTypes.Type(value = LogRecord.ChildBudgetGranted.class, name = "child_granted"),
+    @JsonSubTypes.Type(value = LogRecord.ChildBudgetReturned.class, name = "child_returned"),
 })
 public sealed interface LogRecord {
     /** Returns the program that the record belongs to. */
@@ -140,4 +142,26 @@
      * @param target the target
      */
     record CacheReleaseConfirmed(ProgramId program, TargetId target) implements LogRecord {}
+
+    /**
+     * Part of the program's budget was set aside for a sub-agent. The sub-agent's own {@link
+     * ProgramStarted} must not be written before this record is durable, or a crash in between
+     * would let both spend the same tokens.
+     *
+     * @param program the program
+     * @param child the sub-agent; a second grant to it has no effect
+     * @param tokens tokens that it may spend; a grant beyond the available tokens has no effect
+     */
+    record ChildBudgetGranted(ProgramId program, ProgramId child, long tokens)
+            implements LogRecord {}
+
+    /**
+     * A sub-agent has ended and what it did not spend returns to the program.
+     *
+     * @param program the program
+     * @param child the sub-agent
+     * @param spentTokens tokens that it spent out of its grant
+     */
+    record ChildBudgetReturned(ProgramId program, ProgramId child, long spentTokens)
+            implements LogRecord {}
 }
--- /dev/null
+++ b/src/main/java/org/heathercourse/daemon/state/OwnershipLoop.java
@@ -0,0 +1,283 @@
+package org.heathercourse.daemon.state;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import org.heathercourse.core.error.HeathercourseException;
+import org.heathercourse.core.model.ShardId;
+import org.heathercourse.core.model.VmId;
+import org.heathercourse.core.ownership.DaemonInfo;
+import org.heathercourse.core.ownership.DaemonList;
+import org.heathercourse.core.ownership.LeaseRules;
+import org.heathercourse.core.ownership.ShardAssignment;
+import org.heathercourse.core.time.Ticker;
+import org.heathercourse.log.EventLog;
+import org.heathercourse.platform.Row;
+import org.heathercourse.platform.StoreException;
+import org.heathercourse.platform.TableStore;
+
+/**
+ * Reads the rows of daemons and shards, takes shards and starts their release. Runs on the control
+ * thread only; what others need to see is published in a {@link View}.
+ */
+final class OwnershipLoop {
+    private static final EventLog LOG = EventLog.of(OwnershipLoop.class);
+
+    /**
+     * Shards that one daemon starts to release per scan in order to balance, so that a daemon that
+     * joins does not stall the traffic of many shards at once.
+     */
+    private static final int MOVES_PER_SCAN = 2;
+
+    /** Time after which a shard with running calls is moved all the same, in milliseconds. */
+    private static final long BUSY_MOVE_MILLIS = 60_000;
+
+    /** What other threads see of the last scan. Immutable. */
+    record View(
+            List<DaemonInfo> daemons,
+            Map<ShardId, DaemonInfo> owners,
+            int ownerCount,
+            boolean mayOwn) {
+        static final View EMPTY = new View(List.of(), Map.of(), 1, true);
+    }
+
+    private final int mShards;
+    private final int mMaxOwners;
+    private final TableStore mTable;
+    private final Ticker mTicker;
+    private final Heartbeat mHeartbeat;
+    private final Holdings mHoldings;
+    private final Takeover mTakeover;
+    private final DaemonList mList = new DaemonList();
+    private final Map<VmId, Long> mRowVersions = new HashMap<>();
+    private final Map<ShardId, Long> mMoveWantedMillis = new HashMap<>();
+    private volatile View mView = View.EMPTY;
+    private volatile boolean mDraining;
+    private boolean mDaemonsScanned;
+    private long mDaemonScanNanos;
+
+    OwnershipLoop(
+            StateSettings settings,
+            TableStore table,
+            Ticker ticker,
+            Heartbeat heartbeat,
+            Holdings holdings,
+            Takeover takeover) {
+        mShards = settings.shards();
+        mMaxOwners = settings.maxOwners();
+        mTable = table;
+        mTicker = ticker;
+        mHeartbeat = heartbeat;
+        mHoldings = holdings;
+        mTakeover = takeover;
+    }
+
+    View view() {
+        return mView;
+    }
+
+    void drain() {
+        mDraining = true;
+    }
+
+    boolean draining() {
+        return mDraining;
+    }
+
+    /** Returns whether this daemon is draining and holds nothing any more. */
+    boolean drained() {
+        boolean named = mView.owners().containsValue(mHeartbeat.self());
+        return mDraining && mHoldings.shards().isEmpty() && !mTakeover.loading() && !named;
+    }
+
+    /** Notes a VM retired in the configuration; called on the control thread. */
+    void retire(VmId vm, long incarnation) {
+        mList.retire(vm, incarnation);
+    }
+
+    /**
+     * Reads the rows once and acts on them.
+     *
+     * @return whether the store answered
+     */
+    boolean scan() {
+        try {
+            long nowNanos = mTicker.readNanos();
+            if (mHeartbeat.takeLapsed()) {
+                mList.restartObservation(nowNanos);
+            }
+            // Shards first: an owner named by a shard row has written its own row before.
+            Map<ShardId, Row> shardRows = new HashMap<>();
+            StoreRows.scan(mTable, StoreRows.SHARDS)
+                    .forEach(row -> shardRows.put(StoreRows.shardOf(row), row));
+            scanDaemons(nowNanos);
+            act(shardRows, nowNanos);
+            return true;
+        } catch (StoreException e) {
+            LOG.debug("scan_failed", "cause", e.getMessage());
+            return false;
+        }
+    }
+
+    private void scanDaemons(long nowNanos) {
+        long periodMillis = LeaseRules.daemonScanMillis(mRowVersions.size());
+        // Half a scan of slack, since timers are not exact.
+        long dueNanos = (periodMillis - LeaseRules.SCAN_MILLIS / 2) * 1_000_000L;
+        if (mDaemonsScanned && nowNanos - mDaemonScanNanos < dueNanos) {
+            return;
+        }
+        List<DaemonInfo> daemons = new ArrayList<>();
+        Map<VmId, Long> versions = new HashMap<>();
+        for (Row row : StoreRows.scan(mTable, StoreRows.DAEMONS)) {
+            DaemonInfo daemon = StoreRows.daemon(row);
+            daemons.add(daemon);
+            versions.put(daemon.vm(), row.version());
+        }
+        mList.observe(daemons, nowNanos);
+        mRowVersions.clear();
+        mRowVersions.putAll(versions);
+        mDaemonsScanned = true;
+        mDaemonScanNanos = nowNanos;
+    }
+
+    private void act(Map<ShardId, Row> shardRows, long nowNanos) {
+        Map<VmId, DaemonInfo> alive = new HashMap<>();
+        mList.alive(nowNanos).forEach(daemon -> alive.put(daemon.vm(), daemon));
+        DaemonInfo self = mHeartbeat.self();
+        if (mHeartbeat.leaseValid()) {
+            alive.put(self.vm(), self);
+        }
+        Set<VmId> candidates = new HashSet<>();
+        for (DaemonInfo daemon : alive.values()) {
+            if (!daemon.draining() && !(mDraining && daemon.vm().equals(self.vm()))) {
+                candidates.add(daemon.vm());
+            }
+        }
+        Map<ShardId, VmId> plan = ShardAssignment.assign(mShards, candidates, mMaxOwners);
+        if (mHeartbeat.leaseValid()) {
+            removeDead(alive.keySet(), wantedFrom(shardRows, plan), nowNanos);
+            takeShards(shardRows, plan, nowNanos);
+            releaseShards(plan, nowNanos);
+        }
+        publish(shardRows, alive, plan.containsValue(self.vm()));
+        mHoldings.expire(nowNanos / 1_000_000L);
+    }
+
+    /**
+     * Deletes the rows of daemons whose heartbeat stopped. The deletion requires the row that was
+     * seen unchanged, so it fails if the daemon has written since; only afterwards may its shards
+     * be taken. To save writes only the first daemon and those that take a shard try it.
+     */
+    private void removeDead(Set<VmId> alive, Set<VmId> wanted, long nowNanos) {
+        VmId first = alive.stream().min(Comparator.naturalOrder()).orElseThrow();
+        boolean isFirst = first.equals(mHeartbeat.self().vm());
+        for (VmId vm : Set.copyOf(mRowVersions.keySet())) {
+            if ((isFirst || wanted.contains(vm)) && mList.heartbeatStopped(vm, nowNanos)) {
+                LOG.info("daemon_dead", "vm", vm);
+                if (mTakeover.deleteDaemon(vm, mRowVersions.get(vm))) {
+                    mRowVersions.remove(vm);
+                }
+            }
+        }
+    }
+
+    /** Returns the owners of the shards that this daemon should have. */
+    private Set<VmId> wantedFrom(Map<ShardId, Row> shardRows, Map<ShardId, VmId> plan) {
+        Set<VmId> owners = new HashSet<>();
+        shardRows.forEach(
+                (shard, row) -> {
+                    ShardRow content = StoreRows.shard(row);
+                    if (content.owned() && mHeartbeat.self().vm().equals(plan.get(shard))) {
+                        owners.add(new VmId(content.owner()));
+                    }
+                });
+        return owners;
+    }
+
+    private void takeShards(Map<ShardId, Row> shardRows, Map<ShardId, VmId> plan, long nowNanos) {
+        VmId self = mHeartbeat.self().vm();
+        for (int index = 0; index < mShards && mHeartbeat.leaseValid(); index++) {
+            ShardId shard = new ShardId(index);
+            if (mHoldings.holds(shard)) {
+                continue;
+            }
+            Optional<Row> row = Optional.ofNullable(shardRows.get(shard));
+            ShardRow content = row.map(StoreRows::shard).orElse(ShardRow.NEW);
+            boolean own =
+                    content.owner().equals(self.value())
+                            && content.incarnation() == mHeartbeat.self().incarnation();
+            if (own || (self.equals(plan.get(shard)) && free(content, nowNanos))) {
+                take(shard, content, row.map(Row::version).orElse(Row.ABSENT));
+            }
+        }
+    }
+
+    /** One shard that cannot be loaded must not keep the others from being taken. */
+    private void take(ShardId shard, ShardRow content, long version) {
+        try {
+            mTakeover.take(shard, content, version);
+        } catch (StoreException e) {
+            throw e;
+        } catch (HeathercourseException e) {
+            LOG.error("shard_not_loaded", e, "shard", shard);
+        }
+    }
+
+    /** Returns whether a shard has no owner that may still act for it. */
+    private boolean free(ShardRow row, long nowNanos) {
+        if (!row.owned()) {
+            return true;
+        }
+        VmId owner = new VmId(row.owner());
+        if (mList.replaced(owner, row.incarnation(), nowNanos)) {
+            return true;
+        }
+        // The list may be older than the shard row: only a fresh read proves that the row is gone.
+        return !mRowVersions.containsKey(owner)
+                && mTable.read(StoreRows.daemonKey(owner)).isEmpty();
+    }
+
+    private void releaseShards(Map<ShardId, VmId> plan, long nowNanos) {
+        VmId self = mHeartbeat.self().vm();
+        long nowMillis = nowNanos / 1_000_000L;
+        int moves = 0;
+        for (OwnedShard shard : mHoldings.shards()) {
+            VmId successor = plan.get(shard.id());
+            if (mDraining) {
+                shard.release(successor);
+            } else if (successor != null && !successor.equals(self)) {
+                long since = mMoveWantedMillis.computeIfAbsent(shard.id(), id -> nowMillis);
+                boolean ready = shard.uses() == 0 || nowMillis - since >= BUSY_MOVE_MILLIS;
+                if (ready && moves < MOVES_PER_SCAN) {
+                    shard.release(successor);
+                    moves++;
+                }
+                continue;
+            }
+            mMoveWantedMillis.remove(shard.id());
+        }
+        mHoldings.flushNeeded();
+    }
+
+    private void publish(Map<ShardId, Row> shardRows, Map<VmId, DaemonInfo> alive, boolean mayOwn) {
+        Map<ShardId, DaemonInfo> owners = new HashMap<>();
+        shardRows.forEach(
+                (shard, row) -> {
+                    ShardRow content = StoreRows.shard(row);
+                    DaemonInfo owner =
+                            content.owned() ? alive.get(new VmId(content.owner())) : null;
+                    if (owner != null && owner.incarnation() == content.incarnation()) {
+                        owners.put(shard, owner);
+                    }
+                });
+        int count = (int) owners.values().stream().map(DaemonInfo::vm).distinct().count();
+        List<DaemonInfo> daemons = new ArrayList<>(alive.values());
+        daemons.sort(Comparator.comparing(DaemonInfo::vm));
+        mView = new View(List.copyOf(daemons), Map.copyOf(owners), Math.max(1, count), mayOwn);
+    }
+}
--- /dev/null
+++ b/src/main/java/org/heathercourse/daemon/state/StateExecutors.java
@@ -0,0 +1,49 @@
+package org.heathercourse.daemon.state;
+
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.ThreadFactory;
+
+/**
+ * The executors of a state engine. Engines of one process may share them.
+ *
+ * @param control scans, takeovers and releases
+ * @param heartbeat heartbeats
+ * @param flush commits
+ * @param background snapshots and deletions
+ * @param calls waits for the store; must not be bounded below the number of concurrent calls
+ */
+public record StateExecutors(
+        ScheduledExecutorService control,
+        ScheduledExecutorService heartbeat,
+        ScheduledExecutorService flush,
+        ExecutorService background,
+        ExecutorService calls) {
+    /** Returns executors with one thread for each loop; they stop with the process. */
+    public static StateExecutors create() {
+        return new StateExecutors(
+                Executors.newSingleThreadScheduledExecutor(named("state-control")),
+                Executors.newSingleThreadScheduledExecutor(named("state-heartbeat")),
+                Executors.newSingleThreadScheduledExecutor(named("state-flush")),
+                Executors.newSingleThreadExecutor(named("state-background")),
+                Executors.newCachedThreadPool(named("state-store")));
+    }
+
+    /** Stops all executors without waiting. */
+    public void shutdown() {
+        control.shutdownNow();
+        heartbeat.shutdownNow();
+        flush.shutdownNow();
+        background.shutdownNow();
+        calls.shutdownNow();
+    }
+
+    private static ThreadFactory named(String name) {
+        return task -> {
+            Thread thread = new Thread(task, name);
+            thread.setDaemon(true);
+            return thread;
+        };
+    }
+}
