--- /dev/null
+++ b/src/main/java/org/heathercourse/core/admission/package-info.java
@@ -0,0 +1,2 @@
+/** Refuses calls early that targets cannot serve in time. */
+package org.heathercourse.core.admission;
--- /dev/null
+++ b/src/main/java/org/heathercourse/core/burn/package-info.java
@@ -0,0 +1,2 @@
+/** Service-level burn from declared objectives. */
+package org.heathercourse.core.burn;
--- /dev/null
+++ b/src/main/java/org/heathercourse/core/ordering/package-info.java
@@ -0,0 +1,2 @@
+/** Orders calls across programs and keeps workspaces apart. */
+package org.heathercourse.core.ordering;
--- /dev/null
+++ b/src/main/java/org/heathercourse/core/placement/PickRequest.java
@@ -0,0 +1,144 @@
+package org.heathercourse.core.placement;
+
+import java.util.Objects;
+import java.util.Set;
+import org.heathercourse.core.model.ProgramId;
+import org.heathercourse.core.model.RequestClass;
+import org.heathercourse.core.model.ServiceId;
+import org.heathercourse.core.model.TargetId;
+import org.heathercourse.core.model.WorkspaceId;
+
+/**
+ * A call that needs a target.
+ *
+ * @param program program of the call
+ * @param workspace workspace of the call
+ * @param service service that is called
+ * @param model name of the model; empty for plain services
+ * @param session name under which engines cache the conversation; empty if there is none
+ * @param requestClass how urgent the call is
+ * @param promptTokens estimated tokens of the whole prompt
+ * @param expectedTokens estimated tokens of the answer; 0 if unknown
+ * @param deadlineMillis time left in milliseconds until the call's deadline
+ * @param epochMillis wall-clock time in milliseconds when the call arrived. It only orders calls of
+ *     different daemons at an engine, so an error of some 100 ms does no harm.
+ * @param excluded targets that were tried already
+ */
+public record PickRequest(
+        ProgramId program,
+        WorkspaceId workspace,
+        ServiceId service,
+        String model,
+        String session,
+        RequestClass requestClass,
+        long promptTokens,
+        long expectedTokens,
+        long deadlineMillis,
+        long epochMillis,
+        Set<TargetId> excluded) {
+    /** Copies the set of targets. */
+    public PickRequest {
+        Objects.requireNonNull(program, "program");
+        Objects.requireNonNull(workspace, "workspace");
+        Objects.requireNonNull(service, "service");
+        excluded = Set.copyOf(excluded);
+    }
+
+    /**
+     * Returns a builder.
+     *
+     * @param program program of the call
+     * @param workspace workspace of the call
+     * @param service service that is called
+     */
+    public static Builder builder(ProgramId program, WorkspaceId workspace, ServiceId service) {
+        return new Builder(program, workspace, service);
+    }
+
+    /** Collects the values of a {@link PickRequest}. Not safe for several threads. */
+    public static final class Builder {
+        private final ProgramId mProgram;
+        private final WorkspaceId mWorkspace;
+        private final ServiceId mService;
+        private String mModel = "";
+        private String mSession = "";
+        private RequestClass mRequestClass = RequestClass.INTERACTIVE;
+        private long mPromptTokens;
+        private long mExpectedTokens;
+        private long mDeadlineMillis = -1;
+        private long mEpochMillis;
+        private Set<TargetId> mExcluded = Set.of();
+
+        private Builder(ProgramId program, WorkspaceId workspace, ServiceId service) {
+            mProgram = program;
+            mWorkspace = workspace;
+            mService = service;
+        }
+
+        /** Sets the model. */
+        public Builder model(String model) {
+            mModel = model;
+            return this;
+        }
+
+        /** Sets the session. */
+        public Builder session(String session) {
+            mSession = session;
+            return this;
+        }
+
+        /** Sets the request class. */
+        public Builder requestClass(RequestClass requestClass) {
+            mRequestClass = requestClass;
+            return this;
+        }
+
+        /** Sets the estimated tokens of the whole prompt. */
+        public Builder promptTokens(long promptTokens) {
+            mPromptTokens = promptTokens;
+            return this;
+        }
+
+        /** Sets the estimated tokens of the answer. */
+        public Builder expectedTokens(long expectedTokens) {
+            mExpectedTokens = expectedTokens;
+            return this;
+        }
+
+        /** Sets the time left until the deadline; the default of the class applies otherwise. */
+        public Builder deadlineMillis(long deadlineMillis) {
+            mDeadlineMillis = deadlineMillis;
+            return this;
+        }
+
+        /** Sets the wall-clock time of arrival. */
+        public Builder epochMillis(long epochMillis) {
+            mEpochMillis = epochMillis;
+            return this;
+        }
+
+        /** Sets the targets that were tried already. */
+        public Builder excluded(Set<TargetId> excluded) {
+            mExcluded = excluded;
+            return this;
+        }
+
+        /** Creates the request. */
+        public PickRequest build() {
+            long deadline =
+                    mDeadlineMillis < 0 ? mRequestClass.defaultDeadlineMillis() : mDeadlineMillis;
+            return new PickRequest(
+                    mProgram,
+                    mWorkspace,
+                    mService,
+                    mModel,
+                    mSession,
+                    mRequestClass,
+                    mPromptTokens,
+                    mExpectedTokens,
+                    deadline,
+                    mEpochMillis,
+                    mExcluded);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/heathercourse/core/placement/package-info.java
@@ -0,0 +1,2 @@
+/** Chooses a target and a priority for each call. */
+package org.heathercourse.core.placement;
--- /dev/null
+++ b/src/main/java/org/heathercourse/core/retry/package-info.java
@@ -0,0 +1,2 @@
+/** Bounds retries and hedged calls. */
+package org.heathercourse.core.retry;
