Add the scheduling decisions and a bench against a naive policy

Cause: placement, ordering, admission and retries need to be measured before they are wired. Change: pure decision classes, Scheduler on top of them, and PolicyBench with one engine model under a paused clock. Naive policy, scheduler and an oracle run on the same arrivals.

--- /dev/null
+++ b/src/main/java/org/heathercourse/core/admission/AdaptiveLimit.java
@@ -0,0 +1,54 @@
+package org.heathercourse.core.admission;
+
+/**
+ * Limit of the calls in flight at a target. Immutable.
+ *
+ * <p>The limit grows slowly while it is used and waits are short, and shrinks by a tenth when a
+ * wait was long (additive increase, multiplicative decrease).
+ *
+ * @param limit present limit
+ * @param min least limit
+ * @param max greatest limit
+ * @param shrunkMillis time of the last decrease
+ */
+public record AdaptiveLimit(double limit, double min, double max, long shrunkMillis) {
+    /** A wait above this time is long. */
+    public static final long LONG_WAIT_MILLIS = 5_000;
+
+    /** Waits of one congestion arrive together; only one of them within this time counts. */
+    private static final long SHRINK_INTERVAL_MILLIS = 2_000;
+
+    private static final double SHRINK_FACTOR = 0.9;
+    private static final double USED_SHARE = 0.7;
+
+    /**
+     * Creates the limit of a target.
+     *
+     * @param max declared concurrency of the target
+     */
+    public static AdaptiveLimit of(int max) {
+        double most = Math.max(1, max);
+        return new AdaptiveLimit(most, Math.max(1, most / 4), most, Long.MIN_VALUE / 2);
+    }
+
+    /**
+     * Returns the limit after an observation.
+     *
+     * @param waitMillis time that a call waited before the target began with it
+     * @param inFlight calls in flight at the target
+     * @param nowMillis present time
+     */
+    public AdaptiveLimit observe(double waitMillis, double inFlight, long nowMillis) {
+        if (waitMillis > LONG_WAIT_MILLIS) {
+            if (nowMillis - shrunkMillis < SHRINK_INTERVAL_MILLIS) {
+                return this;
+            }
+            double smaller = Math.max(min, Math.min(limit, inFlight + 1) * SHRINK_FACTOR);
+            return new AdaptiveLimit(Math.min(limit, smaller), min, max, nowMillis);
+        }
+        if (inFlight < limit * USED_SHARE || limit >= max) {
+            return this;
+        }
+        return new AdaptiveLimit(Math.min(max, limit + 1 / limit), min, max, shrunkMillis);
+    }
+}
--- a/src/main/java/org/heathercourse/core/placement/Scheduler.java
+++ b/src/main/java/org/heathercourse/core/placement/Scheduler.java
@@ -1,15 +1,32 @@
 package org.heathercourse.core.placement;
 
 import io.vavr.control.Either;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
 import java.util.random.RandomGenerator;
+import org.heathercourse.core.admission.AdmissionRule;
 import org.heathercourse.core.config.DeploymentConfig;
+import org.heathercourse.core.config.PolicySpec;
+import org.heathercourse.core.config.WorkspaceSpec;
 import org.heathercourse.core.error.ErrorKind;
 import org.heathercourse.core.model.ProgramId;
+import org.heathercourse.core.model.RequestClass;
 import org.heathercourse.core.model.RetrySafety;
 import org.heathercourse.core.model.TargetId;
 import org.heathercourse.core.model.Usage;
+import org.heathercourse.core.model.WorkspaceId;
 import org.heathercourse.core.model.Zone;
+import org.heathercourse.core.ordering.AttainedService;
+import org.heathercourse.core.ordering.PriorityRule;
+import org.heathercourse.core.ordering.WorkspaceCounters;
+import org.heathercourse.core.placement.TargetView.Attempt;
+import org.heathercourse.core.retry.HedgeRule;
+import org.heathercourse.core.retry.RetryBudget;
 
 /**
  * Chooses targets and priorities for the calls of one daemon.
@@ -24,6 +41,28 @@
  * {@link #onFinished} and {@link #onFailed}. A call that is retried goes through all of it again.
  */
 public final class Scheduler {
+    /** Answers of workspaces without history are assumed to have this many tokens. */
+    private static final double DEFAULT_OUTPUT_TOKENS = 200;
+
+    /** Further targets that are looked at before a call is refused. */
+    private static final int EXTRA_SAMPLE = 4;
+
+    private static final long NO_TARGET_RETRY_MILLIS = 1_000;
+
+    private final Object mLock = new Object();
+    private final Zone mZone;
+    private final SchedulerSettings mSettings;
+    private final TargetIndex mTargets;
+    private final CacheDirectory mCache;
+    private final AttainedService mAttained;
+    private final WorkspaceCounters mCounters = new WorkspaceCounters();
+    private final Map<WorkspaceId, Double> mOutputTokens = new HashMap<>();
+    private final Map<Long, Attempt> mAttempts = new HashMap<>();
+    private PolicySpec mPolicy = PolicySpec.DEFAULT;
+    private LinkTable mLinks = new LinkTable(List.of());
+    private RetryBudget mRetryBudget = RetryBudget.of(PolicySpec.DEFAULT.retryBudgetRatio());
+    private int mDaemons = 1;
+
     /**
      * Creates a scheduler without targets.
      *
@@ -31,7 +70,15 @@
      * @param settings limits
      * @param random source of random numbers for the sample of targets
      */
-    public Scheduler(Zone zone, SchedulerSettings settings, RandomGenerator random) {}
+    public Scheduler(Zone zone, SchedulerSettings settings, RandomGenerator random) {
+        mZone = zone;
+        mSettings = settings;
+        mTargets = new TargetIndex(random);
+        mCache = new CacheDirectory(settings.maxSessions(), settings.maxHolders());
+        mAttained = new AttainedService(settings.maxPrograms());
+    }
+
+    // Knowledge from outside
 
     /**
      * Applies a configuration: targets, links, workspaces and policy.
@@ -40,7 +87,23 @@
      * @param daemons number of live daemons that share the targets, at least 1
      * @param nowMillis present time
      */
-    public void onConfig(DeploymentConfig config, int daemons, long nowMillis) {}
+    public void onConfig(DeploymentConfig config, int daemons, long nowMillis) {
+        synchronized (mLock) {
+            if (config.policy().retryBudgetRatio() != mPolicy.retryBudgetRatio()) {
+                mRetryBudget = RetryBudget.of(config.policy().retryBudgetRatio());
+            }
+            mPolicy = config.policy();
+            mDaemons = Math.max(1, daemons);
+            mLinks = new LinkTable(config.links());
+            Map<WorkspaceId, Double> weights = new HashMap<>();
+            for (WorkspaceSpec workspace : config.workspaces()) {
+                weights.put(workspace.workspace(), workspace.weight());
+            }
+            mCounters.setWeights(weights);
+            mOutputTokens.keySet().retainAll(weights.keySet());
+            mTargets.configure(config.targets(), spec -> mLinks.between(mZone, spec.zone()));
+        }
+    }
 
     /**
      * Takes in a load report.
@@ -49,7 +112,11 @@
      * @param report its report
      * @param nowMillis present time
      */
-    public void onLoadReport(TargetId target, LoadReport report, long nowMillis) {}
+    public void onLoadReport(TargetId target, LoadReport report, long nowMillis) {
+        synchronized (mLock) {
+            mTargets.onReport(target, report, nowMillis);
+        }
+    }
 
     /**
      * Takes in cache events, possibly late and with gaps.
@@ -58,7 +125,27 @@
      * @param changes events in the order of their numbers
      * @param nowMillis present time
      */
-    public void onCacheEvents(TargetId target, List<CacheChange> changes, long nowMillis) {}
+    public void onCacheEvents(TargetId target, List<CacheChange> changes, long nowMillis) {
+        synchronized (mLock) {
+            TargetView view = mTargets.get(target);
+            if (view == null) {
+                return;
+            }
+            for (CacheChange change : changes) {
+                if (!view.onSequence(change.sequence(), nowMillis)) {
+                    continue;
+                }
+                long age =
+                        mCache.onEvent(
+                                change.session(), view.index(), change.cachedTokens(), nowMillis);
+                if (age >= 0) {
+                    view.onEvicted(age);
+                }
+            }
+        }
+    }
+
+    // Decisions
 
     /**
      * Chooses a target and a priority.
@@ -68,9 +155,155 @@
      * @return the choice, or a refusal that is true: nothing was sent
      */
     public Either<Refusal, Pick> pick(PickRequest request, long nowMillis) {
-        return Either.left(new Refusal(ErrorKind.OVERLOADED, "no target is configured", 1_000));
+        synchronized (mLock) {
+            TargetView[] eligible = mTargets.eligible(request.service(), request.model());
+            List<TargetView> views = new ArrayList<>(8);
+            CacheDirectory.Holders holders = mCache.holders(request.session());
+            for (int i = 0; i < holders.size(); i++) {
+                TargetView view = mTargets.at(holders.target(i));
+                if (usable(view, request, nowMillis) && view.offers(request.model())) {
+                    views.add(view);
+                }
+            }
+            int wanted = views.size() + mSettings.sampleSize();
+            mTargets.sample(eligible, views, wanted, v -> usable(v, request, nowMillis));
+            if (views.isEmpty()) {
+                return refuseWithoutTarget(request);
+            }
+            Either<Refusal, Pick> first = pickAmong(views, holders, request, nowMillis);
+            if (first.isRight()) {
+                return first;
+            }
+            List<TargetView> more = new ArrayList<>(views);
+            int extended = views.size() + EXTRA_SAMPLE;
+            mTargets.sample(eligible, more, extended, v -> usable(v, request, nowMillis));
+            more.removeAll(views);
+            return more.isEmpty() ? first : pickAmong(more, holders, request, nowMillis);
+        }
+    }
+
+    private static boolean usable(TargetView view, PickRequest request, long nowMillis) {
+        return view != null
+                && view.spec().service().equals(request.service())
+                && view.takesCalls(nowMillis)
+                && !request.excluded().contains(view.spec().target());
+    }
+
+    private Either<Refusal, Pick> refuseWithoutTarget(PickRequest request) {
+        return Either.left(
+                new Refusal(
+                        ErrorKind.OVERLOADED,
+                        "no target of service "
+                                + request.service()
+                                + " takes new work, expected at least one that is up and healthy",
+                        NO_TARGET_RETRY_MILLIS));
+    }
+
+    private Either<Refusal, Pick> pickAmong(
+            List<TargetView> views,
+            CacheDirectory.Holders holders,
+            PickRequest request,
+            long nowMillis) {
+        CallShape shape = shape(request);
+        List<Candidate> candidates = new ArrayList<>(views.size());
+        TargetView[] sources = new TargetView[views.size()];
+        for (int i = 0; i < views.size(); i++) {
+            candidates.add(candidate(views.get(i), holders, sources, i, nowMillis));
+        }
+        long retryMillis = Long.MAX_VALUE;
+        for (Placement.Ranked ranked : Placement.rank(candidates, shape, mPolicy)) {
+            TargetView view = views.get(ranked.index());
+            Candidate candidate = candidates.get(ranked.index());
+            double expected = ranked.estimate().latencyMillis();
+            long retryAfter =
+                    AdmissionRule.retryAfterMillis(
+                            request.requestClass(),
+                            candidate.snapshot().inFlight(),
+                            view.limit(),
+                            view.callMillis(),
+                            expected,
+                            request.deadlineMillis());
+            if (retryAfter == 0) {
+                return Either.right(toPick(request, ranked, candidate, view, sources, nowMillis));
+            }
+            retryMillis = Math.min(retryMillis, retryAfter);
+        }
+        return Either.left(
+                new Refusal(
+                        ErrorKind.OVERLOADED,
+                        "all targets of service "
+                                + request.service()
+                                + " that were considered are at their limit, expected room after "
+                                + retryMillis
+                                + " ms",
+                        retryMillis));
     }
 
+    private Pick toPick(
+            PickRequest request,
+            Placement.Ranked ranked,
+            Candidate candidate,
+            TargetView view,
+            TargetView[] sources,
+            long nowMillis) {
+        Optional<TargetId> source =
+                ranked.migrate()
+                        ? Optional.of(sources[ranked.index()].spec().target())
+                        : Optional.empty();
+        double cached = ranked.migrate() ? candidate.sourceTokens() : candidate.cachedTokens();
+        return new Pick(
+                view.spec().target(),
+                priority(request, nowMillis),
+                Math.round(ranked.estimate().latencyMillis()),
+                Math.min(request.promptTokens(), Math.round(cached)),
+                source);
+    }
+
+    private CallShape shape(PickRequest request) {
+        double expected =
+                request.expectedTokens() > 0
+                        ? request.expectedTokens()
+                        : mOutputTokens.getOrDefault(request.workspace(), DEFAULT_OUTPUT_TOKENS);
+        boolean urgent = request.requestClass() == RequestClass.URGENT;
+        return new CallShape(request.promptTokens(), Math.round(expected), urgent);
+    }
+
+    private Candidate candidate(
+            TargetView view,
+            CacheDirectory.Holders holders,
+            TargetView[] sources,
+            int index,
+            long nowMillis) {
+        double cached = 0;
+        double best = 0;
+        for (int i = 0; i < holders.size(); i++) {
+            TargetView holder = mTargets.at(holders.target(i));
+            double tokens = holder.expectedCached(holders.tokens(i), holders.seenMillis(i));
+            if (holder == view) {
+                cached = tokens;
+            } else if (tokens > best && holder.canExport(nowMillis)) {
+                best = tokens;
+                sources[index] = holder;
+            }
+        }
+        LinkCost link =
+                best > 0
+                        ? mLinks.between(sources[index].spec().zone(), view.spec().zone())
+                        : LinkCost.LOCAL;
+        return new Candidate(view.snapshot(nowMillis, mDaemons), cached, best, link);
+    }
+
+    private int priority(PickRequest request, long nowMillis) {
+        return PriorityRule.priority(
+                request.requestClass(),
+                mAttained.of(request.program()),
+                mCounters.lead(request.workspace(), nowMillis),
+                request.epochMillis(),
+                mPolicy);
+    }
+
+    // Own calls
+
     /**
      * Records that an attempt is being sent.
      *
@@ -79,7 +312,31 @@
      * @param pick the choice that is carried out
      * @param nowMillis present time
      */
-    public void onDispatched(long attempt, PickRequest request, Pick pick, long nowMillis) {}
+    public void onDispatched(long attempt, PickRequest request, Pick pick, long nowMillis) {
+        synchronized (mLock) {
+            TargetView view = mTargets.get(pick.target());
+            if (view == null) {
+                return;
+            }
+            CallShape shape = shape(request);
+            double reserved =
+                    view.serviceMillis(
+                            Math.max(0, shape.promptTokens() - pick.cachedTokens()),
+                            shape.expectedTokens());
+            Attempt record = new Attempt(view, request, pick, reserved, nowMillis);
+            mAttempts.put(attempt, record);
+            view.onDispatched(record);
+            addService(request, reserved, nowMillis);
+            if (request.excluded().isEmpty()) {
+                mRetryBudget = mRetryBudget.afterCall();
+            }
+        }
+    }
+
+    private void addService(PickRequest request, double millis, long nowMillis) {
+        mAttained.add(request.program(), millis);
+        mCounters.add(request.workspace(), millis, nowMillis);
+    }
 
     /**
      * Records the first token of an attempt.
@@ -87,7 +344,14 @@
      * @param attempt the attempt
      * @param nowMillis present time
      */
-    public void onFirstToken(long attempt, long nowMillis) {}
+    public void onFirstToken(long attempt, long nowMillis) {
+        synchronized (mLock) {
+            Attempt record = mAttempts.get(attempt);
+            if (record != null) {
+                record.view().onFirstToken(record, nowMillis);
+            }
+        }
+    }
 
     /**
      * Records the whole answer of an attempt.
@@ -96,7 +360,30 @@
      * @param usage tokens used
      * @param nowMillis present time
      */
-    public void onFinished(long attempt, Usage usage, long nowMillis) {}
+    public void onFinished(long attempt, Usage usage, long nowMillis) {
+        synchronized (mLock) {
+            Attempt record = mAttempts.remove(attempt);
+            if (record == null) {
+                return;
+            }
+            TargetView view = record.view();
+            PickRequest request = record.request();
+            view.onEnded(record, usage.completionTokens(), nowMillis);
+            view.onSuccess();
+            double used =
+                    view.serviceMillis(
+                            Math.max(0, usage.promptTokens() - usage.cachedTokens()),
+                            usage.completionTokens());
+            addService(request, used - record.reservedMillis(), nowMillis);
+            mOutputTokens.merge(
+                    request.workspace(),
+                    (double) usage.completionTokens(),
+                    (old, sample) -> old + 0.05 * (sample - old));
+            if (!request.session().isEmpty()) {
+                mCache.onCall(request.session(), view.index(), usage.totalTokens(), nowMillis);
+            }
+        }
+    }
 
     /**
      * Records the failure of an attempt.
@@ -106,7 +393,19 @@
      *     caller cancelled
      * @param nowMillis present time
      */
-    public void onFailed(long attempt, boolean targetAtFault, long nowMillis) {}
+    public void onFailed(long attempt, boolean targetAtFault, long nowMillis) {
+        synchronized (mLock) {
+            Attempt record = mAttempts.remove(attempt);
+            if (record == null) {
+                return;
+            }
+            record.view().onEnded(record, 0, nowMillis);
+            addService(record.request(), -record.reservedMillis(), nowMillis);
+            if (targetAtFault) {
+                record.view().onFault(nowMillis);
+            }
+        }
+    }
 
     /**
      * Decides whether a failed call may be tried again, and takes the retry from the budget.
@@ -116,7 +415,13 @@
      * @return whether to try again
      */
     public boolean tryRetry(RetrySafety safety, boolean provenNotRun) {
-        return false;
+        synchronized (mLock) {
+            if (!(safety.mayRepeat() || provenNotRun) || !mRetryBudget.allows()) {
+                return false;
+            }
+            mRetryBudget = mRetryBudget.afterRetry();
+            return true;
+        }
     }
 
     /**
@@ -129,7 +434,21 @@
      * @return whether to send a second attempt
      */
     public boolean tryHedge(long attempt, RetrySafety safety, long nowMillis) {
-        return false;
+        synchronized (mLock) {
+            Attempt record = mAttempts.get(attempt);
+            boolean allowed =
+                    record != null
+                            && HedgeRule.allows(
+                                    safety,
+                                    record.firstTokenSeen(),
+                                    record.waitedMillis(nowMillis),
+                                    record.expectedFirstTokenMillis(),
+                                    mRetryBudget);
+            if (allowed) {
+                mRetryBudget = mRetryBudget.afterRetry();
+            }
+            return allowed;
+        }
     }
 
     /**
@@ -141,7 +460,30 @@
      * @return what to do
      */
     public PauseAdvice onPause(String session, long expectedPauseMillis, long nowMillis) {
-        return PauseAdvice.KEEP;
+        synchronized (mLock) {
+            CacheDirectory.Holders holders = mCache.holders(session);
+            TargetView best = null;
+            double tokens = 0;
+            for (int i = 0; i < holders.size(); i++) {
+                TargetView view = mTargets.at(holders.target(i));
+                double held = view.expectedCached(holders.tokens(i), holders.seenMillis(i));
+                if (held > tokens) {
+                    tokens = held;
+                    best = view;
+                }
+            }
+            if (best == null) {
+                return PauseAdvice.KEEP;
+            }
+            return PauseRule.decide(
+                    tokens,
+                    expectedPauseMillis,
+                    best.cacheFill(),
+                    best.residenceMillis(),
+                    mTargets.sampledLeastFill(best.spec().service()),
+                    tokens * best.promptTokenMillis(),
+                    MigrationRule.copyMillis(tokens, LinkCost.LOCAL));
+        }
     }
 
     /**
@@ -152,6 +494,16 @@
      * @return engines that may hold cache of these sessions
      */
     public List<TargetId> onProgramEnded(ProgramId program, List<String> sessions) {
-        return List.of();
+        synchronized (mLock) {
+            mAttained.remove(program);
+            Set<TargetId> held = new HashSet<>();
+            for (String session : sessions) {
+                CacheDirectory.Holders holders = mCache.remove(session);
+                for (int i = 0; i < holders.size(); i++) {
+                    held.add(mTargets.at(holders.target(i)).spec().target());
+                }
+            }
+            return List.copyOf(held);
+        }
     }
 }
--- /dev/null
+++ b/src/main/java/org/heathercourse/testing/bench/RunStats.java
@@ -0,0 +1,163 @@
+package org.heathercourse.testing.bench;
+
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import org.heathercourse.core.model.RequestClass;
+
+/** Collects the measures of a run. Not safe for several threads. */
+final class RunStats {
+    private final List<Sample> mSamples = new ArrayList<>();
+    private long mCallsWithinRate;
+    private long mRefusedWithinRate;
+    private long mRateLimited;
+    private long mFailedCalls;
+    private long mMigrations;
+    private long mWastedTokens;
+    private long mComputedTokens;
+
+    /**
+     * A program of the run.
+     *
+     * @param workspace number of the workspace
+     * @param kind name of the kind
+     * @param requestClass its class
+     * @param latencyMillis its latency; for unfinished programs, its age at the end of the run
+     * @param aloneMillis its latency alone on an idle system
+     * @param finished whether it finished
+     */
+    record Sample(
+            int workspace,
+            String kind,
+            RequestClass requestClass,
+            double latencyMillis,
+            double aloneMillis,
+            boolean finished) {
+        double slowdown() {
+            return latencyMillis / aloneMillis;
+        }
+    }
+
+    void onProgram(Sample sample) {
+        mSamples.add(sample);
+    }
+
+    void onCall(boolean withinRate) {
+        mCallsWithinRate += withinRate ? 1 : 0;
+    }
+
+    void onRefused(boolean withinRate) {
+        mRefusedWithinRate += withinRate ? 1 : 0;
+    }
+
+    void onRateLimited() {
+        mRateLimited++;
+    }
+
+    void onFailed() {
+        mFailedCalls++;
+    }
+
+    void onMigration() {
+        mMigrations++;
+    }
+
+    void onComputed(long tokens, long wasted) {
+        mComputedTokens += tokens;
+        mWastedTokens += wasted;
+    }
+
+    /** Returns the mean slowdown of the programs of each workspace. */
+    double[] workspaceSlowdowns() {
+        double[] sums = new double[Scenario.SHARES.length];
+        int[] counts = new int[sums.length];
+        for (Sample sample : mSamples) {
+            sums[sample.workspace()] += sample.slowdown();
+            counts[sample.workspace()]++;
+        }
+        for (int i = 0; i < sums.length; i++) {
+            sums[i] = counts[i] == 0 ? 1 : sums[i] / counts[i];
+        }
+        return sums;
+    }
+
+    /** Returns the measures in the order of the JSON object. */
+    Map<String, Object> toJson(double engineBusyRatio) {
+        Map<String, Object> json = new LinkedHashMap<>();
+        double[] all = latencies(mSamples);
+        double[] urgent =
+                latencies(
+                        mSamples.stream()
+                                .filter(s -> s.requestClass() == RequestClass.URGENT)
+                                .toList());
+        double[] slowdowns = workspaceSlowdowns();
+        double[] sorted = slowdowns.clone();
+        Arrays.sort(sorted);
+        json.put("programs", mSamples.size());
+        json.put("program_p50_ms", Math.round(quantile(all, 0.5)));
+        json.put("program_p95_ms", Math.round(quantile(all, 0.95)));
+        json.put("program_p99_ms", Math.round(quantile(all, 0.99)));
+        json.put("urgent_p99_ms", Math.round(quantile(urgent, 0.99)));
+        json.put("worst_workspace_slowdown", rounded(sorted[sorted.length - 1]));
+        json.put("median_workspace_slowdown", rounded(median(sorted)));
+        json.put("wasted_cache_tokens", mWastedTokens);
+        json.put(
+                "refused_within_rate_pct",
+                rounded(100.0 * mRefusedWithinRate / Math.max(1, mCallsWithinRate)));
+        json.put("unfinished", mSamples.stream().filter(s -> !s.finished()).count());
+        json.put("computed_prompt_tokens", mComputedTokens);
+        json.put("rate_limited_calls", mRateLimited);
+        json.put("failed_calls", mFailedCalls);
+        json.put("migrations", mMigrations);
+        json.put("engine_busy_ratio", rounded(engineBusyRatio));
+        json.put("slowdown_by_kind", byKind());
+        return json;
+    }
+
+    private Map<String, Object> byKind() {
+        Map<String, List<Sample>> kinds = new LinkedHashMap<>();
+        mSamples.forEach(s -> kinds.computeIfAbsent(s.kind(), k -> new ArrayList<>()).add(s));
+        Map<String, Object> json = new LinkedHashMap<>();
+        kinds.forEach(
+                (kind, samples) ->
+                        json.put(
+                                kind,
+                                rounded(
+                                        samples.stream()
+                                                .mapToDouble(Sample::slowdown)
+                                                .average()
+                                                .orElse(1))));
+        return json;
+    }
+
+    double idleUrgentP99Millis() {
+        double[] alone =
+                mSamples.stream()
+                        .filter(s -> s.requestClass() == RequestClass.URGENT)
+                        .mapToDouble(Sample::aloneMillis)
+                        .sorted()
+                        .toArray();
+        return quantile(alone, 0.99);
+    }
+
+    private static double[] latencies(List<Sample> samples) {
+        return samples.stream().mapToDouble(Sample::latencyMillis).sorted().toArray();
+    }
+
+    private static double quantile(double[] sorted, double q) {
+        return sorted.length == 0
+                ? 0
+                : sorted[(int) Math.min(sorted.length - 1, Math.ceil(q * sorted.length) - 1)];
+    }
+
+    private static double median(double[] sorted) {
+        int n = sorted.length;
+        return n % 2 == 1 ? sorted[n / 2] : (sorted[n / 2 - 1] + sorted[n / 2]) / 2;
+    }
+
+    static double rounded(double value) {
+        return Math.round(value * 1000) / 1000.0;
+    }
+}
