--- a/src/main/java/org/heathercourse/testing/bench/package-info.java
+++ b/src/main/java/org/heathercourse/testing/bench/package-info.java
@@ -1,2 +1,2 @@
-/** Benches. Each prints progress to standard error and one JSON line last on standard output. */
+/** Benches of the scheduling decisions under a paused clock. */
 package org.heathercourse.testing.bench;
