Add the rate bench

Cause: the rate limit needs figures against an ideal bucket.

Change: RateBench runs the daemon's ledger and holders over a manual clock with delayed and lost messages.

--- /dev/null
+++ b/src/main/java/org/heathercourse/testing/bench/RateBench.java
@@ -0,0 +1,89 @@
+package org.heathercourse.testing.bench;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import joptsimple.OptionParser;
+import joptsimple.OptionSet;
+
+/**
+ * Measures refusals within the rate of a workspace whose traffic moves between the VMs, against
+ * fixed shares on the same arrivals, and checks that no interval exceeds rate and burst.
+ *
+ * <p>The ledger and the holders are those of the daemon; messages are delayed and lost by a manual
+ * clock. Progress goes to standard error, the last line of standard output is JSON.
+ */
+public final class RateBench {
+    /** Arrivals of the second workspace relative to its rate. */
+    private static final double OVERLOAD = 5;
+
+    private RateBench() {}
+
+    /** Runs the bench; see {@code --help}. */
+    public static void main(String[] args) throws JsonProcessingException {
+        OptionParser parser = new OptionParser();
+        var seed = parser.accepts("seed").withRequiredArg().ofType(Long.class).defaultsTo(1L);
+        parser.accepts("json");
+        var faults = parser.accepts("faults").withRequiredArg().defaultsTo("off");
+        var vms = parser.accepts("vms").withRequiredArg().ofType(Integer.class).defaultsTo(12);
+        var seconds =
+                parser.accepts("seconds").withRequiredArg().ofType(Integer.class).defaultsTo(120);
+        var rate = parser.accepts("rate").withRequiredArg().ofType(Double.class).defaultsTo(200.0);
+        var burst =
+                parser.accepts("burst").withRequiredArg().ofType(Double.class).defaultsTo(400.0);
+        var load = parser.accepts("load").withRequiredArg().ofType(Double.class).defaultsTo(1.0);
+        var move =
+                parser.accepts("move-seconds")
+                        .withRequiredArg()
+                        .ofType(Double.class)
+                        .defaultsTo(2.0);
+        OptionSet options = parser.parse(args);
+        RateScenario scenario =
+                new RateScenario(
+                        options.valueOf(seed),
+                        options.valueOf(vms),
+                        options.valueOf(seconds),
+                        options.valueOf(faults).equals("on"),
+                        options.valueOf(rate),
+                        options.valueOf(burst),
+                        options.valueOf(load),
+                        options.valueOf(move));
+        System.out.println(new ObjectMapper().writeValueAsString(measure(scenario)));
+    }
+
+    /** Runs both workspaces and returns the figures by name. */
+    public static Map<String, Object> measure(RateScenario scenario) {
+        System.err.println("seed=" + scenario.seed() + " workspace=at-rate");
+        RateRun.Result atRate = new RateRun(scenario, "at-rate", scenario.load()).run();
+        System.err.println("seed=" + scenario.seed() + " workspace=overload");
+        RateRun.Result over = new RateRun(scenario, "overload", OVERLOAD).run();
+        Map<String, Object> figures = new LinkedHashMap<>();
+        figures.put("seed", scenario.seed());
+        figures.put("faults", scenario.faults());
+        figures.put("granted_over_ceiling", atRate.over() + over.over());
+        figures.put("refused_within_rate_pct", percent(atRate.refusedWithin(), atRate));
+        figures.put("naive_refused_within_rate_pct", percent(atRate.naiveRefusedWithin(), atRate));
+        // The ledger and the shares live in memory; the run contains no table.
+        figures.put("table_writes_per_second", 0);
+        double messages = atRate.messages() + over.messages();
+        figures.put("messages_per_second", round(messages / scenario.seconds()));
+        figures.put("arrivals", atRate.arrivals());
+        figures.put(
+                "ideal_refused_pct", percent(atRate.arrivals() - atRate.idealAdmitted(), atRate));
+        figures.put("refused_pct", percent(atRate.arrivals() - atRate.admitted(), atRate));
+        figures.put("worst_excess", round(Math.max(atRate.worstExcess(), over.worstExcess())));
+        figures.put(
+                "overload_used_of_ideal_pct",
+                round(100.0 * over.admitted() / over.idealAdmitted()));
+        return figures;
+    }
+
+    private static double percent(long count, RateRun.Result result) {
+        return round(100.0 * count / result.arrivals());
+    }
+
+    private static double round(double value) {
+        return Math.round(value * 1000) / 1000.0;
+    }
+}
