--- /dev/null
+++ b/src/main/java/org/heathercourse/daemon/schedule/package-info.java
@@ -0,0 +1,2 @@
+/** Connects the scheduling decisions with the traffic and with reports of targets. */
+package org.heathercourse.daemon.schedule;
--- /dev/null
+++ b/src/main/java/org/heathercourse/daemon/wiring/StateModule.java
@@ -0,0 +1,68 @@
+package org.heathercourse.daemon.wiring;
+
+import dagger.Lazy;
+import dagger.Module;
+import dagger.Provides;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.random.RandomGenerator;
+import javax.inject.Named;
+import javax.inject.Singleton;
+import org.heathercourse.core.ownership.DaemonInfo;
+import org.heathercourse.core.time.Ticker;
+import org.heathercourse.daemon.config.ConfigWatcher;
+import org.heathercourse.daemon.state.ProgramLog;
+import org.heathercourse.daemon.state.ShardDirectory;
+import org.heathercourse.daemon.state.StateEngine;
+import org.heathercourse.daemon.state.StateExecutors;
+import org.heathercourse.daemon.state.StateSettings;
+import org.heathercourse.platform.ObjectStore;
+import org.heathercourse.platform.TableStore;
+
+/** Ownership and durable state. */
+@Module
+public final class StateModule {
+    private StateModule() {}
+
+    @Provides
+    @Singleton
+    static StateExecutors executors() {
+        return StateExecutors.create();
+    }
+
+    /** Ownership, membership and rate shares are kept on this one thread. */
+    @Provides
+    @Singleton
+    @Named("control")
+    static ScheduledExecutorService control(StateExecutors executors) {
+        return executors.control();
+    }
+
+    @Provides
+    @Singleton
+    static StateEngine engine(
+            DaemonInfo self,
+            TableStore table,
+            ObjectStore objects,
+            Ticker ticker,
+            RandomGenerator random,
+            StateExecutors executors,
+            Lazy<ConfigWatcher> watcher) {
+        return StateEngine.builder(StateSettings.of(self, StateSettings.DEFAULT_SHARDS))
+                .store(table, objects)
+                .ticker(ticker)
+                .random(random)
+                .executors(executors)
+                .evidence(() -> watcher.get().storeDownForMajority())
+                .build();
+    }
+
+    @Provides
+    static ShardDirectory directory(StateEngine engine) {
+        return engine;
+    }
+
+    @Provides
+    static ProgramLog log(StateEngine engine) {
+        return engine;
+    }
+}
--- /dev/null
+++ b/src/main/java/org/heathercourse/daemon/wiring/package-info.java
@@ -0,0 +1,2 @@
+/** Puts the parts of a daemon together. */
+package org.heathercourse.daemon.wiring;
