--- /dev/null
+++ b/src/main/java/org/heathercourse/daemon/peer/Frame.java
@@ -0,0 +1,71 @@
+package org.heathercourse.daemon.peer;
+
+import com.fasterxml.jackson.annotation.JsonInclude;
+import com.fasterxml.jackson.databind.DeserializationFeature;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.SerializationFeature;
+import java.io.IOException;
+import org.msgpack.jackson.dataformat.MessagePackMapper;
+
+/**
+ * One frame of a link. Immutable.
+ *
+ * @param k kind of the frame
+ * @param id correlation number of the link; 0 for frames of the link itself
+ * @param m message; null in frames of the link itself
+ * @param nonce nonce of the sender; only in hello and challenge
+ * @param mac proof of the shared secret; only in challenge and proof
+ * @param vm VM of the sender; only in hello and challenge
+ * @param incarnation incarnation of the sender; only in hello and challenge
+ */
+@JsonInclude(JsonInclude.Include.NON_DEFAULT)
+record Frame(
+        String k, long id, PeerMessage m, byte[] nonce, byte[] mac, String vm, long incarnation) {
+    static final String HELLO = "hello";
+    static final String CHALLENGE = "challenge";
+    static final String PROOF = "proof";
+    static final String READY = "ready";
+    static final String PING = "ping";
+    static final String REQUEST = "req";
+    static final String REPLY = "rep";
+    static final String CALL = "call";
+    static final String MESSAGE = "msg";
+
+    private static final ObjectMapper sMapper =
+            new MessagePackMapper()
+                    .configure(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES, false)
+                    .configure(DeserializationFeature.FAIL_ON_INVALID_SUBTYPE, false)
+                    .configure(SerializationFeature.FAIL_ON_EMPTY_BEANS, false);
+
+    static Frame of(String kind, long id, PeerMessage message) {
+        return new Frame(kind, id, message, null, null, null, 0);
+    }
+
+    static Frame link(String kind) {
+        return of(kind, 0, null);
+    }
+
+    /** Returns the frame as MessagePack. */
+    byte[] encode() {
+        try {
+            return sMapper.writeValueAsBytes(this);
+        } catch (IOException e) {
+            throw new IllegalStateException("frame " + k + " cannot be encoded", e);
+        }
+    }
+
+    /**
+     * Reads a frame.
+     *
+     * @param bytes the frame as MessagePack
+     * @return the frame
+     * @throws IOException if the bytes are no frame
+     */
+    static Frame decode(byte[] bytes) throws IOException {
+        Frame frame = sMapper.readValue(bytes, Frame.class);
+        if (frame == null || frame.k == null) {
+            throw new IOException("frame without a kind");
+        }
+        return frame;
+    }
+}
--- /dev/null
+++ b/src/main/java/org/heathercourse/daemon/peer/NettyPeerNetwork.java
@@ -0,0 +1,368 @@
+package org.heathercourse.daemon.peer;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.WriteBufferWaterMark;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.handler.timeout.IdleStateHandler;
+import io.netty.util.concurrent.DefaultThreadFactory;
+import java.net.InetSocketAddress;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.TimeUnit;
+import java.util.function.BiConsumer;
+import java.util.function.Consumer;
+import java.util.function.Function;
+import java.util.function.Supplier;
+import java.util.random.RandomGenerator;
+import javax.inject.Inject;
+import org.heathercourse.core.error.ErrorKind;
+import org.heathercourse.core.error.HeathercourseException;
+import org.heathercourse.core.ownership.DaemonInfo;
+import org.heathercourse.core.time.Ticker;
+import org.heathercourse.daemon.peer.PeerMessage.CallStart;
+import org.heathercourse.daemon.peer.PeerMessage.ErrorReply;
+import org.heathercourse.log.EventLog;
+
+/**
+ * {@link PeerNetwork} over TCP with Netty on NIO.
+ *
+ * <p>Safe for use by several threads. Life cycle: create, set the handlers, {@link #start}, {@link
+ * #close}. Links are opened on demand, one per host, port and incarnation.
+ */
+public final class NettyPeerNetwork implements PeerNetwork {
+    private static final EventLog sLog = EventLog.of(NettyPeerNetwork.class);
+    private static final int CONNECT_TIMEOUT_MILLIS = 2000;
+    private static final int PING_SECONDS = 5;
+    // Three pings may be lost before a half-open link is given up.
+    private static final int SILENCE_SECONDS = 15;
+    private static final WriteBufferWaterMark sWaterMark =
+            new WriteBufferWaterMark(256 * 1024, 1024 * 1024);
+
+    private final PeerSettings mSettings;
+    private final Supplier<DaemonInfo> mSelf;
+    private final Ticker mTicker;
+    private final RandomGenerator mRandom;
+    private final Handshake mHandshake;
+    private final EventLoopGroup mGroup;
+    private final Map<PeerKey, OutboundLink> mLinks = new ConcurrentHashMap<>();
+    private final Map<Class<?>, Function<PeerMessage, CompletionStage<? extends PeerMessage>>>
+            mHandlers = new ConcurrentHashMap<>();
+    private volatile BiConsumer<CallStart, CallStream> mCallHandler;
+    private volatile Channel mServer;
+    private volatile boolean mClosed;
+
+    /** Address and incarnation that a link leads to. */
+    record PeerKey(String host, int port, long incarnation) {}
+
+    /**
+     * Creates a network that is not yet started.
+     *
+     * @param settings address to listen on and shared secret
+     * @param self this daemon; read whenever a link is opened
+     * @param ticker time source
+     * @param random source of nonces and jitter; must be unpredictable in production
+     */
+    @Inject
+    public NettyPeerNetwork(
+            PeerSettings settings,
+            Supplier<DaemonInfo> self,
+            Ticker ticker,
+            RandomGenerator random) {
+        mSettings = settings;
+        mSelf = self;
+        mTicker = ticker;
+        mRandom = random;
+        mHandshake = new Handshake(settings.secret());
+        mGroup =
+                new MultiThreadIoEventLoopGroup(
+                        settings.threads(),
+                        new DefaultThreadFactory("peer", true),
+                        NioIoHandler.newFactory());
+    }
+
+    /**
+     * Starts to listen.
+     *
+     * @return the port, which the system chose if the settings say 0
+     * @throws HeathercourseException of kind INVALID_SETTING if the address cannot be bound
+     */
+    public int start() {
+        ServerBootstrap bootstrap =
+                new ServerBootstrap()
+                        .group(mGroup)
+                        .channel(NioServerSocketChannel.class)
+                        .option(ChannelOption.SO_REUSEADDR, true)
+                        .childOption(ChannelOption.TCP_NODELAY, true)
+                        .childOption(ChannelOption.WRITE_BUFFER_WATER_MARK, sWaterMark)
+                        .childHandler(initializer(this::acceptor));
+        try {
+            mServer = bootstrap.bind(mSettings.host(), mSettings.port()).sync().channel();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            throw new IllegalStateException("interrupted while binding the peer port", e);
+        } catch (RuntimeException e) {
+            throw HeathercourseException.builder(ErrorKind.INVALID_SETTING)
+                    .message("cannot listen on " + mSettings.host() + ":" + mSettings.port())
+                    .remedy("choose a free peer port")
+                    .cause(e)
+                    .build();
+        }
+        return ((InetSocketAddress) mServer.localAddress()).getPort();
+    }
+
+    @Override
+    public <R extends PeerMessage> CompletableFuture<R> request(
+            DaemonInfo to, PeerMessage message, Class<R> replyType, long timeoutMillis) {
+        CompletableFuture<PeerMessage> reply = new CompletableFuture<>();
+        if (isSelf(to)) {
+            mGroup.next().execute(() -> answer(message, reply::complete));
+            reply.orTimeout(timeoutMillis, TimeUnit.MILLISECONDS);
+        } else {
+            new PendingRequest(reply, message, timeoutMillis).start(link(to));
+        }
+        return reply.handle((m, error) -> convert(m, error, replyType));
+    }
+
+    private static <R extends PeerMessage> R convert(
+            PeerMessage message, Throwable error, Class<R> replyType) {
+        if (error instanceof HeathercourseException e) {
+            throw e;
+        }
+        if (error != null) {
+            throw new PeerException("no reply: " + error, false, error);
+        }
+        if (message instanceof ErrorReply e) {
+            throw PeerErrors.toException(e);
+        }
+        if (!replyType.isInstance(message)) {
+            String met = message == null ? "nothing" : message.getClass().getSimpleName();
+            throw new PeerException(
+                    "reply is " + met + ", expected " + replyType.getSimpleName(), false, null);
+        }
+        return replyType.cast(message);
+    }
+
+    @Override
+    public <M extends PeerMessage> void onRequest(
+            Class<M> type, Function<M, CompletionStage<? extends PeerMessage>> handler) {
+        mHandlers.put(type, message -> handler.apply(type.cast(message)));
+    }
+
+    @Override
+    public CallStream openCall(
+            DaemonInfo to,
+            CallStart start,
+            Consumer<PeerMessage> listener,
+            Consumer<PeerException> onLinkLost) {
+        if (isSelf(to)) {
+            EventLoop loop = mGroup.next();
+            LocalCall call = new LocalCall(loop, listener);
+            loop.execute(() -> startCall(start, call.accepting()));
+            return call.opening();
+        }
+        OutboundCall call = new OutboundCall(listener, onLinkLost);
+        call.start(link(to), start);
+        return call;
+    }
+
+    @Override
+    public void onCall(BiConsumer<CallStart, CallStream> handler) {
+        mCallHandler = handler;
+    }
+
+    @Override
+    public void close() {
+        mClosed = true;
+        if (mServer != null) {
+            mServer.close();
+        }
+        mLinks.values().forEach(OutboundLink::close);
+        mGroup.shutdownGracefully(0, 2, TimeUnit.SECONDS);
+    }
+
+    // Links
+
+    private boolean isSelf(DaemonInfo to) {
+        DaemonInfo self = mSelf.get();
+        return to.vm().equals(self.vm()) && to.incarnation() == self.incarnation();
+    }
+
+    private OutboundLink link(DaemonInfo to) {
+        PeerKey key = new PeerKey(to.host(), to.peerPort(), to.incarnation());
+        OutboundLink link =
+                mLinks.computeIfAbsent(
+                        key, k -> new OutboundLink(() -> connect(to), mTicker, mRandom));
+        if (mClosed) {
+            link.close();
+        }
+        return link;
+    }
+
+    /** Connects; the future fails if no authenticated link comes about. */
+    private CompletableFuture<Link> connect(DaemonInfo to) {
+        CompletableFuture<Link> ready = new CompletableFuture<>();
+        new Bootstrap()
+                .group(mGroup)
+                .channel(NioSocketChannel.class)
+                .option(ChannelOption.TCP_NODELAY, true)
+                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS)
+                .option(ChannelOption.WRITE_BUFFER_WATER_MARK, sWaterMark)
+                .handler(initializer(() -> opener(to, ready)))
+                .connect(to.host(), to.peerPort())
+                .addListener(
+                        done -> {
+                            if (!done.isSuccess()) {
+                                ready.completeExceptionally(done.cause());
+                            }
+                        });
+        return ready;
+    }
+
+    private ChannelInitializer<Channel> initializer(Supplier<LinkHandler> handler) {
+        return new ChannelInitializer<>() {
+            @Override
+            protected void initChannel(Channel channel) {
+                channel.pipeline()
+                        .addLast("idle", new IdleStateHandler(SILENCE_SECONDS, PING_SECONDS, 0))
+                        .addLast("decoder", LinkHandler.decoder(LinkHandler.HANDSHAKE_LIMIT_BYTES))
+                        .addLast("encoder", new FrameEncoder())
+                        .addLast("link", handler.get());
+            }
+        };
+    }
+
+    private LinkHandler acceptor() {
+        return new LinkHandler(
+                mHandshake,
+                ownFrame(Frame.CHALLENGE),
+                new LinkEvents() {
+                    @Override
+                    public void onFrame(Link link, Frame frame) {
+                        acceptFrame(link, frame);
+                    }
+                });
+    }
+
+    private LinkHandler opener(DaemonInfo to, CompletableFuture<Link> ready) {
+        return new LinkHandler(
+                mHandshake,
+                ownFrame(Frame.HELLO),
+                new LinkEvents() {
+                    @Override
+                    public boolean expected(Frame challenge) {
+                        return challenge.vm().equals(to.vm().value())
+                                && challenge.incarnation() == to.incarnation();
+                    }
+
+                    @Override
+                    public void onReady(Link link) {
+                        ready.complete(link);
+                    }
+
+                    @Override
+                    public void onFrame(Link link, Frame frame) {
+                        link.deliver(frame.id(), frame.m());
+                    }
+
+                    @Override
+                    public void onClosed(Link link, String reason) {
+                        ready.completeExceptionally(new PeerException(reason, true, null));
+                    }
+                });
+    }
+
+    private Frame ownFrame(String kind) {
+        DaemonInfo self = mSelf.get();
+        byte[] nonce = Handshake.nonce(mRandom);
+        return new Frame(kind, 0, null, nonce, null, self.vm().value(), self.incarnation());
+    }
+
+    /** Events with nothing to do by default. */
+    private abstract static class LinkEvents implements LinkHandler.Events {
+        @Override
+        public boolean expected(Frame challenge) {
+            return true;
+        }
+
+        @Override
+        public void onReady(Link link) {
+            sLog.debug("peer_link_ready");
+        }
+
+        @Override
+        public void onClosed(Link link, String reason) {
+            sLog.debug("peer_link_closed", "reason", reason);
+        }
+    }
+
+    // Conversations that other daemons open
+
+    private void acceptFrame(Link link, Frame frame) {
+        switch (frame.k()) {
+            case Frame.REQUEST ->
+                    answer(
+                            frame.m(),
+                            reply ->
+                                    link.run(
+                                            () ->
+                                                    link.write(
+                                                            Frame.of(
+                                                                    Frame.REPLY,
+                                                                    frame.id(),
+                                                                    reply))));
+            case Frame.CALL -> acceptCall(link, frame);
+            case Frame.MESSAGE -> link.deliver(frame.id(), frame.m());
+            default -> sLog.debug("peer_frame_ignored", "kind", frame.k());
+        }
+    }
+
+    private void acceptCall(Link link, Frame frame) {
+        Link.InboundCall call = new Link.InboundCall(link, frame.id());
+        if (!(frame.m() instanceof CallStart start) || !link.accept(frame.id(), call)) {
+            link.close();
+            return;
+        }
+        startCall(start, call);
+    }
+
+    private void startCall(CallStart start, CallStream stream) {
+        BiConsumer<CallStart, CallStream> handler = mCallHandler;
+        try {
+            if (handler == null) {
+                stream.send(PeerErrors.notReady());
+            } else {
+                handler.accept(start, stream);
+            }
+        } catch (RuntimeException e) {
+            sLog.error("peer_call_handler_failed", e);
+            stream.send(PeerErrors.toMessage(e));
+        }
+    }
+
+    private void answer(PeerMessage message, Consumer<PeerMessage> reply) {
+        var handler = message == null ? null : mHandlers.get(message.getClass());
+        if (handler == null) {
+            reply.accept(PeerErrors.notReady());
+            return;
+        }
+        try {
+            handler.apply(message)
+                    .whenComplete(
+                            (m, error) ->
+                                    reply.accept(error == null ? m : PeerErrors.toMessage(error)));
+        } catch (RuntimeException e) {
+            reply.accept(PeerErrors.toMessage(e));
+        }
+    }
+}
--- a/src/main/java/org/heathercourse/daemon/peer/PeerNetwork.java
+++ b/src/main/java/org/heathercourse/daemon/peer/PeerNetwork.java
@@ -85,6 +85,20 @@
          * @param action the action
          */
         void onClosed(Runnable action);
+
+        /** Returns whether the link takes more without buffering without bound. */
+        default boolean writable() {
+            return true;
+        }
+
+        /**
+         * Runs an action once as soon as {@link #writable()} holds, or the link has broken.
+         *
+         * @param action the action
+         */
+        default void onWritable(Runnable action) {
+            action.run();
+        }
     }
 
     @Override
--- /dev/null
+++ b/src/main/java/org/heathercourse/daemon/peer/PendingRequest.java
@@ -0,0 +1,67 @@
+package org.heathercourse.daemon.peer;
+
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+
+/** One request that waits for its reply. Safe for use by several threads. */
+final class PendingRequest implements Link.Conversation {
+    private final CompletableFuture<PeerMessage> mReply;
+    private final PeerMessage mMessage;
+    private final long mTimeoutMillis;
+    private volatile boolean mSent;
+
+    PendingRequest(CompletableFuture<PeerMessage> reply, PeerMessage message, long timeoutMillis) {
+        mReply = reply;
+        mMessage = message;
+        mTimeoutMillis = timeoutMillis;
+    }
+
+    void start(OutboundLink outbound) {
+        CompletableFuture.delayedExecutor(mTimeoutMillis, TimeUnit.MILLISECONDS)
+                .execute(
+                        () -> {
+                            if (!mReply.isDone()) {
+                                fail("no reply within " + mTimeoutMillis + " ms", null);
+                            }
+                        });
+        outbound.get()
+                .whenComplete(
+                        (link, error) -> {
+                            if (error != null) {
+                                fail("the link could not be opened: " + error.getMessage(), error);
+                            } else {
+                                link.run(() -> send(link));
+                            }
+                        });
+    }
+
+    private void send(Link link) {
+        synchronized (this) {
+            if (mReply.isDone()) {
+                return;
+            }
+            long id = link.writable() ? link.open(this) : 0;
+            if (id == 0) {
+                fail("the link is closed or overloaded", null);
+                return;
+            }
+            mSent = true;
+            mReply.whenComplete((m, e) -> link.run(() -> link.end(id)));
+            link.write(Frame.of(Frame.REQUEST, id, mMessage));
+        }
+    }
+
+    private synchronized void fail(String message, Throwable cause) {
+        mReply.completeExceptionally(new PeerException(message, !mSent, cause));
+    }
+
+    @Override
+    public void onMessage(PeerMessage message) {
+        mReply.complete(message);
+    }
+
+    @Override
+    public void onLost() {
+        fail("the link broke before the reply", null);
+    }
+}
