Add execution and routing of calls

The owner side runs the calls of a program in order, records intents and outcomes, and answers repeats; the front side forwards calls and attaches again after a lost link. Not tested yet.

--- /dev/null
+++ b/src/main/java/org/heathercourse/daemon/call/Breakers.java
@@ -0,0 +1,44 @@
+package org.heathercourse.daemon.call;
+
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.stream.Collectors;
+import org.heathercourse.core.model.TargetId;
+import org.heathercourse.core.time.Ticker;
+
+/** The circuit breakers of all targets. Safe for use by several threads. */
+final class Breakers {
+    private final Ticker mTicker;
+    private final Map<TargetId, CircuitBreaker> mBreakers = new ConcurrentHashMap<>();
+
+    Breakers(Ticker ticker) {
+        mTicker = ticker;
+    }
+
+    /** Returns the targets that must not be tried now. */
+    Set<TargetId> blocked() {
+        long now = mTicker.readMillis();
+        return mBreakers.entrySet().stream()
+                .filter(e -> !e.getValue().permits(now))
+                .map(Map.Entry::getKey)
+                .collect(Collectors.toSet());
+    }
+
+    void onDispatch(TargetId target) {
+        CircuitBreaker breaker = mBreakers.get(target);
+        if (breaker != null) {
+            breaker.onDispatch(mTicker.readMillis());
+        }
+    }
+
+    void onSuccess(TargetId target) {
+        mBreakers.remove(target);
+    }
+
+    void onFailure(TargetId target) {
+        mBreakers
+                .computeIfAbsent(target, t -> new CircuitBreaker())
+                .onFailure(mTicker.readMillis());
+    }
+}
--- /dev/null
+++ b/src/main/java/org/heathercourse/daemon/call/CallRouter.java
@@ -0,0 +1,101 @@
+package org.heathercourse.daemon.call;
+
+import java.io.InputStream;
+import javax.inject.Inject;
+import org.heathercourse.core.time.Ticker;
+import org.heathercourse.daemon.config.ConfigSource;
+import org.heathercourse.daemon.peer.PeerMessage;
+import org.heathercourse.daemon.peer.PeerNetwork;
+import org.heathercourse.daemon.state.ShardDirectory;
+
+/**
+ * The front side of calls: runs them here or forwards them to the owner of their program. Safe for
+ * use by several threads.
+ */
+public final class CallRouter {
+    private final CallExecutor mExecutor;
+    private final PeerNetwork mNetwork;
+    private final ShardDirectory mShards;
+    private final ConfigSource mConfig;
+    private final CallSettings mSettings;
+    private final Ticker mTicker;
+
+    /** Creates a router. */
+    @Inject
+    public CallRouter(
+            CallExecutor executor,
+            PeerNetwork network,
+            ShardDirectory shards,
+            ConfigSource config,
+            CallSettings settings,
+            Ticker ticker) {
+        mExecutor = executor;
+        mNetwork = network;
+        mShards = shards;
+        mConfig = config;
+        mSettings = settings;
+        mTicker = ticker;
+    }
+
+    /**
+     * Opens a call of a program.
+     *
+     * @param request the call, with program and request identity
+     * @param body its body
+     * @return the answer
+     */
+    public Answer open(CallRequest request, byte[] body) {
+        return new RoutedAnswer(this, request, body);
+    }
+
+    /**
+     * Runs a call that belongs to no program at this daemon.
+     *
+     * @param request the call
+     * @param body its body; null if it is a stream
+     * @param stream its body as a stream; null if it is not
+     * @return the answer; closing it cancels the call
+     */
+    public Answer openEphemeral(CallRequest request, byte[] body, InputStream stream) {
+        return local(mExecutor.runEphemeral(request, body, stream));
+    }
+
+    static Answer local(AnswerBuffer buffer) {
+        AnswerBuffer.Reader reader = buffer.reader();
+        return new Answer() {
+            @Override
+            public PeerMessage next(long timeoutMillis) throws InterruptedException {
+                return reader.next(timeoutMillis);
+            }
+
+            @Override
+            public void close() {
+                buffer.cancel();
+            }
+        };
+    }
+
+    CallExecutor executor() {
+        return mExecutor;
+    }
+
+    PeerNetwork network() {
+        return mNetwork;
+    }
+
+    ShardDirectory shards() {
+        return mShards;
+    }
+
+    ConfigSource config() {
+        return mConfig;
+    }
+
+    CallSettings settings() {
+        return mSettings;
+    }
+
+    Ticker ticker() {
+        return mTicker;
+    }
+}
--- /dev/null
+++ b/src/main/java/org/heathercourse/daemon/call/EphemeralSessions.java
@@ -0,0 +1,73 @@
+package org.heathercourse.daemon.call;
+
+import java.util.HexFormat;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.Executor;
+import org.heathercourse.core.config.TargetSpec;
+import org.heathercourse.log.EventLog;
+import org.heathercourse.platform.TargetAddress;
+import org.heathercourse.platform.TargetException;
+
+/**
+ * Names and releases the engine sessions of calls that belong to no program. Their releases are
+ * kept in memory only; the sweep of engines finds what a dead daemon has left. Safe for use by
+ * several threads.
+ */
+final class EphemeralSessions {
+    private static final EventLog sLog = EventLog.of(EphemeralSessions.class);
+    private static final int MAX_TRIES = 12;
+
+    private record Owed(TargetAddress target, String session) {}
+
+    private final CallServices mServices;
+    private final Executor mWorkers;
+    private final Map<Owed, Integer> mOwed = new ConcurrentHashMap<>();
+
+    EphemeralSessions(CallServices services, Executor workers) {
+        mServices = services;
+        mWorkers = workers;
+    }
+
+    String newName() {
+        byte[] bytes = new byte[12];
+        mServices.random().nextBytes(bytes);
+        return "hc-eph." + mServices.shards().self().vm() + "." + HexFormat.of().formatHex(bytes);
+    }
+
+    void release(TargetSpec target, String session) {
+        Owed owed = new Owed(new TargetAddress(target.target(), target.baseUrl()), session);
+        mOwed.put(owed, 0);
+        mWorkers.execute(() -> tryRelease(owed));
+    }
+
+    /** Tries again what failed before; called at intervals. */
+    void retry() {
+        mOwed.forEach(
+                (owed, tries) -> {
+                    if (tries > 0) {
+                        mWorkers.execute(() -> tryRelease(owed));
+                    }
+                });
+    }
+
+    private void tryRelease(Owed owed) {
+        try {
+            mServices.engine().release(owed.target(), owed.session());
+            mOwed.remove(owed);
+        } catch (TargetException e) {
+            int tries = mOwed.merge(owed, 1, Integer::sum);
+            if (tries >= MAX_TRIES) {
+                mOwed.remove(owed);
+                sLog.warn(
+                        "ephemeral_release_given_up",
+                        "target",
+                        owed.target().target(),
+                        "session",
+                        owed.session(),
+                        "reason",
+                        e.failure().kind());
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/heathercourse/daemon/call/HistoryMode.java
@@ -0,0 +1,32 @@
+package org.heathercourse.daemon.call;
+
+import java.util.Locale;
+import java.util.Optional;
+
+/** How the messages of a model call relate to the stored history of its program. */
+public enum HistoryMode {
+    /** The messages are the whole conversation and must extend the stored history. */
+    FULL,
+    /** The messages are added to the stored history. */
+    APPEND;
+
+    /** Returns the name used in headers, in lower case. */
+    public String wireName() {
+        return name().toLowerCase(Locale.ROOT);
+    }
+
+    /**
+     * Returns the mode with the given wire name.
+     *
+     * @param wireName the name, in lower case
+     * @return the mode, or empty if there is none of that name
+     */
+    public static Optional<HistoryMode> fromWireName(String wireName) {
+        for (HistoryMode mode : values()) {
+            if (mode.wireName().equals(wireName)) {
+                return Optional.of(mode);
+            }
+        }
+        return Optional.empty();
+    }
+}
--- /dev/null
+++ b/src/main/java/org/heathercourse/daemon/call/PlainHeaders.java
@@ -0,0 +1,107 @@
+package org.heathercourse.daemon.call;
+
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+
+/** Chooses the headers that plain requests and answers carry. */
+public final class PlainHeaders {
+    private static final Set<String> sHopByHop =
+            Set.of(
+                    "connection",
+                    "keep-alive",
+                    "proxy-connection",
+                    "te",
+                    "trailer",
+                    "transfer-encoding",
+                    "upgrade",
+                    "content-length",
+                    "expect",
+                    "host",
+                    "http2-settings");
+    private static final Set<String> sCredentials =
+            Set.of("authorization", "proxy-authorization", "x-api-key", "api-key", "cookie");
+    private static final Set<String> sOwn =
+            Set.of(
+                    "x-program-id",
+                    "x-request-id",
+                    "x-workspace-id",
+                    "x-fencing-token",
+                    "x-request-class",
+                    "x-deadline-ms",
+                    "x-program-history",
+                    "x-durability",
+                    "x-zone",
+                    "idempotency-key");
+
+    private PlainHeaders() {}
+
+    /**
+     * Returns the headers of a caller that may reach a target.
+     *
+     * @param headers all headers of the request
+     * @param key the caller's key, which no header may contain; null if there is none
+     * @return the headers without credentials and those that the daemon sets itself
+     */
+    public static Map<String, List<String>> fromCaller(
+            Map<String, List<String>> headers, String key) {
+        Map<String, List<String>> kept = new TreeMap<>(String.CASE_INSENSITIVE_ORDER);
+        headers.forEach(
+                (name, values) -> {
+                    String lower = name.toLowerCase(Locale.ROOT);
+                    boolean holdsKey =
+                            key != null
+                                    && !key.isEmpty()
+                                    && values.stream().anyMatch(v -> v.contains(key));
+                    if (!sHopByHop.contains(lower)
+                            && !sCredentials.contains(lower)
+                            && !sOwn.contains(lower)
+                            && !holdsKey) {
+                        kept.put(name, List.copyOf(values));
+                    }
+                });
+        return kept;
+    }
+
+    /** Returns the headers of an answer that may reach the caller. */
+    static Map<String, List<String>> fromTarget(Map<String, List<String>> headers) {
+        Map<String, List<String>> kept = new TreeMap<>(String.CASE_INSENSITIVE_ORDER);
+        headers.forEach(
+                (name, values) -> {
+                    String lower = name.toLowerCase(Locale.ROOT);
+                    if (!sHopByHop.contains(lower) && !sOwn.contains(lower)) {
+                        kept.put(name, List.copyOf(values));
+                    }
+                });
+        return kept;
+    }
+
+    /** Returns the headers of an attempt. */
+    static Map<String, List<String>> toTarget(CallRequest request, long fence) {
+        Map<String, List<String>> headers = new TreeMap<>(String.CASE_INSENSITIVE_ORDER);
+        headers.putAll(fromCaller(request.headers(), null));
+        put(headers, "X-Program-Id", request.program());
+        put(headers, "X-Request-Id", request.request());
+        put(headers, "X-Workspace-Id", request.workspace());
+        if (fence > 0) {
+            put(headers, "X-Fencing-Token", fence);
+        }
+        return headers;
+    }
+
+    static String contentType(Map<String, List<String>> headers) {
+        return headers.entrySet().stream()
+                .filter(e -> e.getKey().equalsIgnoreCase("Content-Type"))
+                .flatMap(e -> e.getValue().stream())
+                .findFirst()
+                .orElse("application/octet-stream");
+    }
+
+    private static void put(Map<String, List<String>> headers, String name, Object value) {
+        if (value != null) {
+            headers.put(name, List.of(value.toString()));
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/heathercourse/daemon/call/TargetSelector.java
@@ -0,0 +1,90 @@
+package org.heathercourse.daemon.call;
+
+import io.vavr.control.Either;
+import java.util.Set;
+import org.heathercourse.core.config.TargetSpec;
+import org.heathercourse.core.error.HeathercourseException;
+import org.heathercourse.core.model.ProgramId;
+import org.heathercourse.core.model.RequestClass;
+import org.heathercourse.core.model.ServiceId;
+import org.heathercourse.core.model.TargetId;
+import org.heathercourse.core.model.Usage;
+import org.heathercourse.core.model.WorkspaceId;
+import org.heathercourse.platform.TargetFailure;
+
+/**
+ * Chooses targets for attempts.
+ *
+ * <p>Each successful {@link #select} that leads to an attempt is followed by {@link #dispatched}
+ * and then by exactly one of {@link #finished} and {@link #failed}. Implementations are safe for
+ * use by several threads and do not block.
+ */
+public interface TargetSelector {
+    /**
+     * What is known of a call.
+     *
+     * @param service service that is called
+     * @param model model that is called; empty for plain services
+     * @param program program of the call; null for ephemeral calls
+     * @param session name under which engines cache the conversation; empty for plain services
+     * @param workspace workspace of the call; null on routes open to all
+     * @param requestClass urgency
+     * @param promptTokens estimate of the tokens of the prompt
+     * @param maxTokens most tokens to generate
+     * @param attainedService tokens that the program has spent so far
+     * @param remainingMillis time left until the deadline, in milliseconds
+     * @param excluded targets that must not be chosen
+     */
+    record Request(
+            ServiceId service,
+            String model,
+            ProgramId program,
+            String session,
+            WorkspaceId workspace,
+            RequestClass requestClass,
+            long promptTokens,
+            long maxTokens,
+            long attainedService,
+            long remainingMillis,
+            Set<TargetId> excluded) {
+        /** Copies the set. */
+        public Request {
+            excluded = Set.copyOf(excluded);
+        }
+    }
+
+    /**
+     * A choice.
+     *
+     * @param target the target
+     * @param priority urgency at the engine; smaller is served earlier
+     */
+    record Choice(TargetSpec target, int priority) {}
+
+    /**
+     * Chooses a target.
+     *
+     * @param request the call
+     * @return the choice, or an error of kind OVERLOADED with the time after which a retry may
+     *     succeed
+     */
+    Either<HeathercourseException, Choice> select(Request request);
+
+    /** Tells that an attempt is about to be sent. */
+    void dispatched(Request request, Choice choice);
+
+    /**
+     * Tells that an attempt ended with an answer.
+     *
+     * @param request the call
+     * @param choice the choice
+     * @param usage tokens used
+     * @param firstTokenMillis time to the first token or the head of the answer, in milliseconds
+     * @param totalMillis time to the end of the answer in milliseconds
+     */
+    void finished(
+            Request request, Choice choice, Usage usage, long firstTokenMillis, long totalMillis);
+
+    /** Tells that an attempt failed. */
+    void failed(Request request, Choice choice, TargetFailure failure);
+}
--- a/src/main/java/org/heathercourse/daemon/peer/OutboundLink.java
+++ b/src/main/java/org/heathercourse/daemon/peer/OutboundLink.java
@@ -34,7 +34,8 @@
             if (mClosed) {
                 return failed("the network is closed");
             }
-            boolean isOpened = mCurrent != null && mCurrent.isDone() && !mCurrent.isCompletedExceptionally();
+            boolean isOpened =
+                    mCurrent != null && mCurrent.isDone() && !mCurrent.isCompletedExceptionally();
             Link link = isOpened ? mCurrent.getNow(null) : null;
             if (mCurrent != null && (link == null || link.isOpen())) {
                 return mCurrent;
