Harden the stand-ins

Change: calls are kept by session and identity, keys are found across pieces of a streamed body, arrivals at engines carry program and turn and leave out polls, cache look-ups take constant time, errors before sending reach the listener of generate, the control port sets VMs and lists proxies.

--- a/src/main/java/org/heathercourse/platform/http/HttpEngineClient.java
+++ b/src/main/java/org/heathercourse/platform/http/HttpEngineClient.java
@@ -35,29 +35,37 @@
     @Override
     public Call generate(TargetAddress target, GenerateRequest request, Listener listener) {
         HttpTransport.SentTracker tracker = new HttpTransport.SentTracker();
-        Request http =
-                new Request.Builder()
-                        .url(url(target, "v1/chat/completions").build())
-                        .header("Accept", "text/event-stream")
-                        .header("X-Session-Id", request.session())
-                        .header("X-Call-Id", request.callId())
-                        .header("X-Resume-From", "" + request.resumeFromToken())
-                        .header("X-Priority", "" + request.priority())
-                        .header("X-Fencing-Token", "" + request.fence())
-                        .tag(HttpTransport.SentTracker.class, tracker)
-                        .tag(
-                                HttpTransport.ReadTimeout.class,
-                                new HttpTransport.ReadTimeout(
-                                        (int) Math.min(Integer.MAX_VALUE, request.timeoutMillis())))
-                        .post(HttpTransport.jsonBody(chatBody(request)))
-                        .build();
-        TokenStream stream =
-                new TokenStream(
-                        mTransport.newCall(http), tracker, request.resumeFromToken(), listener);
+        okhttp3.Call call;
+        try {
+            call = mTransport.newCall(chatRequest(target, request, tracker));
+        } catch (TargetException | IllegalArgumentException e) {
+            TargetFailure failure =
+                    new TargetFailure(TargetFailure.Kind.NOT_SENT, 0, "bad request: " + e);
+            mTransport.execute(() -> listener.onFailure(failure));
+            return () -> {};
+        }
+        TokenStream stream = new TokenStream(call, tracker, request.resumeFromToken(), listener);
         stream.start();
         return stream;
     }
 
+    private static Request chatRequest(
+            TargetAddress target, GenerateRequest request, HttpTransport.SentTracker tracker) {
+        int idleMillis = (int) Math.min(Integer.MAX_VALUE, request.timeoutMillis());
+        return new Request.Builder()
+                .url(url(target, "v1/chat/completions").build())
+                .header("Accept", "text/event-stream")
+                .header("X-Session-Id", request.session())
+                .header("X-Call-Id", request.callId())
+                .header("X-Resume-From", "" + request.resumeFromToken())
+                .header("X-Priority", "" + request.priority())
+                .header("X-Fencing-Token", "" + request.fence())
+                .tag(HttpTransport.SentTracker.class, tracker)
+                .tag(HttpTransport.ReadTimeout.class, new HttpTransport.ReadTimeout(idleMillis))
+                .post(HttpTransport.jsonBody(chatBody(request)))
+                .build();
+    }
+
     @Override
     public Load load(TargetAddress target) {
         JsonNode node = exchange(target, new Request.Builder().url(url(target, "load").build()));
--- a/src/main/java/org/heathercourse/platform/http/HttpTransport.java
+++ b/src/main/java/org/heathercourse/platform/http/HttpTransport.java
@@ -129,6 +129,11 @@
         return mClient.newCall(request);
     }
 
+    /** Runs a task on a thread of the transport. */
+    void execute(Runnable task) {
+        mExecutor.execute(task);
+    }
+
     /** Sends a request and reads the whole answer. */
     Reply exchange(Request.Builder request, SentTracker tracker) throws IOException {
         Call call = mClient.newCall(request.tag(SentTracker.class, tracker).build());
--- a/src/main/java/org/heathercourse/testing/standin/Accounting.java
+++ b/src/main/java/org/heathercourse/testing/standin/Accounting.java
@@ -6,6 +6,7 @@
 import java.net.URLDecoder;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -33,15 +34,28 @@
     private final List<Effect> mEffects = new ArrayList<>();
     private final Set<String> mEffectKeys = new HashSet<>();
 
-    /** A request that reached a target. */
+    /** A request that reached a target; the turn is -1 if it is not known. */
     private record Arrival(
             String target,
             long atMillis,
             String workspace,
             String program,
+            int turn,
             String request,
             String method,
-            String path) {}
+            String path) {
+        Arrival with(Prompt prompt) {
+            return new Arrival(
+                    target,
+                    atMillis,
+                    workspace,
+                    prompt.program(),
+                    prompt.turn(),
+                    request,
+                    method,
+                    path);
+        }
+    }
 
     /** An effect at a plain service. */
     private record Effect(
@@ -195,12 +209,29 @@
                         nowMillis(),
                         exchange.header("X-Workspace-Id"),
                         exchange.header("X-Program-Id"),
+                        -1,
                         exchange.header("X-Request-Id"),
                         exchange.method(),
                         exchange.path());
         synchronized (mArrivals) {
+            exchange.arrival(mArrivals.size());
             mArrivals.add(arrival);
         }
+        scanHead(exchange);
+    }
+
+    /** Adds the program and turn of a prompt to a recorded arrival. */
+    void arrivalOf(Exchange exchange, Prompt prompt) {
+        if (prompt.program() == null || exchange.arrival() < 0) {
+            return;
+        }
+        synchronized (mArrivals) {
+            mArrivals.set(exchange.arrival(), mArrivals.get(exchange.arrival()).with(prompt));
+        }
+    }
+
+    /** Looks for keys in the head of a request. */
+    void scanHead(Exchange exchange) {
         StringBuilder head = new StringBuilder(exchange.uri()).append('\n');
         head.append(decoded(exchange.uri())).append('\n');
         exchange.headers().forEach(h -> head.append(h.getValue()).append('\n'));
@@ -216,11 +247,15 @@
         }
     }
 
-    /** Looks for keys in a piece of a streamed body. */
-    void scanPiece(ByteBuf piece) {
-        byte[] bytes = new byte[piece.readableBytes()];
-        piece.getBytes(piece.readerIndex(), bytes);
+    /** Looks for keys in a piece of a streamed body, also in one that began in the last piece. */
+    void scanPiece(Exchange exchange, ByteBuf piece) {
+        byte[] tail = exchange.scannedTail();
+        byte[] bytes = Arrays.copyOf(tail, tail.length + piece.readableBytes());
+        piece.getBytes(piece.readerIndex(), bytes, tail.length, piece.readableBytes());
         scanBody(bytes);
+        // One byte less than the shortest match, so that no match is counted twice.
+        exchange.scannedTail(
+                Arrays.copyOfRange(bytes, Math.max(0, bytes.length - 3), bytes.length));
     }
 
     private static boolean containsKey(byte[] body) {
@@ -255,11 +290,12 @@
         String program = exchange.header("X-Program-Id");
         String request = exchange.header("X-Request-Id");
         String path = exchange.path();
+        String owner = program == null ? "workspace/" + exchange.header("X-Workspace-Id") : program;
         synchronized (mEffects) {
             boolean duplicate =
                     NOT_REPEATABLE.stream()
                                     .anyMatch(p -> path.equals(p) || path.startsWith(p + "/"))
-                            && !mEffectKeys.add(program + "\n" + request);
+                            && !mEffectKeys.add(owner + "\n" + request);
             mEffects.add(
                     new Effect(
                             target,
@@ -323,6 +359,7 @@
                         .put("at_ms", arrival.atMillis())
                         .put("workspace", arrival.workspace())
                         .put("program", arrival.program())
+                        .put("turn", arrival.turn())
                         .put("request", arrival.request())
                         .put("method", arrival.method())
                         .put("path", arrival.path());
--- a/src/main/java/org/heathercourse/testing/standin/ControlPort.java
+++ b/src/main/java/org/heathercourse/testing/standin/ControlPort.java
@@ -51,6 +51,20 @@
                 mStandIns.clearFaults(exchange.query("part"));
                 exchange.reply(200, done);
             }
+            case "PUT /vms" -> {
+                JsonNode vm = exchange.json();
+                mStandIns.setVm(
+                        vm.path("vm").asText(),
+                        vm.path("incarnation").asLong(1),
+                        vm.path("zone").asText(),
+                        vm.path("state").asText("live"));
+                exchange.reply(200, done);
+            }
+            case "POST /vms/relist" -> {
+                mStandIns.relistVm(exchange.json().path("vm").asText());
+                exchange.reply(200, done);
+            }
+            case "GET /proxies" -> exchange.reply(200, mStandIns.proxies());
             default -> exchange.error(404, "no such path: " + path, true);
         }
     }
--- a/src/main/java/org/heathercourse/testing/standin/EngineBatch.java
+++ b/src/main/java/org/heathercourse/testing/standin/EngineBatch.java
@@ -72,10 +72,11 @@
     /** Starts a call, or attaches the client to a call of the same identity. */
     void submit(Exchange exchange, JsonNode body, Prompt prompt) {
         int resumeFrom = (int) exchange.longHeader("X-Resume-From", 0);
-        String callId = exchange.header("X-Call-Id");
-        if (callId == null) {
-            callId = "call-" + System.identityHashCode(this) + "-" + mArrivals;
-        }
+        // Two sessions may use the same call identity.
+        String callId =
+                exchange.header("X-Call-Id") == null
+                        ? "call-" + mArrivals
+                        : exchange.header("X-Session-Id") + "/" + exchange.header("X-Call-Id");
         EngineCall call = mCalls.get(callId);
         if (call != null && call.mPrompt.hash() != prompt.hash()) {
             exchange.error(409, "another prompt under the same call identity", true);
@@ -90,7 +91,7 @@
                 call.mExchange.abort();
             }
         }
-        attach(call, exchange, resumeFrom);
+        attach(call, exchange, body.path("stream").asBoolean(), resumeFrom);
         schedule(0);
     }
 
@@ -127,15 +128,14 @@
                         (int) exchange.longHeader("X-Priority", 0),
                         mArrivals++,
                         body.path("model").asText(),
-                        body.path("stream").asBoolean(),
                         maxTokens.asInt(Integer.MAX_VALUE));
         mCalls.put(callId, call);
         mQueue.add(call);
         return call;
     }
 
-    private void attach(EngineCall call, Exchange exchange, int fromToken) {
-        call.attach(exchange, fromToken);
+    private void attach(EngineCall call, Exchange exchange, boolean stream, int fromToken) {
+        call.attach(exchange, stream, fromToken);
         exchange.onDisconnect(() -> mLoop.execute(() -> disconnected(call, exchange)));
         if (call.mStage == EngineCall.Stage.SUSPENDED) {
             call.mStage = EngineCall.Stage.QUEUED;
--- a/src/main/java/org/heathercourse/testing/standin/EngineCall.java
+++ b/src/main/java/org/heathercourse/testing/standin/EngineCall.java
@@ -32,7 +32,7 @@
     boolean mHeadSent;
 
     private final String mModel;
-    private final boolean mStream;
+    private boolean mStream;
     private final int mTotal;
     private final String mFinishReason;
     private final int mHeadWords;
@@ -46,7 +46,6 @@
             int priority,
             long arrival,
             String model,
-            boolean stream,
             int maxTokens) {
         mCallId = callId;
         mSession = session;
@@ -54,7 +53,6 @@
         mPriority = priority;
         mArrival = arrival;
         mModel = model;
-        mStream = stream;
         mHeadWords = prompt.program() == null ? 2 : 4;
         int wanted = mHeadWords + prompt.out();
         mTotal = Math.min(wanted, maxTokens);
@@ -74,7 +72,8 @@
     }
 
     /** Lets a client receive the answer from a token on. */
-    void attach(Exchange exchange, int fromToken) {
+    void attach(Exchange exchange, boolean stream, int fromToken) {
+        mStream = stream;
         mExchange = exchange;
         mSent = Math.min(fromToken, mTotal);
         mGenerated = Math.max(mGenerated, mSent);
--- a/src/main/java/org/heathercourse/testing/standin/EngineStandIn.java
+++ b/src/main/java/org/heathercourse/testing/standin/EngineStandIn.java
@@ -59,7 +59,12 @@
 
     @Override
     public void arrived(Exchange exchange) {
-        mFleet.accounting().arrived(mId, exchange);
+        // Polls of load and cache are no work and would fill the record.
+        if (exchange.path().equals("/v1/chat/completions") || exchange.path().equals("/orders")) {
+            mFleet.accounting().arrived(mId, exchange);
+        } else {
+            mFleet.accounting().scanHead(exchange);
+        }
     }
 
     @Override
@@ -69,10 +74,15 @@
                 exchange.body().length == 0 ? Exchange.JSON.createObjectNode() : exchange.json();
         // A prompt is hashed by the event loop of its connection, so that one engine loop is not
         // held up by the long histories of all its callers.
-        Prompt prompt =
-                exchange.path().equals("/v1/chat/completions")
-                        ? Prompt.of(body.path("messages"))
-                        : null;
+        Prompt prompt = null;
+        if (exchange.path().equals("/v1/chat/completions")) {
+            prompt = Prompt.of(body.path("messages"));
+            mFleet.accounting().arrivalOf(exchange, prompt);
+        }
+        submit(exchange, body, prompt);
+    }
+
+    private void submit(Exchange exchange, JsonNode body, Prompt prompt) {
         mLoop.execute(() -> route(exchange, body, prompt));
     }
 
@@ -88,6 +98,14 @@
     }
 
     private void route(Exchange exchange, JsonNode body, Prompt prompt) {
+        try {
+            routeChecked(exchange, body, prompt);
+        } catch (IllegalArgumentException e) {
+            exchange.error(400, "bad request: " + e.getMessage(), true);
+        }
+    }
+
+    private void routeChecked(Exchange exchange, JsonNode body, Prompt prompt) {
         switch (exchange.method() + " " + exchange.path()) {
             case "POST /v1/chat/completions" -> generate(exchange, body, prompt);
             case "GET /v1/models" -> exchange.reply(200, models());
--- a/src/main/java/org/heathercourse/testing/standin/Exchange.java
+++ b/src/main/java/org/heathercourse/testing/standin/Exchange.java
@@ -35,6 +35,8 @@
     private boolean mLoseReply;
     private volatile Runnable mOnDisconnect;
     private volatile boolean mDisconnected;
+    private byte[] mScannedTail = new byte[0];
+    private volatile int mArrival = -1;
 
     Exchange(Channel channel, HttpRequest request) {
         mChannel = channel;
@@ -97,6 +99,24 @@
         return node == null ? JSON.createObjectNode() : node;
     }
 
+    // ---- Accounting ----
+
+    byte[] scannedTail() {
+        return mScannedTail;
+    }
+
+    void scannedTail(byte[] tail) {
+        mScannedTail = tail;
+    }
+
+    int arrival() {
+        return mArrival;
+    }
+
+    void arrival(int index) {
+        mArrival = index;
+    }
+
     // ---- Answer ----
 
     void reply(int status, JsonNode json) {
--- a/src/main/java/org/heathercourse/testing/standin/HttpPort.java
+++ b/src/main/java/org/heathercourse/testing/standin/HttpPort.java
@@ -35,7 +35,7 @@
 final class HttpPort implements AutoCloseable {
     private static final EventLog LOG = EventLog.of(HttpPort.class);
     private static final AttributeKey<Exchange> CURRENT = AttributeKey.valueOf("current-exchange");
-    private static final long PAUSE_POLL_MILLIS = 5;
+    private static final long PAUSE_POLL_MILLIS = 10;
 
     private final EventLoopGroup mLoops;
     private final Handler mHandler;
@@ -62,7 +62,7 @@
         default void echoStarted(Exchange exchange) {}
 
         /** Sees the pieces of a body that is sent back. */
-        default void echoed(ByteBuf piece) {}
+        default void echoed(Exchange exchange, ByteBuf piece) {}
 
         /** Returns whether a lost reply is to be simulated for this request. */
         default boolean changesSomething(Exchange exchange) {
@@ -187,7 +187,7 @@
             boolean last = content instanceof LastHttpContent;
             ByteBuf piece = content.content();
             if (mEcho) {
-                mHandler.echoed(piece);
+                mHandler.echoed(mExchange, piece);
                 if (piece.isReadable()) {
                     mExchange.write(piece.retain());
                 }
--- a/src/main/java/org/heathercourse/testing/standin/PlainStandIn.java
+++ b/src/main/java/org/heathercourse/testing/standin/PlainStandIn.java
@@ -37,8 +37,8 @@
     }
 
     @Override
-    public void echoed(ByteBuf piece) {
-        mAccounting.scanPiece(piece);
+    public void echoed(Exchange exchange, ByteBuf piece) {
+        mAccounting.scanPiece(exchange, piece);
     }
 
     @Override
--- a/src/main/java/org/heathercourse/testing/standin/PrefixCache.java
+++ b/src/main/java/org/heathercourse/testing/standin/PrefixCache.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.Deque;
 import java.util.Iterator;
 import java.util.LinkedHashMap;
@@ -19,7 +20,8 @@
     private final Ticker mTicker;
     private final FaultSwitches mFaults;
     private final long mCapacityTokens;
-    private final Map<String, Conversation> mSessions = new LinkedHashMap<>(16, 0.75f, true);
+    // In the order of use, the least recently used session first.
+    private final Map<String, Conversation> mSessions = new LinkedHashMap<>();
     private final Deque<Event> mEvents = new ArrayDeque<>();
     private long mUsedTokens;
     private long mSequence;
@@ -37,8 +39,8 @@
 
         /** Returns this conversation with one more message. */
         Conversation with(long hash, long addedTokens) {
-            long[] moreHashes = java.util.Arrays.copyOf(hashes, hashes.length + 1);
-            long[] moreTokens = java.util.Arrays.copyOf(tokens, tokens.length + 1);
+            long[] moreHashes = Arrays.copyOf(hashes, hashes.length + 1);
+            long[] moreTokens = Arrays.copyOf(tokens, tokens.length + 1);
             moreHashes[hashes.length] = hash;
             moreTokens[tokens.length] = total() + addedTokens;
             return new Conversation(moreHashes, moreTokens);
@@ -56,17 +58,16 @@
 
     /** Returns the tokens of the longest cached prefix and marks the session as used. */
     synchronized long use(String session, Prompt prompt) {
-        return matched(mSessions.get(session), prompt);
+        Conversation held = mSessions.remove(session);
+        if (held != null) {
+            mSessions.put(session, held);
+        }
+        return matched(held, prompt);
     }
 
     /** Returns the tokens of the longest cached prefix without marking the session as used. */
     synchronized long peek(String session, Prompt prompt) {
-        for (Map.Entry<String, Conversation> entry : mSessions.entrySet()) {
-            if (entry.getKey().equals(session)) {
-                return matched(entry.getValue(), prompt);
-            }
-        }
-        return 0;
+        return matched(mSessions.get(session), prompt);
     }
 
     /** Holds a conversation, unless it is larger than the whole cache. */
@@ -107,11 +108,6 @@
         return true;
     }
 
-    synchronized void clear() {
-        mSessions.clear();
-        mUsedTokens = 0;
-    }
-
     synchronized long usedTokens() {
         return mUsedTokens;
     }
--- a/src/main/java/org/heathercourse/testing/standin/StandInMain.java
+++ b/src/main/java/org/heathercourse/testing/standin/StandInMain.java
@@ -2,6 +2,7 @@
 
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.util.concurrent.CountDownLatch;
+import joptsimple.OptionException;
 import joptsimple.OptionParser;
 import joptsimple.OptionSet;
 import joptsimple.OptionSpec;
@@ -50,7 +51,14 @@
      * @throws InterruptedException if the main thread is interrupted
      */
     public static void main(String[] args) throws InterruptedException {
-        StandIns standIns = StandIns.start(parse(args));
+        StandIns standIns;
+        try {
+            standIns = StandIns.start(parse(args));
+        } catch (OptionException | IllegalArgumentException e) {
+            System.err.println("event=bad_flags message=\"" + e.getMessage() + "\"");
+            System.exit(2);
+            return;
+        }
         CountDownLatch ended = new CountDownLatch(1);
         Runtime.getRuntime()
                 .addShutdownHook(
--- a/src/main/java/org/heathercourse/testing/standin/StandIns.java
+++ b/src/main/java/org/heathercourse/testing/standin/StandIns.java
@@ -2,6 +2,7 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
@@ -117,7 +118,9 @@
         ObjectNode plain = json.putObject("plain");
         mSettings.plain().keySet().forEach(id -> plain.put(id, baseUrl(id)));
         ObjectNode proxies = json.putObject("proxies");
-        mProxies.forEach((name, proxy) -> proxies.put(name, "127.0.0.1:" + proxy.port()));
+        synchronized (mProxies) {
+            mProxies.forEach((name, proxy) -> proxies.put(name, "127.0.0.1:" + proxy.port()));
+        }
         return json;
     }
 
@@ -185,7 +188,7 @@
     }
 
     /**
-     * Sets the state of a VM in the VM list.
+     * Sets the state of a VM in the VM list. Over the control port: {@code PUT /vms}.
      *
      * @param vm identity of the VM
      * @param incarnation its incarnation
@@ -196,7 +199,13 @@
         mVmList.set(vm, incarnation, zone, state);
     }
 
-    /** Lists a VM that is gone again, with the incarnation that it had. */
+    /**
+     * Lists a VM that is gone again, with the incarnation that it had. Over the control port:
+     * {@code POST /vms/relist}.
+     *
+     * @param vm identity of the VM
+     * @throws IllegalArgumentException if the VM was never gone
+     */
     public void relistVm(String vm) {
         mVmList.relist(vm);
     }
@@ -217,6 +226,15 @@
         return proxy;
     }
 
+    /** Returns the faults of all proxies by name. */
+    ObjectNode proxies() {
+        ObjectNode json = Exchange.JSON.createObjectNode();
+        synchronized (mProxies) {
+            mProxies.forEach((name, proxy) -> json.putPOJO(name, proxy.faults()));
+        }
+        return json;
+    }
+
     /** Changes the faults of a proxy as a JSON object says. */
     void setProxy(String name, JsonNode json) {
         FaultProxy proxy;
@@ -244,7 +262,7 @@
         EngineStandIn standIn =
                 new EngineStandIn(
                         id,
-                        (io.netty.channel.EventLoop) mLoops.next(),
+                        (EventLoop) mLoops.next(),
                         mTicker,
                         faultsOf(id),
                         mSettings.engine(),
--- a/src/main/java/org/heathercourse/testing/standin/VmListStandIn.java
+++ b/src/main/java/org/heathercourse/testing/standin/VmListStandIn.java
@@ -1,9 +1,7 @@
 package org.heathercourse.testing.standin;
 
-import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
-import java.io.IOException;
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.Iterator;
@@ -37,23 +35,11 @@
     }
 
     @Override
-    public void handle(Exchange exchange) throws IOException {
-        switch (exchange.method() + " " + exchange.path()) {
-            case "GET /vms" -> exchange.reply(200, list());
-            case "PUT /vms" -> {
-                JsonNode vm = exchange.json();
-                set(
-                        vm.path("vm").asText(),
-                        vm.path("incarnation").asLong(1),
-                        vm.path("zone").asText(),
-                        vm.path("state").asText("live"));
-                exchange.reply(200, Exchange.JSON.createObjectNode());
-            }
-            case "POST /vms/relist" -> {
-                relist(exchange.json().path("vm").asText());
-                exchange.reply(200, Exchange.JSON.createObjectNode());
-            }
-            default -> exchange.error(404, "no such path: " + exchange.path(), true);
+    public void handle(Exchange exchange) {
+        if (exchange.path().equals("/vms")) {
+            exchange.reply(200, list());
+        } else {
+            exchange.error(404, "no such path: " + exchange.path(), true);
         }
     }
 
--- a/src/test/java/org/heathercourse/testing/standin/Fixture.java
+++ b/src/test/java/org/heathercourse/testing/standin/Fixture.java
@@ -34,8 +34,8 @@
         mTransport =
                 new HttpTransport(
                         HttpSettings.builder()
-                                .readTimeoutMillis(2_000)
-                                .callTimeoutMillis(2_000)
+                                .readTimeoutMillis(1_500)
+                                .callTimeoutMillis(1_500)
                                 .build());
         mEngines = new HttpEngineClient(mTransport);
     }
@@ -60,7 +60,7 @@
                                 resumeFrom,
                                 priority,
                                 1,
-                                5_000,
+                                2_000,
                                 ""),
                         answer);
         return answer;
