Wire the daemon

Cause: the parts existed without a process around them. Figures: compiles; not run yet. Conclusion: the whole path is run next.

--- /dev/null
+++ b/src/main/java/org/heathercourse/cli/Main.java
@@ -0,0 +1,87 @@
+package org.heathercourse.cli;
+
+import java.util.Arrays;
+import java.util.Locale;
+import java.util.Optional;
+import org.heathercourse.daemon.DaemonMain;
+import org.heathercourse.ops.ctl.Ctl;
+import org.heathercourse.testing.standin.StandInMain;
+
+/** Entry point of the command line. */
+public final class Main {
+    private static final int USAGE_EXIT_CODE = 2;
+
+    private Main() {}
+
+    private enum Command {
+        DAEMON("run the daemon of one entry VM") {
+            @Override
+            void run(String[] arguments) throws Exception {
+                DaemonMain.main(arguments);
+            }
+        },
+        CTL("operate a deployment") {
+            @Override
+            void run(String[] arguments) {
+                System.exit(Ctl.run(arguments, System.getenv(), System.out, System.err).code());
+            }
+        },
+        STANDINS("run stand-ins of the outside services for trials on one machine") {
+            @Override
+            void run(String[] arguments) throws Exception {
+                StandInMain.main(arguments);
+            }
+        };
+
+        private final String mSummary;
+
+        Command(String summary) {
+            mSummary = summary;
+        }
+
+        abstract void run(String[] arguments) throws Exception;
+
+        static Optional<Command> fromName(String name) {
+            return Arrays.stream(values())
+                    .filter(c -> c.name().toLowerCase(Locale.ROOT).equals(name))
+                    .findFirst();
+        }
+    }
+
+    /**
+     * Runs a command.
+     *
+     * @param arguments the command and its flags
+     * @throws Exception if the command fails in a way that it does not report itself
+     */
+    public static void main(String[] arguments) throws Exception {
+        String name = arguments.length == 0 ? "--help" : arguments[0];
+        if (name.equals("--help") || name.equals("help")) {
+            System.out.print(help());
+            return;
+        }
+        if (name.equals("--version") || name.equals("version")) {
+            System.out.println("heathercourse " + Version.text());
+            return;
+        }
+        Optional<Command> command = Command.fromName(name);
+        if (command.isEmpty()) {
+            System.err.println(
+                    "error: \"" + name + "\" is not a command; see heathercourse --help");
+            System.exit(USAGE_EXIT_CODE);
+            return;
+        }
+        command.get().run(Arrays.copyOfRange(arguments, 1, arguments.length));
+    }
+
+    private static String help() {
+        StringBuilder out = new StringBuilder("usage: heathercourse COMMAND [flags]\n\n");
+        for (Command command : Command.values()) {
+            String name = command.name().toLowerCase(Locale.ROOT);
+            out.append(String.format("  %-12s %s%n", name, command.mSummary));
+        }
+        out.append(String.format("  %-12s %s%n", "quickstart", "start a deployment on loopback"));
+        out.append("\nEach command explains its flags with --help. --version prints the version.\n");
+        return out.toString();
+    }
+}
--- a/src/main/java/org/heathercourse/core/placement/Scheduler.java
+++ b/src/main/java/org/heathercourse/core/placement/Scheduler.java
@@ -147,6 +147,19 @@
 
     // Decisions
 
+    /**
+     * Returns whether a target is healthy enough to be given calls.
+     *
+     * @param target the target
+     * @param nowMillis present time
+     */
+    public boolean takesCalls(TargetId target, long nowMillis) {
+        synchronized (mLock) {
+            TargetView view = mTargets.get(target);
+            return view != null && view.takesCalls(nowMillis);
+        }
+    }
+
     /**
      * Chooses a target and a priority.
      *
--- /dev/null
+++ b/src/main/java/org/heathercourse/daemon/operate/DaemonObservations.java
@@ -0,0 +1,108 @@
+package org.heathercourse.daemon.operate;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import javax.inject.Inject;
+import org.heathercourse.core.config.DeploymentConfig;
+import org.heathercourse.core.config.TargetSpec;
+import org.heathercourse.core.model.ProgramId;
+import org.heathercourse.core.model.ShardId;
+import org.heathercourse.core.model.VmId;
+import org.heathercourse.core.ownership.DaemonInfo;
+import org.heathercourse.core.program.ProgramState;
+import org.heathercourse.daemon.call.ProgramRouter;
+import org.heathercourse.daemon.config.ConfigSource;
+import org.heathercourse.daemon.schedule.SchedulerSelector;
+import org.heathercourse.daemon.state.ProgramLog;
+import org.heathercourse.daemon.state.ShardDirectory;
+import org.heathercourse.ops.ConfigMapper;
+import org.heathercourse.ops.Observations;
+import org.heathercourse.ops.v1.DaemonStatus;
+import org.heathercourse.ops.v1.GetStatusResponse;
+import org.heathercourse.ops.v1.ProgramStatus;
+import org.heathercourse.ops.v1.TargetStatus;
+
+/** What this daemon observes. Safe for use by several threads. */
+public final class DaemonObservations implements Observations {
+    private final ShardDirectory mShards;
+    private final ProgramLog mLog;
+    private final ProgramRouter mPrograms;
+    private final SchedulerSelector mSelector;
+
+    /** Creates the view. */
+    @Inject
+    public DaemonObservations(
+            ShardDirectory shards,
+            ProgramLog log,
+            ProgramRouter programs,
+            SchedulerSelector selector) {
+        mShards = shards;
+        mLog = log;
+        mPrograms = programs;
+        mSelector = selector;
+    }
+
+    @Override
+    public List<DaemonInfo> daemons() {
+        return mShards.daemons();
+    }
+
+    @Override
+    public GetStatusResponse status(ConfigSource config) {
+        DeploymentConfig current = config.current();
+        GetStatusResponse.Builder status =
+                GetStatusResponse.newBuilder()
+                        .setVm(mShards.self().vm().value())
+                        .setRevision(current.revision())
+                        .setFresh(config.fresh())
+                        .setStoreDown(mLog.storeDown())
+                        .setPendingBytes(mLog.pendingBytes());
+        Map<VmId, Integer> owned = new HashMap<>();
+        for (int i = 0; i < current.shards(); i++) {
+            mShards.owner(new ShardId(i)).ifPresent(d -> owned.merge(d.vm(), 1, Integer::sum));
+        }
+        for (DaemonInfo daemon : mShards.daemons()) {
+            status.addDaemons(
+                    DaemonStatus.newBuilder()
+                            .setVm(daemon.vm().value())
+                            .setIncarnation(daemon.incarnation())
+                            .setZone(daemon.zone().value())
+                            .setCallerAddress(daemon.host() + ":" + daemon.callerPort())
+                            .setShards(owned.getOrDefault(daemon.vm(), 0))
+                            .setDraining(daemon.draining()));
+        }
+        for (TargetSpec target : current.targets()) {
+            status.addTargets(
+                    TargetStatus.newBuilder()
+                            .setTarget(target.target().value())
+                            .setState(ConfigMapper.state(target.state()))
+                            .setRunningHere((int) mSelector.running(target.target()))
+                            .setHealthy(mSelector.takesCalls(target.target())));
+        }
+        return status.build();
+    }
+
+    @Override
+    public List<ProgramStatus> programs(int limit) {
+        return mLog.held().stream().limit(limit).map(DaemonObservations::toStatus).toList();
+    }
+
+    private static ProgramStatus toStatus(ProgramState state) {
+        return ProgramStatus.newBuilder()
+                .setProgram(state.program().value())
+                .setWorkspace(state.workspace().value())
+                .setCalls(state.calls().size())
+                .setBudgetTokens(state.budgetTokens())
+                .setSpentTokens(state.spentTokens())
+                .setReservedTokens(state.reservedTokens())
+                .setHistoryMessages(state.history().size())
+                .setEndReason(state.endReason())
+                .build();
+    }
+
+    @Override
+    public void cancel(String program) {
+        mPrograms.run("end", null, new ProgramId(program), "{\"reason\":\"cancelled\"}");
+    }
+}
--- /dev/null
+++ b/src/main/java/org/heathercourse/daemon/operate/package-info.java
@@ -0,0 +1,2 @@
+/** What a daemon shows to operators. */
+package org.heathercourse.daemon.operate;
--- a/src/main/java/org/heathercourse/daemon/schedule/SchedulerSelector.java
+++ b/src/main/java/org/heathercourse/daemon/schedule/SchedulerSelector.java
@@ -51,8 +51,7 @@
      * @param ticker time source of the decisions
      * @param clock wall clock, which orders calls of different daemons at an engine
      */
-    public SchedulerSelector(
-            Scheduler scheduler, ConfigSource config, Ticker ticker, Clock clock) {
+    public SchedulerSelector(Scheduler scheduler, ConfigSource config, Ticker ticker, Clock clock) {
         mScheduler = scheduler;
         mConfig = config;
         mTicker = ticker;
@@ -75,8 +74,7 @@
             return Either.left(leftMeanwhile(pick.get().target()));
         }
         Choice choice = new Choice(target.get(), pick.get().priority());
-        mAttempts.put(
-                choice, new Attempt(mNextAttempt.incrementAndGet(), pickRequest, pick.get()));
+        mAttempts.put(choice, new Attempt(mNextAttempt.incrementAndGet(), pickRequest, pick.get()));
         return Either.right(choice);
     }
 
@@ -154,4 +152,9 @@
         AtomicLong running = mRunning.get(target);
         return running == null ? 0 : running.get();
     }
+
+    /** Returns whether a target is given calls at present, as far as its health is concerned. */
+    public boolean takesCalls(TargetId target) {
+        return mScheduler.takesCalls(target, mTicker.readMillis());
+    }
 }
--- a/src/main/java/org/heathercourse/daemon/schedule/TargetTelemetry.java
+++ b/src/main/java/org/heathercourse/daemon/schedule/TargetTelemetry.java
@@ -28,7 +28,8 @@
  * Reads load and cache events of engines for the {@link Scheduler}.
  *
  * <p>Each round asks the engines that this daemon uses at present and a rotating part of the
- * others, so that the cost of a round does not grow with the fleet. Safe for use by several threads.
+ * others, so that the cost of a round does not grow with the fleet. Safe for use by several
+ * threads.
  */
 public final class TargetTelemetry {
     private static final EventLog LOG = EventLog.of(TargetTelemetry.class);
--- /dev/null
+++ b/src/main/java/org/heathercourse/daemon/wiring/HttpModule.java
@@ -0,0 +1,69 @@
+package org.heathercourse.daemon.wiring;
+
+import com.codahale.metrics.Gauge;
+import com.codahale.metrics.MetricRegistry;
+import dagger.Module;
+import dagger.Provides;
+import java.util.function.BooleanSupplier;
+import javax.inject.Named;
+import javax.inject.Singleton;
+import org.heathercourse.daemon.config.ConfigSource;
+import org.heathercourse.daemon.http.AdminServer;
+import org.heathercourse.daemon.http.HttpSettings;
+import org.heathercourse.daemon.settings.Setting;
+import org.heathercourse.daemon.settings.Settings;
+import org.heathercourse.daemon.state.ProgramLog;
+import org.heathercourse.daemon.state.ShardDirectory;
+
+/** The caller port and the admin port. */
+@Module
+public final class HttpModule {
+    // A planned stop waits this long for callers that still use the address, so it is kept short.
+    private static final int KEEP_ADDRESS_SECONDS = 10;
+
+    private HttpModule() {}
+
+    @Provides
+    @Singleton
+    static HttpSettings http(Settings settings) {
+        return HttpSettings.builder()
+                .host(settings.text(Setting.HOST))
+                .port(settings.port(Setting.CALLER_PORT))
+                .tls(settings.text(Setting.TLS_CERTIFICATE), settings.text(Setting.TLS_KEY))
+                .keepSeconds(KEEP_ADDRESS_SECONDS)
+                .bodyLimitBytes((int) settings.number(Setting.MAX_BODY_BYTES))
+                .build();
+    }
+
+    /** Ready means that a configuration is in force and fresh. */
+    @Provides
+    @Named("ready")
+    static BooleanSupplier ready(ConfigSource config) {
+        return () -> config.current().revision() > 0 && config.fresh();
+    }
+
+    @Provides
+    @Singleton
+    static MetricRegistry metrics(ConfigSource config, ProgramLog log, ShardDirectory shards) {
+        MetricRegistry metrics = new MetricRegistry();
+        gauge(metrics, "config.revision", () -> config.current().revision());
+        gauge(metrics, "config.fresh", () -> config.fresh() ? 1L : 0L);
+        gauge(metrics, "store.down", () -> log.storeDown() ? 1L : 0L);
+        gauge(metrics, "store.pending_bytes", log::pendingBytes);
+        gauge(metrics, "programs.held", () -> (long) log.held().size());
+        gauge(metrics, "daemons.listed", () -> (long) shards.daemons().size());
+        return metrics;
+    }
+
+    private static void gauge(MetricRegistry metrics, String name, Gauge<Long> value) {
+        metrics.registerGauge(name, value);
+    }
+
+    @Provides
+    @Singleton
+    static AdminServer admin(
+            Settings settings, MetricRegistry metrics, @Named("ready") BooleanSupplier ready) {
+        return new AdminServer(
+                settings.text(Setting.HOST), settings.port(Setting.ADMIN_PORT), metrics, ready);
+    }
+}
--- a/src/main/java/org/heathercourse/ops/ConfigMapper.java
+++ b/src/main/java/org/heathercourse/ops/ConfigMapper.java
@@ -355,7 +355,7 @@
     }
 
     /** Maps a state of the core. */
-    static StateDeclaration state(LifecycleState state) {
+    public static StateDeclaration state(LifecycleState state) {
         return switch (state) {
             case UP -> StateDeclaration.UP;
             case DRAINING -> StateDeclaration.DRAINING;
