--- a/src/main/java/org/heathercourse/daemon/call/PlainRun.java
+++ b/src/main/java/org/heathercourse/daemon/call/PlainRun.java
@@ -4,6 +4,7 @@
 import java.io.IOException;
 import java.io.InputStream;
 import java.io.UncheckedIOException;
+import java.util.Arrays;
 import java.util.Set;
 import org.heathercourse.core.config.RouteSpec;
 import org.heathercourse.core.config.ServiceKind;
--- /dev/null
+++ b/src/main/java/org/heathercourse/daemon/http/CallerRequest.java
@@ -0,0 +1,175 @@
+package org.heathercourse.daemon.http;
+
+import jakarta.servlet.http.HttpServletRequest;
+import java.io.IOException;
+import java.io.InputStream;
+import java.util.Collections;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.function.Function;
+import org.heathercourse.core.error.ErrorKind;
+import org.heathercourse.core.error.HeathercourseException;
+import org.heathercourse.core.model.ProgramId;
+import org.heathercourse.core.model.RequestClass;
+import org.heathercourse.core.model.RequestId;
+import org.heathercourse.daemon.call.HistoryMode;
+
+/** Reads the headers and bodies of callers' requests. */
+final class CallerRequest {
+    private static final long MAX_DEADLINE_MILLIS = 24L * 60 * 60 * 1000;
+
+    private CallerRequest() {}
+
+    static ProgramId program(HttpServletRequest request) {
+        return header(request, "X-Program-Id", ProgramId::new);
+    }
+
+    static RequestId identity(HttpServletRequest request) {
+        return header(request, "Idempotency-Key", RequestId::new);
+    }
+
+    private static <T> T header(
+            HttpServletRequest request, String name, Function<String, T> create) {
+        String value = request.getHeader(name);
+        return value == null || value.isEmpty() ? null : parse(name, value, create);
+    }
+
+    /** Creates an identity, or reports its form as the caller's mistake. */
+    static <T> T parse(String name, String value, Function<String, T> create) {
+        try {
+            return create.apply(value);
+        } catch (IllegalArgumentException e) {
+            throw HttpErrors.badRequest(name + ": " + e.getMessage(), "correct " + name);
+        }
+    }
+
+    static RequestClass requestClass(HttpServletRequest request) {
+        String value = request.getHeader("X-Request-Class");
+        if (value == null) {
+            return RequestClass.INTERACTIVE;
+        }
+        return RequestClass.fromWireName(value.toLowerCase(Locale.ROOT))
+                .orElseThrow(
+                        () ->
+                                HttpErrors.badRequest(
+                                        "X-Request-Class is \"" + value + "\"",
+                                        "use urgent, interactive or batch"));
+    }
+
+    static HistoryMode historyMode(HttpServletRequest request) {
+        String value = request.getHeader("X-Program-History");
+        if (value == null) {
+            return HistoryMode.FULL;
+        }
+        return HistoryMode.fromWireName(value.toLowerCase(Locale.ROOT))
+                .orElseThrow(
+                        () ->
+                                HttpErrors.badRequest(
+                                        "X-Program-History is \"" + value + "\"",
+                                        "use full or append"));
+    }
+
+    static long deadlineMillis(HttpServletRequest request, RequestClass requestClass) {
+        String value = request.getHeader("X-Deadline-Ms");
+        if (value == null) {
+            return requestClass.defaultDeadlineMillis();
+        }
+        try {
+            long millis = Long.parseLong(value.trim());
+            if (millis > 0) {
+                return Math.min(millis, MAX_DEADLINE_MILLIS);
+            }
+        } catch (NumberFormatException e) {
+            throw badDeadline(value);
+        }
+        throw badDeadline(value);
+    }
+
+    private static HeathercourseException badDeadline(String value) {
+        return HttpErrors.badRequest(
+                "X-Deadline-Ms is \"" + value + "\"", "send a number of milliseconds from 1");
+    }
+
+    /** Returns the key of the caller, or null if there is none. */
+    static String key(HttpServletRequest request) {
+        String value = request.getHeader("Authorization");
+        if (value == null) {
+            return null;
+        }
+        int blank = value.indexOf(' ');
+        return blank < 0 ? value : value.substring(blank + 1).trim();
+    }
+
+    static Map<String, List<String>> headers(HttpServletRequest request) {
+        Map<String, List<String>> headers = new TreeMap<>(String.CASE_INSENSITIVE_ORDER);
+        for (String name : Collections.list(request.getHeaderNames())) {
+            headers.put(name, Collections.list(request.getHeaders(name)));
+        }
+        return headers;
+    }
+
+    /**
+     * Reads a whole body.
+     *
+     * @throws HeathercourseException of kind PAYLOAD_TOO_LARGE if it exceeds the limit
+     */
+    static byte[] body(HttpServletRequest request, int limitBytes) throws IOException {
+        if (request.getContentLengthLong() > limitBytes) {
+            throw tooLarge(limitBytes);
+        }
+        byte[] body = request.getInputStream().readNBytes(limitBytes + 1);
+        if (body.length > limitBytes) {
+            throw tooLarge(limitBytes);
+        }
+        return body;
+    }
+
+    /** Returns a body as a stream that fails when it exceeds the limit. */
+    static InputStream stream(HttpServletRequest request, int limitBytes) throws IOException {
+        if (request.getContentLengthLong() > limitBytes) {
+            throw tooLarge(limitBytes);
+        }
+        return new LimitedInput(request.getInputStream(), limitBytes);
+    }
+
+    private static HeathercourseException tooLarge(int limitBytes) {
+        return new HeathercourseException(
+                ErrorKind.PAYLOAD_TOO_LARGE,
+                "the body exceeds " + limitBytes + " bytes",
+                "send a smaller body");
+    }
+
+    /** Ends a body that is longer than allowed with an error. */
+    private static final class LimitedInput extends InputStream {
+        private final InputStream mIn;
+        private long mLeft;
+
+        LimitedInput(InputStream in, long limitBytes) {
+            mIn = in;
+            mLeft = limitBytes;
+        }
+
+        @Override
+        public int read() throws IOException {
+            byte[] one = new byte[1];
+            return read(one, 0, 1) < 0 ? -1 : one[0] & 0xff;
+        }
+
+        @Override
+        public int read(byte[] buffer, int offset, int length) throws IOException {
+            int n = mIn.read(buffer, offset, length);
+            mLeft -= Math.max(0, n);
+            if (mLeft < 0) {
+                throw new IOException("the body exceeds the limit");
+            }
+            return n;
+        }
+
+        @Override
+        public void close() throws IOException {
+            mIn.close();
+        }
+    }
+}
