--- a/src/main/java/org/heathercourse/cli/Main.java
+++ b/src/main/java/org/heathercourse/cli/Main.java
@@ -4,11 +4,17 @@
 import java.util.Locale;
 import java.util.Optional;
 import org.heathercourse.daemon.DaemonMain;
+import org.heathercourse.log.KeepingLogManager;
 import org.heathercourse.ops.ctl.Ctl;
 import org.heathercourse.testing.standin.StandInMain;
 
 /** Entry point of the command line. */
 public final class Main {
+    static {
+        // Set before the first logger exists, so that a graceful stop can still log.
+        System.setProperty("java.util.logging.manager", KeepingLogManager.class.getName());
+    }
+
     private static final int USAGE_EXIT_CODE = 2;
 
     private Main() {}
@@ -81,7 +87,8 @@
             out.append(String.format("  %-12s %s%n", name, command.mSummary));
         }
         out.append(String.format("  %-12s %s%n", "quickstart", "start a deployment on loopback"));
-        out.append("\nEach command explains its flags with --help. --version prints the version.\n");
+        out.append(
+                "\nEach command explains its flags with --help. --version prints the version.\n");
         return out.toString();
     }
 }
--- a/src/main/java/org/heathercourse/daemon/Daemon.java
+++ b/src/main/java/org/heathercourse/daemon/Daemon.java
@@ -153,7 +153,8 @@
     /**
      * Steers callers elsewhere, hands the shards over, lets running requests end, and stops.
      *
-     * <p>Requests that still arrive meanwhile are served, since callers keep an address for a while.
+     * <p>Requests that still arrive meanwhile are served, since callers keep an address for a
+     * while.
      */
     public void drainAndStop() {
         mLeaving.set(true);
--- a/src/main/java/org/heathercourse/testing/load/ProgramRunner.java
+++ b/src/main/java/org/heathercourse/testing/load/ProgramRunner.java
@@ -198,7 +198,8 @@
                                             repeatable ? null : "{\"step\":" + mStep + "}",
                                             headers(id, "full")));
             if (answer.isRight()) {
-                if (!answer.get().text().contains(mProgram.program())) {
+                String own = "\"program_id\":\"" + mProgram.program() + "\"";
+                if (!answer.get().text().contains(own)) {
                     mCounters.add(Counter.CROSSED_ANSWERS);
                 }
                 return true;
--- a/src/main/java/org/heathercourse/testing/standin/PlainStandIn.java
+++ b/src/main/java/org/heathercourse/testing/standin/PlainStandIn.java
@@ -52,6 +52,7 @@
         long effect = effect(exchange);
         ObjectNode json = Exchange.JSON.createObjectNode();
         json.put("target", mId).put("path", exchange.path());
+        json.put("program_id", exchange.header("X-Program-Id"));
         json.put("request_id", exchange.header("X-Request-Id"));
         json.put("effect", effect);
         json.put("body_bytes", exchange.body().length);
