Limit the rate of the store stand-ins and compute urgent prompts first

Cause: the platform serves several hundred writes/s; engines computed prompts in order of admission whatever their priority. Conclusion: no rate limit by default, so that tests stay fast.

--- a/src/main/java/org/heathercourse/testing/standin/EngineBatch.java
+++ b/src/main/java/org/heathercourse/testing/standin/EngineBatch.java
@@ -21,6 +21,9 @@
  * the counters.
  */
 final class EngineBatch {
+    private static final Comparator<EngineCall> URGENT_FIRST =
+            Comparator.<EngineCall>comparingInt(c -> c.mPriority)
+                    .thenComparingLong(c -> c.mArrival);
     private static final long MIN_TICK_NANOS = 1_000_000;
     private static final long PAUSE_POLL_NANOS = 5_000_000;
 
@@ -31,15 +34,13 @@
     private final EngineFleet mFleet;
     private final PrefixCache mCache;
     private final long mNanosPerToken;
-    private final TreeSet<EngineCall> mQueue =
-            new TreeSet<>(
-                    Comparator.<EngineCall>comparingInt(c -> c.mPriority)
-                            .thenComparingLong(c -> c.mArrival));
+    private final TreeSet<EngineCall> mQueue = new TreeSet<>(URGENT_FIRST);
     private final List<EngineCall> mRunning = new ArrayList<>();
     private final Map<String, EngineCall> mCalls = new HashMap<>();
     private final Deque<Ended> mEnded = new ArrayDeque<>();
     private long mArrivals;
-    private long mPrefillBusyUntilNanos;
+    private EngineCall mPrefilling;
+    private long mPrefillFreeNanos;
     private long mTickAtNanos = Long.MAX_VALUE;
     private final AtomicLong mComputed = new AtomicLong();
     private final AtomicLong mCached = new AtomicLong();
@@ -66,7 +67,7 @@
         mFleet = fleet;
         mCache = cache;
         mNanosPerToken = Math.max(1, (long) (settings.msPerToken() * 1e6));
-        mPrefillBusyUntilNanos = ticker.readNanos();
+        mPrefillFreeNanos = ticker.readNanos();
     }
 
     /** Starts a call, or attaches the client to a call of the same identity. */
@@ -160,6 +161,10 @@
             mCache.put(call.mSession, promptOf(call));
             mFleet.accounting().charge(call.mPrompt, call.mCallId, call.generated());
         }
+        if (call == mPrefilling) {
+            mPrefilling = null;
+            mPrefillFreeNanos = mTicker.readNanos();
+        }
         mQueue.remove(call);
         mRunning.remove(call);
         call.mStage = EngineCall.Stage.SUSPENDED;
@@ -189,11 +194,17 @@
             schedule(PAUSE_POLL_NANOS);
             return;
         }
-        admit(now);
-        for (EngineCall call : List.copyOf(mRunning)) {
-            advance(call, now);
+        admit();
+        startPrefill();
+        boolean progress = true;
+        while (progress) {
+            progress = false;
+            for (EngineCall call : List.copyOf(mRunning)) {
+                progress |= advance(call, now);
+            }
+            admit();
+            startPrefill();
         }
-        admit(now);
         forget();
         mRunningNow = mRunning.size();
         mQueuedNow = mQueue.size();
@@ -206,7 +217,7 @@
         }
     }
 
-    private void admit(long now) {
+    private void admit() {
         while (mRunning.size() < mSettings.maxBatch() && !mQueue.isEmpty()) {
             EngineCall call = mQueue.pollFirst();
             long longest = mFleet.longestPrefix(call.mSession, call.mPrompt);
@@ -216,19 +227,43 @@
             mCached.addAndGet(cached);
             mComputed.addAndGet(compute);
             mWasted.addAndGet(Math.max(0, longest - cached));
-            mPrefillBusyUntilNanos =
-                    Math.max(now, mPrefillBusyUntilNanos)
-                            + (long) (compute * 1e9 / mSettings.prefillTokensPerSecond());
-            call.mNextAtNanos = mPrefillBusyUntilNanos;
+            call.mPrefillTokens = compute;
+            call.mNextAtNanos = Long.MAX_VALUE;
+            call.mAdmittedNanos = mTicker.readNanos();
             call.mStage = EngineCall.Stage.PREFILL;
             mRunning.add(call);
         }
     }
 
-    private void advance(EngineCall call, long now) {
-        if (call.mNextAtNanos > now) {
+    /** Starts to compute the prompt of the most urgent call of the batch, one at a time. */
+    private void startPrefill() {
+        if (mPrefilling != null) {
             return;
         }
+        mPrefilling =
+                mRunning.stream()
+                        .filter(c -> c.mStage == EngineCall.Stage.PREFILL)
+                        .min(URGENT_FIRST)
+                        .orElse(null);
+        if (mPrefilling != null) {
+            mPrefilling.mNextAtNanos =
+                    Math.max(mPrefilling.mAdmittedNanos, mPrefillFreeNanos)
+                            + (long)
+                                    (mPrefilling.mPrefillTokens
+                                            * 1e9
+                                            / mSettings.prefillTokensPerSecond());
+        }
+    }
+
+    /** Generates the tokens that are due; returns whether there was any. */
+    private boolean advance(EngineCall call, long now) {
+        if (call.mNextAtNanos > now || call.mStage == EngineCall.Stage.DONE) {
+            return false;
+        }
+        if (call == mPrefilling) {
+            mPrefilling = null;
+            mPrefillFreeNanos = call.mNextAtNanos;
+        }
         call.mStage = EngineCall.Stage.DECODE;
         long due = 1 + (now - call.mNextAtNanos) / mNanosPerToken;
         call.mNextAtNanos += due * mNanosPerToken;
@@ -238,6 +273,7 @@
         } else {
             call.flush();
         }
+        return true;
     }
 
     private void done(EngineCall call) {
--- a/src/main/java/org/heathercourse/testing/standin/EngineCall.java
+++ b/src/main/java/org/heathercourse/testing/standin/EngineCall.java
@@ -27,7 +27,9 @@
     Stage mStage = Stage.QUEUED;
     Exchange mExchange;
     long mNextAtNanos;
+    long mAdmittedNanos;
     long mCachedTokens;
+    long mPrefillTokens;
     long mKeptUntilMillis = Long.MAX_VALUE;
     boolean mHeadSent;
 
--- a/src/main/java/org/heathercourse/testing/standin/HttpPort.java
+++ b/src/main/java/org/heathercourse/testing/standin/HttpPort.java
@@ -50,6 +50,11 @@
         /** Handles a request whose body has arrived. */
         void handle(Exchange exchange) throws IOException;
 
+        /** Returns the nanoseconds until a request is served. */
+        default long queueDelayNanos(Exchange exchange) {
+            return 0;
+        }
+
         /** Sees each request when its head arrives, unless an outage swallows it. */
         default void arrived(Exchange exchange) {}
 
@@ -219,7 +224,13 @@
             } else if (mFaults.draw(Fault.FAIL_RATE)) {
                 exchange.error(500, "failed by a fault switch", false);
             } else if (ctx.channel().isActive()) {
-                handle(exchange);
+                long queueNanos = mHandler.queueDelayNanos(exchange);
+                if (queueNanos > 0) {
+                    ctx.executor()
+                            .schedule(() -> handle(exchange), queueNanos, TimeUnit.NANOSECONDS);
+                } else {
+                    handle(exchange);
+                }
             }
         }
 
--- a/src/main/java/org/heathercourse/testing/standin/ObjectStandIn.java
+++ b/src/main/java/org/heathercourse/testing/standin/ObjectStandIn.java
@@ -9,9 +9,21 @@
 /** The object store in memory. Safe for use by several threads. */
 final class ObjectStandIn implements HttpPort.Handler {
     private final ConcurrentSkipListMap<String, byte[]> mObjects = new ConcurrentSkipListMap<>();
+    private final Capacity mReadCapacity;
+    private final Capacity mWriteCapacity;
     private final AtomicLong mReads = new AtomicLong();
     private final AtomicLong mWrites = new AtomicLong();
 
+    ObjectStandIn(Capacity reads, Capacity writes) {
+        mReadCapacity = reads;
+        mWriteCapacity = writes;
+    }
+
+    @Override
+    public long queueDelayNanos(Exchange exchange) {
+        return (!exchange.method().equals("GET") ? mWriteCapacity : mReadCapacity).takeDelayNanos();
+    }
+
     @Override
     public void handle(Exchange exchange) {
         String name = exchange.query("name");
--- a/src/main/java/org/heathercourse/testing/standin/StandInMain.java
+++ b/src/main/java/org/heathercourse/testing/standin/StandInMain.java
@@ -37,6 +37,8 @@
     private final OptionSpec<Double> mLagMillis =
             number("engine-lag-ms", EngineSettings.DEFAULT.lagMillis());
     private final OptionSpec<Double> mVmListLagMillis = number("vm-list-lag-ms", 200);
+    private final OptionSpec<Double> mStoreReads = number("store-reads-per-second", 0);
+    private final OptionSpec<Double> mStoreWrites = number("store-writes-per-second", 0);
     private final OptionSpec<Double> mWeightRate = number("weights-bytes-per-second", 100_000_000);
     private final OptionSpec<Double> mModelBytes = number("model-bytes", 10_000_000);
     private final OptionSpec<Double> mSeed = number("seed", 1);
@@ -94,6 +96,7 @@
                                 mWeights.value(set),
                                 mControl.value(set))
                         .vmListLagMillis(mVmListLagMillis.value(set).longValue())
+                        .storeCapacity(mStoreReads.value(set), mStoreWrites.value(set))
                         .weights(
                                 mWeightRate.value(set).longValue(),
                                 mModelBytes.value(set).longValue())
--- a/src/main/java/org/heathercourse/testing/standin/StandInSettings.java
+++ b/src/main/java/org/heathercourse/testing/standin/StandInSettings.java
@@ -16,6 +16,10 @@
  * @param proxies proxies by name
  * @param engine settings of all engines
  * @param vmListLagMillis lag of the VM list, in milliseconds
+ * @param storeReadsPerSecond reads in a second that the table and the object store each serve; 0
+ *     for no limit
+ * @param storeWritesPerSecond writes in a second that the table and the object store each serve; 0
+ *     for no limit
  * @param weightBytesPerSecond bandwidth of the weight store
  * @param modelBytes size of each model
  * @param seed seed of all random faults
@@ -32,6 +36,8 @@
         Map<String, ProxyPorts> proxies,
         EngineSettings engine,
         long vmListLagMillis,
+        double storeReadsPerSecond,
+        double storeWritesPerSecond,
         long weightBytesPerSecond,
         long modelBytes,
         long seed,
@@ -69,6 +75,8 @@
         private final Map<String, ProxyPorts> mProxies = new LinkedHashMap<>();
         private EngineSettings mEngine = EngineSettings.DEFAULT;
         private long mVmListLagMillis = 200;
+        private double mStoreReadsPerSecond;
+        private double mStoreWritesPerSecond;
         private long mWeightBytesPerSecond = 100_000_000;
         private long mModelBytes = 10_000_000;
         private long mSeed = 1;
@@ -116,6 +124,13 @@
             return this;
         }
 
+        /** Sets the reads and writes in a second of the table and the object store each. */
+        public Builder storeCapacity(double readsPerSecond, double writesPerSecond) {
+            mStoreReadsPerSecond = readsPerSecond;
+            mStoreWritesPerSecond = writesPerSecond;
+            return this;
+        }
+
         /** Sets the bandwidth of the weight store and the size of each model. */
         public Builder weights(long bytesPerSecond, long modelBytes) {
             mWeightBytesPerSecond = bytesPerSecond;
@@ -148,6 +163,8 @@
                     new LinkedHashMap<>(mProxies),
                     mEngine,
                     mVmListLagMillis,
+                    mStoreReadsPerSecond,
+                    mStoreWritesPerSecond,
                     mWeightBytesPerSecond,
                     mModelBytes,
                     mSeed,
--- a/src/main/java/org/heathercourse/testing/standin/StandIns.java
+++ b/src/main/java/org/heathercourse/testing/standin/StandIns.java
@@ -36,8 +36,8 @@
     private final Ticker mTicker;
     private final StandInSettings mSettings;
     private final Accounting mAccounting;
-    private final TableStandIn mTable = new TableStandIn();
-    private final ObjectStandIn mObjects = new ObjectStandIn();
+    private final TableStandIn mTable;
+    private final ObjectStandIn mObjects;
     private final WeightStandIn mWeights;
     private final VmListStandIn mVmList;
     private final Map<String, FaultSwitches> mFaults = new LinkedHashMap<>();
@@ -57,6 +57,8 @@
                         new DefaultThreadFactory("stand-in", true),
                         NioIoHandler.newFactory());
         mAccounting = new Accounting(ticker);
+        mTable = new TableStandIn(readCapacity(), writeCapacity());
+        mObjects = new ObjectStandIn(readCapacity(), writeCapacity());
         mWeights =
                 new WeightStandIn(ticker, settings.weightBytesPerSecond(), settings.modelBytes());
         mVmList = new VmListStandIn(ticker, faultsOf("vmlist"), settings.vmListLagMillis());
@@ -258,6 +260,14 @@
         mLoops.shutdownGracefully(0, 1, TimeUnit.SECONDS).awaitUninterruptibly();
     }
 
+    private Capacity readCapacity() {
+        return new Capacity(mTicker, mSettings.storeReadsPerSecond());
+    }
+
+    private Capacity writeCapacity() {
+        return new Capacity(mTicker, mSettings.storeWritesPerSecond());
+    }
+
     private void openEngine(EngineFleet fleet, String id, StandInSettings.EnginePort engine) {
         EngineStandIn standIn =
                 new EngineStandIn(
--- a/src/main/java/org/heathercourse/testing/standin/TableStandIn.java
+++ b/src/main/java/org/heathercourse/testing/standin/TableStandIn.java
@@ -16,11 +16,24 @@
  */
 final class TableStandIn implements HttpPort.Handler {
     private final NavigableMap<String, Row> mRows = new TreeMap<>();
+    private final Capacity mReadCapacity;
+    private final Capacity mWriteCapacity;
     private final AtomicLong mReads = new AtomicLong();
     private final AtomicLong mWrites = new AtomicLong();
     private final AtomicLong mRowWrites = new AtomicLong();
     private final AtomicLong mConflicts = new AtomicLong();
 
+    TableStandIn(Capacity reads, Capacity writes) {
+        mReadCapacity = reads;
+        mWriteCapacity = writes;
+    }
+
+    @Override
+    public long queueDelayNanos(Exchange exchange) {
+        return (exchange.path().equals("/commit") ? mWriteCapacity : mReadCapacity)
+                .takeDelayNanos();
+    }
+
     @Override
     public void handle(Exchange exchange) throws IOException {
         switch (exchange.path()) {
--- a/src/test/java/org/heathercourse/testing/standin/EngineStandInTest.java
+++ b/src/test/java/org/heathercourse/testing/standin/EngineStandInTest.java
@@ -1,15 +1,20 @@
 package org.heathercourse.testing.standin;
 
 import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
 import static org.assertj.core.api.Assertions.catchThrowableOfType;
 import static org.awaitility.Awaitility.await;
 
+import java.net.URI;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
 import org.heathercourse.core.model.ChatMessage;
+import org.heathercourse.core.model.TargetId;
 import org.heathercourse.platform.EngineClient;
+import org.heathercourse.platform.TargetAddress;
 import org.heathercourse.platform.TargetException;
 import org.heathercourse.platform.TargetFailure;
+import org.heathercourse.testing.proxy.FaultProxy;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 
@@ -176,4 +181,51 @@
         assertThat(mFixture.run("engine-1", "c5", chat).mEnd.get()).isIn("NOT_SENT", "BROKEN");
         assertThat(mFixture.run("engine-1", "c6", chat).mEnd.get()).isEqualTo("NOT_SENT");
     }
+
+    /** Guards against a stream that is cut and taken for a whole answer. */
+    @Test
+    void cutStreamIsBroken() throws Exception {
+        int port = URI.create(mStandIns.baseUrl("engine-1")).getPort();
+        FaultProxy proxy = mStandIns.openProxy("link", 0, port);
+        Fixture.Answer answer = new Fixture.Answer();
+        mFixture.mEngines.generate(
+                new TargetAddress(new TargetId("link"), "http://127.0.0.1:" + proxy.port()),
+                new EngineClient.GenerateRequest(
+                        "m",
+                        List.of(Fixture.user("p1", 0, 10_000, 900_000)),
+                        1_000_000,
+                        "s",
+                        "c",
+                        0,
+                        0,
+                        1,
+                        2_000,
+                        "{\"temperature\":0}"),
+                answer);
+        answer.mFirstTokens.await(5, TimeUnit.SECONDS);
+        proxy.closeConnections();
+        assertThat(answer.mEnd.get(5, TimeUnit.SECONDS)).isEqualTo("BROKEN");
+        await().until(() -> mFixture.mEngines.load(mFixture.target("engine-1")).running() == 0);
+    }
+
+    /** Guards against flags that are ignored or misread. */
+    @Test
+    void flagsBecomeSettings() {
+        StandInSettings settings =
+                StandInMain.parse(
+                        "--table=7001",
+                        "--engine=a=7002",
+                        "--engine=b=7003:ignore",
+                        "--plain=w=7004",
+                        "--proxy=x=7005:7001",
+                        "--engine-ms-per-token=0.5");
+        assertThat(settings.tablePort()).isEqualTo(7001);
+        assertThat(settings.engines().get("a").checksFence()).isTrue();
+        assertThat(settings.engines().get("b").checksFence()).isFalse();
+        assertThat(settings.plain()).containsEntry("w", 7004);
+        assertThat(settings.proxies().get("x").targetPort()).isEqualTo(7001);
+        assertThat(settings.engine().msPerToken()).isEqualTo(0.5);
+        assertThatThrownBy(() -> StandInMain.parse("--engine=b=7003:never"))
+                .hasMessageContaining("expected check or ignore");
+    }
 }
