Make the stand-in tests independent of the load of the machine

Cause: limits of 1 to 2 s could run out on a busy machine, and one test compared the end of two calls. Change: short limits only where the limit is expected to be met; the engine has a load report before its first request; flags are read in two methods.

--- a/src/main/java/org/heathercourse/testing/standin/EngineStandIn.java
+++ b/src/main/java/org/heathercourse/testing/standin/EngineStandIn.java
@@ -8,12 +8,15 @@
 import java.util.TreeSet;
 import java.util.concurrent.TimeUnit;
 import org.heathercourse.core.time.Ticker;
+import org.heathercourse.log.EventLog;
 
 /**
  * A model engine: the HTTP side. All its state belongs to one event loop. Safe for use by several
  * threads.
  */
 final class EngineStandIn implements HttpPort.Handler {
+    private static final EventLog LOG = EventLog.of(EngineStandIn.class);
+
     private final String mId;
     private final EventLoop mLoop;
     private final FaultSwitches mFaults;
@@ -52,9 +55,11 @@
 
     /** Starts the load reports. */
     void start() {
+        // A report exists before the first request asks for one.
+        mLoop.execute(() -> mReports.add(loadNow()));
         long periodMillis = Math.max(20, mSettings.lagMillis() / 4);
         mLoop.scheduleAtFixedRate(
-                () -> mReports.add(loadNow()), 0, periodMillis, TimeUnit.MILLISECONDS);
+                () -> mReports.add(loadNow()), periodMillis, periodMillis, TimeUnit.MILLISECONDS);
     }
 
     @Override
@@ -102,6 +107,9 @@
             routeChecked(exchange, body, prompt);
         } catch (IllegalArgumentException e) {
             exchange.error(400, "bad request: " + e.getMessage(), true);
+        } catch (RuntimeException e) {
+            LOG.error("engine_failed", e, "engine", mId, "path", exchange.path());
+            exchange.error(500, "stand-in failed: " + e, false);
         }
     }
 
--- a/src/main/java/org/heathercourse/testing/standin/StandInMain.java
+++ b/src/main/java/org/heathercourse/testing/standin/StandInMain.java
@@ -102,6 +102,19 @@
                                 mModelBytes.value(set).longValue())
                         .seed(mSeed.value(set).longValue())
                         .threads(mThreads.value(set).intValue());
+        addTargets(builder, set);
+        return builder.engineSettings(
+                        EngineSettings.DEFAULT
+                                .withSpeed(mMsPerToken.value(set), mPrefill.value(set))
+                                .withSizes(
+                                        mMaxBatch.value(set).intValue(),
+                                        mCacheTokens.value(set).longValue())
+                                .withLagMillis(mLagMillis.value(set).longValue())
+                                .withModels(mModel.values(set)))
+                .build();
+    }
+
+    private void addTargets(StandInSettings.Builder builder, OptionSet set) {
         for (String engine : mEngine.values(set)) {
             String[] parts = split(engine, "=", "ID=PORT");
             String[] port = parts[1].split(":");
@@ -117,15 +130,6 @@
             String[] ports = split(parts[1], ":", "LISTEN:TARGETPORT");
             builder.proxy(parts[0], Integer.parseInt(ports[0]), Integer.parseInt(ports[1]));
         }
-        return builder.engineSettings(
-                        EngineSettings.DEFAULT
-                                .withSpeed(mMsPerToken.value(set), mPrefill.value(set))
-                                .withSizes(
-                                        mMaxBatch.value(set).intValue(),
-                                        mCacheTokens.value(set).longValue())
-                                .withLagMillis(mLagMillis.value(set).longValue())
-                                .withModels(mModel.values(set)))
-                .build();
     }
 
     private static boolean checksFence(String word) {
--- a/src/test/java/org/heathercourse/testing/standin/EngineStandInTest.java
+++ b/src/test/java/org/heathercourse/testing/standin/EngineStandInTest.java
@@ -83,12 +83,12 @@
         for (String engine : List.of("engine-1", "engine-2")) {
             String callId = "c-" + engine;
             Fixture.Answer broken = mFixture.start("engine-1", callId, 0, 0, chat);
-            broken.mFirstTokens.await(5, TimeUnit.SECONDS);
+            broken.mFirstTokens.await(20, TimeUnit.SECONDS);
             broken.mCall.cancel();
-            assertThat(broken.mEnd.get(5, TimeUnit.SECONDS)).isEqualTo("CANCELLED");
+            assertThat(broken.mEnd.get(20, TimeUnit.SECONDS)).isEqualTo("CANCELLED");
             int from = broken.mLastIndex + 1;
             Fixture.Answer rest = mFixture.start(engine, callId, from, 0, chat);
-            assertThat(rest.mEnd.get(5, TimeUnit.SECONDS)).isEqualTo("stop");
+            assertThat(rest.mEnd.get(20, TimeUnit.SECONDS)).isEqualTo("stop");
             assertThat(broken.mText.toString() + rest.mText).isEqualTo(whole);
             assertThat(rest.mFirstIndex).isEqualTo(from);
         }
@@ -100,17 +100,18 @@
     void cancelFreesTheBatchSlot() throws Exception {
         Fixture.Answer endless =
                 mFixture.start("engine-1", "c1", 0, 5, List.of(Fixture.user("p1", 0, 10, 900_000)));
-        endless.mFirstTokens.await(5, TimeUnit.SECONDS);
+        endless.mFirstTokens.await(20, TimeUnit.SECONDS);
         Fixture.Answer batch =
-                mFixture.start("engine-1", "c2", 0, 5, List.of(Fixture.user("p2", 0, 99, 50)));
+                mFixture.start("engine-1", "c2", 0, 5, List.of(Fixture.user("p2", 0, 9, 900_000)));
         Fixture.Answer urgent =
                 mFixture.start("engine-1", "c3", 0, 1, List.of(Fixture.user("p3", 0, 99, 1)));
         await().until(() -> mFixture.mEngines.load(mFixture.target("engine-1")).queued() == 2);
         assertThat(batch.mFirstIndex).isNegative();
         endless.mCall.cancel();
-        urgent.mEnd.get(5, TimeUnit.SECONDS);
-        assertThat(batch.mEnd).as("the urgent call runs first").isNotDone();
-        assertThat(batch.mEnd.get(5, TimeUnit.SECONDS)).isEqualTo("stop");
+        urgent.mEnd.get(20, TimeUnit.SECONDS);
+        assertThat(batch.mEnd).as("the endless call ran second").isNotDone();
+        assertThat(batch.mFirstTokens.await(20, TimeUnit.SECONDS)).isTrue();
+        batch.mCall.cancel();
     }
 
     /** Guards against cache that is not released, evicted, reported or copied. */
@@ -175,6 +176,7 @@
         mStandIns.setFault("engine-1", Fault.FAIL_RATE, 1, 1);
         assertThat(mFixture.run("engine-1", "c3", chat).mEnd.get()).isEqualTo("BROKEN");
         mStandIns.setFault("engine-1", Fault.PAUSE, 0, 0);
+        mFixture.mIdleMillis = Fixture.SHORT_MILLIS;
         assertThat(mFixture.run("engine-1", "c4", chat).mEnd.get()).isEqualTo("TIMEOUT");
         mStandIns.clearFaults("");
         mFixture.mStandIns.close();
@@ -199,12 +201,12 @@
                         0,
                         0,
                         1,
-                        2_000,
+                        10_000,
                         "{\"temperature\":0}"),
                 answer);
-        answer.mFirstTokens.await(5, TimeUnit.SECONDS);
+        answer.mFirstTokens.await(20, TimeUnit.SECONDS);
         proxy.closeConnections();
-        assertThat(answer.mEnd.get(5, TimeUnit.SECONDS)).isEqualTo("BROKEN");
+        assertThat(answer.mEnd.get(20, TimeUnit.SECONDS)).isEqualTo("BROKEN");
         await().until(() -> mFixture.mEngines.load(mFixture.target("engine-1")).running() == 0);
     }
 
--- a/src/test/java/org/heathercourse/testing/standin/Fixture.java
+++ b/src/test/java/org/heathercourse/testing/standin/Fixture.java
@@ -17,10 +17,16 @@
 
 /** Stand-ins on free ports and adapters for them. */
 final class Fixture implements AutoCloseable {
+    /** Limit of exchanges that are expected to run into it, in milliseconds. */
+    static final long SHORT_MILLIS = 700;
+
     final StandIns mStandIns;
     final HttpTransport mTransport;
     final HttpEngineClient mEngines;
 
+    /** Longest time without a token; short only in calls that are expected to run into it. */
+    long mIdleMillis = 10_000;
+
     Fixture(EngineSettings engine) {
         mStandIns =
                 StandIns.start(
@@ -34,8 +40,8 @@
         mTransport =
                 new HttpTransport(
                         HttpSettings.builder()
-                                .readTimeoutMillis(1_500)
-                                .callTimeoutMillis(1_500)
+                                .readTimeoutMillis(10_000)
+                                .callTimeoutMillis(10_000)
                                 .build());
         mEngines = new HttpEngineClient(mTransport);
     }
@@ -60,7 +66,7 @@
                                 resumeFrom,
                                 priority,
                                 1,
-                                2_000,
+                                mIdleMillis,
                                 ""),
                         answer);
         return answer;
@@ -69,7 +75,7 @@
     /** Runs a call to its end. */
     Answer run(String engine, String callId, List<ChatMessage> chat) throws Exception {
         Answer answer = start(engine, callId, 0, 0, chat);
-        answer.mEnd.get(10, TimeUnit.SECONDS);
+        answer.mEnd.get(20, TimeUnit.SECONDS);
         return answer;
     }
 
--- a/src/test/java/org/heathercourse/testing/standin/PlainStandInTest.java
+++ b/src/test/java/org/heathercourse/testing/standin/PlainStandInTest.java
@@ -2,6 +2,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 import static org.assertj.core.api.Assertions.catchThrowableOfType;
+import static org.awaitility.Awaitility.await;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
@@ -52,7 +53,8 @@
         mStandIns.setFault("plain-1", Fault.LOSE_REPLY, 1, 1);
         assertThat(failureOf(target, "/invoices", "r2")).isEqualTo(TargetFailure.Kind.BROKEN);
         assertThat(mStandIns.stat("effects")).isEqualTo(5);
-        assertThat(failureOf(target, "/hang", "r3")).isEqualTo(TargetFailure.Kind.TIMEOUT);
+        assertThat(failureOf(target, "/hang", "r3", Fixture.SHORT_MILLIS))
+                .isEqualTo(TargetFailure.Kind.TIMEOUT);
         assertThat(json(target, "/sleep?ms=5", null).path("effect").asLong()).isZero();
         JsonNode arrivals = control("GET", "/arrivals?since=5", "").path("arrivals");
         assertThat(arrivals.findValuesAsText("path")).containsExactly("/hang", "/sleep");
@@ -77,7 +79,7 @@
                                     new ByteArrayInputStream(body),
                                     length,
                                     10_000))) {
-                assertThat(response.body().readAllBytes()).isEqualTo(body);
+                assertThat(response.body().readAllBytes()).as("seed 7").isEqualTo(body);
                 assertThat(response.headers()).doesNotContainKey("transfer-encoding");
             }
         }
@@ -133,16 +135,19 @@
         try (PlainClient.Response echo =
                 send(target, "/echo", null, new String(body, StandardCharsets.ISO_8859_1))) {
             assertThat(new String(echo.body().readAllBytes(), StandardCharsets.UTF_8))
+                    .as("seed 8")
                     .isEqualTo(new String(body, StandardCharsets.ISO_8859_1));
         }
         control("POST", "/proxies/link", "{\"lose_replies\":1}");
         assertThat(failureOf(target, "/orders", "r1")).isEqualTo(TargetFailure.Kind.BROKEN);
         assertThat(mStandIns.stat("effects")).isEqualTo(1);
         proxy.faults(ProxyFaults.NONE.withHalfOpen(ProxyFaults.HalfOpen.TO_CLIENT));
-        assertThat(failureOf(target, "/orders", "r2")).isEqualTo(TargetFailure.Kind.TIMEOUT);
-        assertThat(mStandIns.stat("effects")).isEqualTo(2);
+        assertThat(failureOf(target, "/orders", "r2", Fixture.SHORT_MILLIS))
+                .isEqualTo(TargetFailure.Kind.TIMEOUT);
+        await().until(() -> mStandIns.stat("effects") == 2);
         proxy.faults(ProxyFaults.NONE.withHalfOpen(ProxyFaults.HalfOpen.TO_TARGET));
-        assertThat(failureOf(target, "/orders", "r3")).isEqualTo(TargetFailure.Kind.TIMEOUT);
+        assertThat(failureOf(target, "/orders", "r3", Fixture.SHORT_MILLIS))
+                .isEqualTo(TargetFailure.Kind.TIMEOUT);
         proxy.faults(ProxyFaults.NONE.withCut(true));
         assertThat(failureOf(target, "/orders", "r4"))
                 .isIn(TargetFailure.Kind.BROKEN, TargetFailure.Kind.NOT_SENT);
@@ -156,14 +161,25 @@
     }
 
     private TargetFailure.Kind failureOf(TargetAddress target, String path, String requestId) {
+        return failureOf(target, path, requestId, 10_000);
+    }
+
+    private TargetFailure.Kind failureOf(
+            TargetAddress target, String path, String requestId, long limitMillis) {
         return catchThrowableOfType(
-                        TargetException.class, () -> send(target, path, requestId, "").close())
+                        TargetException.class,
+                        () -> send(target, path, requestId, "", limitMillis).close())
                 .failure()
                 .kind();
     }
 
     private PlainClient.Response send(
             TargetAddress target, String path, String requestId, String body) {
+        return send(target, path, requestId, body, 10_000);
+    }
+
+    private PlainClient.Response send(
+            TargetAddress target, String path, String requestId, String body, long limitMillis) {
         byte[] bytes = body.getBytes(StandardCharsets.UTF_8);
         InputStream input = bytes.length == 0 ? null : new ByteArrayInputStream(bytes);
         Map<String, List<String>> headers =
@@ -173,7 +189,8 @@
                                 "X-Request-Id", List.of(requestId),
                                 "X-Program-Id", List.of("p1"));
         return mPlain.send(
-                target, new PlainClient.Request("POST", path, headers, input, bytes.length, 1_000));
+                target,
+                new PlainClient.Request("POST", path, headers, input, bytes.length, limitMillis));
     }
 
     private JsonNode control(String method, String path, String body) throws Exception {
--- a/src/test/java/org/heathercourse/testing/standin/StoreStandInTest.java
+++ b/src/test/java/org/heathercourse/testing/standin/StoreStandInTest.java
@@ -13,7 +13,9 @@
 import org.heathercourse.platform.Transaction;
 import org.heathercourse.platform.VmList;
 import org.heathercourse.platform.http.HttpObjectStore;
+import org.heathercourse.platform.http.HttpSettings;
 import org.heathercourse.platform.http.HttpTableStore;
+import org.heathercourse.platform.http.HttpTransport;
 import org.heathercourse.platform.http.HttpVmList;
 import org.heathercourse.platform.http.HttpWeightStore;
 import org.junit.jupiter.api.AfterEach;
@@ -96,9 +98,15 @@
         mStandIns.setFault("table", Fault.FAIL_RATE, 1, 1);
         assertThat(failureOf(() -> put("c1", "k", Row.ABSENT)).outcomeUnknown()).isTrue();
         mStandIns.setFault("table", Fault.DELAY_MS, 60_000, 1);
-        assertThat(failureOf(() -> put("c1", "k", Row.ABSENT)).outcomeUnknown()).isTrue();
-        mStandIns.setFault("table", Fault.PAUSE, 0, 0);
-        assertThat(failureOf(() -> mTable.read("k")).outcomeUnknown()).isTrue();
+        try (HttpTransport hasty =
+                new HttpTransport(
+                        HttpSettings.builder().callTimeoutMillis(Fixture.SHORT_MILLIS).build())) {
+            HttpTableStore table = new HttpTableStore(hasty, mStandIns.baseUrl("table"));
+            Transaction late = Transaction.builder("c1").put("k", Row.ABSENT, bytes("c1")).build();
+            assertThat(failureOf(() -> table.commit(late)).outcomeUnknown()).isTrue();
+            mStandIns.setFault("table", Fault.PAUSE, 0, 0);
+            assertThat(failureOf(() -> table.read("k")).outcomeUnknown()).isTrue();
+        }
         mStandIns.clearFaults("");
         assertThat(mTable.read("k")).isEmpty();
     }
