--- a/src/main/java/org/heathercourse/testing/standin/StandInMain.java
+++ b/src/main/java/org/heathercourse/testing/standin/StandInMain.java
@@ -37,6 +37,8 @@
     private final OptionSpec<Double> mLagMillis =
             number("engine-lag-ms", EngineSettings.DEFAULT.lagMillis());
     private final OptionSpec<Double> mVmListLagMillis = number("vm-list-lag-ms", 200);
+    private final OptionSpec<Double> mStoreReads = number("store-reads-per-second", 0);
+    private final OptionSpec<Double> mStoreWrites = number("store-writes-per-second", 0);
     private final OptionSpec<Double> mWeightRate = number("weights-bytes-per-second", 100_000_000);
     private final OptionSpec<Double> mModelBytes = number("model-bytes", 10_000_000);
     private final OptionSpec<Double> mSeed = number("seed", 1);
@@ -94,11 +96,25 @@
                                 mWeights.value(set),
                                 mControl.value(set))
                         .vmListLagMillis(mVmListLagMillis.value(set).longValue())
+                        .storeCapacity(mStoreReads.value(set), mStoreWrites.value(set))
                         .weights(
                                 mWeightRate.value(set).longValue(),
                                 mModelBytes.value(set).longValue())
                         .seed(mSeed.value(set).longValue())
                         .threads(mThreads.value(set).intValue());
+        addTargets(builder, set);
+        return builder.engineSettings(
+                        EngineSettings.DEFAULT
+                                .withSpeed(mMsPerToken.value(set), mPrefill.value(set))
+                                .withSizes(
+                                        mMaxBatch.value(set).intValue(),
+                                        mCacheTokens.value(set).longValue())
+                                .withLagMillis(mLagMillis.value(set).longValue())
+                                .withModels(mModel.values(set)))
+                .build();
+    }
+
+    private void addTargets(StandInSettings.Builder builder, OptionSet set) {
         for (String engine : mEngine.values(set)) {
             String[] parts = split(engine, "=", "ID=PORT");
             String[] port = parts[1].split(":");
@@ -114,15 +130,6 @@
             String[] ports = split(parts[1], ":", "LISTEN:TARGETPORT");
             builder.proxy(parts[0], Integer.parseInt(ports[0]), Integer.parseInt(ports[1]));
         }
-        return builder.engineSettings(
-                        EngineSettings.DEFAULT
-                                .withSpeed(mMsPerToken.value(set), mPrefill.value(set))
-                                .withSizes(
-                                        mMaxBatch.value(set).intValue(),
-                                        mCacheTokens.value(set).longValue())
-                                .withLagMillis(mLagMillis.value(set).longValue())
-                                .withModels(mModel.values(set)))
-                .build();
     }
 
     private static boolean checksFence(String word) {
