--- /dev/null
+++ b/src/test/java/org/heathercourse/daemon/call/FakeLog.java
@@ -0,0 +1,99 @@
+package org.heathercourse.daemon.call;
+
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import org.heathercourse.core.error.ErrorKind;
+import org.heathercourse.core.error.HeathercourseException;
+import org.heathercourse.core.model.ProgramId;
+import org.heathercourse.core.program.LogRecord;
+import org.heathercourse.core.program.ProgramState;
+import org.heathercourse.daemon.state.ProgramLog;
+
+/** A program log in memory whose store can be stopped, released and lost. */
+public final class FakeLog implements ProgramLog {
+    /** What happens to appended records. */
+    public enum Mode {
+        DURABLE,
+        HELD,
+        LOST
+    }
+
+    private final Map<ProgramId, ProgramState> mStates = new LinkedHashMap<>();
+    private final List<LogRecord> mRecords = new ArrayList<>();
+    private final List<CompletableFuture<Void>> mHeld = new ArrayList<>();
+    public volatile Mode mode = Mode.DURABLE;
+    public volatile boolean down;
+    public volatile long pending;
+
+    @Override
+    public synchronized Optional<ProgramState> find(ProgramId program) {
+        return Optional.ofNullable(mStates.get(program));
+    }
+
+    @Override
+    public synchronized List<ProgramState> held() {
+        return mStates.values().stream()
+                .filter(s -> !s.ended() || !s.cacheTargets().isEmpty())
+                .toList();
+    }
+
+    @Override
+    public synchronized CompletableFuture<Void> append(ProgramId program, List<LogRecord> records) {
+        if (mode == Mode.LOST) {
+            return CompletableFuture.failedFuture(
+                    new HeathercourseException(ErrorKind.OWNERSHIP_LOST, "lost", "none"));
+        }
+        for (LogRecord record : records) {
+            mRecords.add(record);
+            ProgramState state = mStates.get(program);
+            if (state == null) {
+                state = ProgramState.start((LogRecord.ProgramStarted) record);
+            } else {
+                state = state.apply(record);
+            }
+            mStates.put(program, state);
+        }
+        CompletableFuture<Void> durable = new CompletableFuture<>();
+        if (mode == Mode.DURABLE) {
+            durable.complete(null);
+        } else {
+            mHeld.add(durable);
+        }
+        return durable;
+    }
+
+    /** Makes everything durable. */
+    public synchronized void release() {
+        mode = Mode.DURABLE;
+        down = false;
+        mHeld.forEach(f -> f.complete(null));
+        mHeld.clear();
+    }
+
+    /** Does what a new owner does after the old one has died. */
+    public synchronized void takeOver() {
+        mStates.replaceAll((p, s) -> s.afterTakeover());
+    }
+
+    public synchronized List<LogRecord> records() {
+        return List.copyOf(mRecords);
+    }
+
+    public <T> List<T> records(Class<T> type) {
+        return records().stream().filter(type::isInstance).map(type::cast).toList();
+    }
+
+    @Override
+    public boolean storeDown() {
+        return down;
+    }
+
+    @Override
+    public long pendingBytes() {
+        return pending;
+    }
+}
--- /dev/null
+++ b/src/test/java/org/heathercourse/daemon/call/FakeShards.java
@@ -0,0 +1,70 @@
+package org.heathercourse.daemon.call;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.heathercourse.core.model.ShardId;
+import org.heathercourse.core.model.VmId;
+import org.heathercourse.core.model.Zone;
+import org.heathercourse.core.ownership.DaemonInfo;
+import org.heathercourse.daemon.state.ShardDirectory;
+
+/** A directory in which one daemon owns all shards. */
+public final class FakeShards implements ShardDirectory {
+    private final DaemonInfo mSelf;
+    public final AtomicInteger uses = new AtomicInteger();
+    public volatile DaemonInfo owner;
+    public volatile List<DaemonInfo> all;
+    public volatile long fence = 7;
+
+    public FakeShards(DaemonInfo self, DaemonInfo owner) {
+        mSelf = self;
+        this.owner = owner;
+        all = List.of(self);
+    }
+
+    public static DaemonInfo daemon(String vm, int peerPort) {
+        return new DaemonInfo(
+                new VmId(vm), 1, new Zone("z"), "127.0.0.1", 1, peerPort, 3, 1, 2000, false);
+    }
+
+    public static FakeShards alone() {
+        DaemonInfo self = daemon("vm-1", 2);
+        return new FakeShards(self, self);
+    }
+
+    private boolean own() {
+        DaemonInfo now = owner;
+        return now != null && now.vm().equals(mSelf.vm());
+    }
+
+    @Override
+    public DaemonInfo self() {
+        return mSelf;
+    }
+
+    @Override
+    public OptionalLong fence(ShardId shard) {
+        return own() ? OptionalLong.of(fence) : OptionalLong.empty();
+    }
+
+    @Override
+    public Optional<DaemonInfo> owner(ShardId shard) {
+        return Optional.ofNullable(owner);
+    }
+
+    @Override
+    public List<DaemonInfo> daemons() {
+        return all;
+    }
+
+    @Override
+    public Optional<Use> use(ShardId shard) {
+        if (!own()) {
+            return Optional.empty();
+        }
+        uses.incrementAndGet();
+        return Optional.of(uses::decrementAndGet);
+    }
+}
--- /dev/null
+++ b/src/test/java/org/heathercourse/daemon/call/FakeTargets.java
@@ -0,0 +1,142 @@
+package org.heathercourse.daemon.call;
+
+import java.io.ByteArrayInputStream;
+import java.io.IOException;
+import java.io.InputStream;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.function.BiFunction;
+import org.heathercourse.core.model.Usage;
+import org.heathercourse.platform.EngineClient;
+import org.heathercourse.platform.PlainClient;
+import org.heathercourse.platform.TargetAddress;
+import org.heathercourse.platform.TargetException;
+import org.heathercourse.platform.TargetFailure;
+
+/** Engines and plain services in memory, with a script for the next attempts. */
+public final class FakeTargets implements EngineClient, PlainClient {
+    /** What an engine does with an attempt. */
+    public interface EngineScript {
+        void run(GenerateRequest request, Listener listener);
+    }
+
+    public final List<GenerateRequest> generated = new CopyOnWriteArrayList<>();
+    public final List<String> generatedAt = new CopyOnWriteArrayList<>();
+    public final List<String> released = new CopyOnWriteArrayList<>();
+    public final List<Request> sent = new CopyOnWriteArrayList<>();
+    public final List<String> bodies = new CopyOnWriteArrayList<>();
+    public final List<EngineScript> engineScripts = new CopyOnWriteArrayList<>();
+    public volatile EngineScript engine = FakeTargets::answer;
+    public volatile BiFunction<TargetAddress, Request, Response> plain =
+            (address, request) -> ok("done");
+    public volatile boolean releaseFails;
+
+    /** Answers with three pieces. */
+    public static void answer(GenerateRequest request, Listener listener) {
+        String[] pieces = {"one", " two", " three"};
+        for (int i = request.resumeFromToken(); i < pieces.length; i++) {
+            listener.onToken(i, pieces[i]);
+        }
+        listener.onComplete("stop", new Usage(3, 3, 0));
+    }
+
+    /** Breaks after some pieces. */
+    public static EngineScript breakAfter(int pieces, String text) {
+        return (request, listener) -> {
+            for (int i = request.resumeFromToken(); i < pieces; i++) {
+                listener.onToken(i, i == 0 ? text : " two");
+            }
+            listener.onFailure(new TargetFailure(TargetFailure.Kind.BROKEN, 0, "cut"));
+        };
+    }
+
+    public static Response ok(String body) {
+        return new Response(
+                200,
+                Map.of("Content-Type", List.of("text/plain")),
+                new ByteArrayInputStream(body.getBytes(StandardCharsets.UTF_8)));
+    }
+
+    /** An answer whose body breaks after its first bytes. */
+    public static Response broken() {
+        InputStream body =
+                new InputStream() {
+                    private boolean mRead;
+
+                    @Override
+                    public int read() throws IOException {
+                        if (mRead) {
+                            throw new IOException("cut");
+                        }
+                        mRead = true;
+                        return 'x';
+                    }
+                };
+        return new Response(200, Map.of(), body);
+    }
+
+    public static TargetException failure(TargetAddress address, TargetFailure.Kind kind) {
+        return new TargetException(address, new TargetFailure(kind, 0, "scripted"));
+    }
+
+    @Override
+    public Call generate(TargetAddress target, GenerateRequest request, Listener listener) {
+        generated.add(request);
+        generatedAt.add(target.target().value());
+        EngineScript script = engineScripts.isEmpty() ? engine : engineScripts.remove(0);
+        Thread thread = new Thread(() -> script.run(request, listener));
+        thread.setDaemon(true);
+        thread.start();
+        return () ->
+                listener.onFailure(new TargetFailure(TargetFailure.Kind.CANCELLED, 0, "cancelled"));
+    }
+
+    @Override
+    public Response send(TargetAddress target, Request request) {
+        sent.add(request);
+        try {
+            bodies.add(
+                    request.body() == null
+                            ? ""
+                            : new String(request.body().readAllBytes(), StandardCharsets.UTF_8));
+        } catch (IOException e) {
+            throw failure(target, TargetFailure.Kind.BROKEN);
+        }
+        return plain.apply(target, request);
+    }
+
+    @Override
+    public void release(TargetAddress target, String session) {
+        if (releaseFails) {
+            throw failure(target, TargetFailure.Kind.TIMEOUT);
+        }
+        released.add(target.target() + "/" + session);
+    }
+
+    @Override
+    public Load load(TargetAddress target) {
+        throw new UnsupportedOperationException();
+    }
+
+    @Override
+    public List<CacheEvent> cacheEvents(TargetAddress target, long afterSequence) {
+        throw new UnsupportedOperationException();
+    }
+
+    @Override
+    public List<String> sessions(TargetAddress target) {
+        throw new UnsupportedOperationException();
+    }
+
+    @Override
+    public long migrate(TargetAddress from, TargetAddress to, String session) {
+        throw new UnsupportedOperationException();
+    }
+
+    @Override
+    public void order(TargetAddress target, Order order) {
+        throw new UnsupportedOperationException();
+    }
+}
