--- a/src/main/java/org/heathercourse/daemon/call/PlainOutcomes.java
+++ b/src/main/java/org/heathercourse/daemon/call/PlainOutcomes.java
@@ -14,7 +14,7 @@
 import org.heathercourse.platform.PlainClient;
 
 /** The records of one plain call, and the delivery of its answer. Used by one worker thread. */
-final class PlainOutcomes {
+class PlainOutcomes {
     // Short answers are held back until they are recorded, so that the head states durability.
     private static final int HELD_BYTES = 64 * 1024;
 
@@ -78,6 +78,7 @@
             failed(error, false);
             throw error;
         }
+        committed();
         long ageMillis = (mServices.ticker().readNanos() - committedNanos.get()) / 1_000_000;
         if (ageMillis > mServices.settings().dispatchWindowMillis()) {
             HeathercourseException error =
@@ -88,6 +89,11 @@
         return fence;
     }
 
+    /** Called between the commit of an intent and the check of its age; tests let time pass. */
+    void committed() {
+        // Nothing to do.
+    }
+
     /** Records that the call ended without an answer. */
     void failed(HeathercourseException error, boolean mayHaveRun) {
         LogRecord.CallFailed record =
--- a/src/main/java/org/heathercourse/daemon/http/AnswerWriter.java
+++ b/src/main/java/org/heathercourse/daemon/http/AnswerWriter.java
@@ -140,8 +140,14 @@
         mHeadSent = true;
         mResponse.setStatus(head.status());
         for (Map.Entry<String, List<String>> header : head.headers().entrySet()) {
+            boolean first = true;
             for (String value : header.getValue()) {
-                mResponse.addHeader(header.getKey(), value);
+                if (first) {
+                    mResponse.setHeader(header.getKey(), value);
+                } else {
+                    mResponse.addHeader(header.getKey(), value);
+                }
+                first = false;
                 if (header.getKey().equalsIgnoreCase("Content-Type")) {
                     mEvents = value.startsWith("text/event-stream");
                 }
--- /dev/null
+++ b/src/test/java/org/heathercourse/daemon/http/CallerServerTest.java
@@ -0,0 +1,328 @@
+package org.heathercourse.daemon.http;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.awaitility.Awaitility.await;
+
+import io.vavr.control.Either;
+import java.io.BufferedReader;
+import java.io.InputStreamReader;
+import java.net.InetAddress;
+import java.net.Socket;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpRequest.BodyPublishers;
+import java.net.http.HttpResponse;
+import java.net.http.HttpResponse.BodyHandlers;
+import java.nio.charset.StandardCharsets;
+import java.time.Clock;
+import java.util.List;
+import java.util.Map;
+import java.util.SplittableRandom;
+import java.util.concurrent.CountDownLatch;
+import java.util.stream.Collectors;
+import org.heathercourse.core.error.ErrorKind;
+import org.heathercourse.core.error.HeathercourseException;
+import org.heathercourse.core.model.WorkspaceId;
+import org.heathercourse.core.ownership.DaemonInfo;
+import org.heathercourse.core.program.LogRecord;
+import org.heathercourse.core.time.Ticker;
+import org.heathercourse.daemon.call.CallAcceptor;
+import org.heathercourse.daemon.call.CallFixture;
+import org.heathercourse.daemon.call.CallRouter;
+import org.heathercourse.daemon.call.FakeShards;
+import org.heathercourse.daemon.call.FakeTargets;
+import org.heathercourse.daemon.call.ProgramOps;
+import org.heathercourse.daemon.call.ProgramRouter;
+import org.heathercourse.daemon.config.Authenticator;
+import org.heathercourse.daemon.limits.RateLimiter;
+import org.heathercourse.daemon.peer.NettyPeerNetwork;
+import org.heathercourse.daemon.peer.PeerSettings;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/** Guards what callers see at the HTTP port. */
+class CallerServerTest {
+    private static final String KEY = "k.secret-of-berzins";
+    private static final String CHAT = new String(CallFixture.chat(true, "hello"));
+
+    private final CallFixture mFixture = new CallFixture();
+    private final HttpClient mClient = HttpClient.newHttpClient();
+    private NettyPeerNetwork mNetwork;
+    private CallerServer mServer;
+    private int mPort;
+    private volatile boolean mValid = true;
+
+    private final Authenticator mAuthenticator =
+            new Authenticator() {
+                @Override
+                public Either<HeathercourseException, Principal> authenticate(String header) {
+                    return ("Bearer " + KEY).equals(header)
+                            ? Either.right(new Principal(CallFixture.WORKSPACE, "k"))
+                            : Either.left(
+                                    new HeathercourseException(
+                                            ErrorKind.UNAUTHENTICATED, "no key", "send a key"));
+                }
+
+                @Override
+                public boolean stillValid(Principal principal) {
+                    return mValid;
+                }
+            };
+
+    private final RateLimiter mLimiter =
+            new RateLimiter() {
+                @Override
+                public Either<HeathercourseException, WorkspaceId> tryAcquire(WorkspaceId w) {
+                    return Either.right(w);
+                }
+
+                @Override
+                public Either<HeathercourseException, WorkspaceId> acquire(
+                        WorkspaceId w, long maxWaitMillis) {
+                    return Either.right(w);
+                }
+            };
+
+    @BeforeEach
+    void start() {
+        Ticker ticker = Ticker.system();
+        SplittableRandom random = new SplittableRandom(7);
+        PeerSettings peer = new PeerSettings("127.0.0.1", 0, new byte[] {1}, 1);
+        mNetwork = new NettyPeerNetwork(peer, mFixture.shards::self, ticker, random);
+        mNetwork.start();
+        new CallAcceptor(mFixture.executor, new ProgramOps(mFixture.executor)).register(mNetwork);
+        CallRouter calls =
+                new CallRouter(
+                        mFixture.executor,
+                        mNetwork,
+                        mFixture.shards,
+                        mFixture.config,
+                        mFixture.settings,
+                        ticker);
+        ProgramRouter programs =
+                new ProgramRouter(
+                        mNetwork,
+                        mFixture.shards,
+                        mFixture.config,
+                        mFixture.settings,
+                        ticker,
+                        random);
+        HttpSettings settings = HttpSettings.builder().idleTimeoutMillis(1000).build();
+        CallerHandlers handlers =
+                new CallerHandlers(
+                        settings,
+                        mAuthenticator,
+                        mLimiter,
+                        mFixture.config,
+                        mFixture.shards,
+                        calls,
+                        programs,
+                        ticker,
+                        Clock.systemUTC(),
+                        random);
+        mServer = new CallerServer(settings, handlers, ticker);
+        mPort = mServer.start();
+    }
+
+    @AfterEach
+    void stop() {
+        mServer.close();
+        mNetwork.close();
+        mFixture.close();
+    }
+
+    private HttpRequest.Builder request(String path) {
+        return HttpRequest.newBuilder(URI.create("http://127.0.0.1:" + mPort + path))
+                .header("Authorization", "Bearer " + KEY);
+    }
+
+    private HttpResponse<String> post(String path, String body, String... headers)
+            throws Exception {
+        HttpRequest.Builder request = request(path).POST(BodyPublishers.ofString(body));
+        if (headers.length > 0) {
+            request.headers(headers);
+        }
+        return mClient.send(request.build(), BodyHandlers.ofString());
+    }
+
+    private HttpResponse<String> get(String path) throws Exception {
+        return mClient.send(request(path).build(), BodyHandlers.ofString());
+    }
+
+    /** Guards against streams that chat-completions clients cannot read. */
+    @Test
+    void streamsEventsOfAnEphemeralCall() throws Exception {
+        HttpResponse<String> answer = post("/v1/chat/completions", CHAT);
+        assertThat(answer.statusCode()).isEqualTo(200);
+        assertThat(answer.headers().firstValue("Content-Type")).hasValue("text/event-stream");
+        assertThat(answer.headers().firstValue("X-Request-Id")).isPresent();
+        List<String> events = answer.body().lines().filter(l -> !l.isEmpty()).toList();
+        assertThat(events).allMatch(l -> l.startsWith("data: ")).endsWith("data: [DONE]");
+        assertThat(events.get(0)).contains("\"role\":\"assistant\"");
+        assertThat(events.get(events.size() - 2)).contains("\"finish_reason\":\"stop\"");
+        assertThat(mFixture.log.records()).isEmpty();
+        await().until(() -> mFixture.targets.released.size() == 1);
+    }
+
+    /** Guards against programs and identities that get lost on the way to the owner. */
+    @Test
+    void runsAProgramAndResumesItsAnswer() throws Exception {
+        HttpResponse<String> started = post("/v1/programs", "{\"program\":\"p-1\"}");
+        assertThat(started.statusCode()).isEqualTo(201);
+        String chat = new String(CallFixture.chat(false, "hello"));
+        HttpResponse<String> answer =
+                post("/v1/chat/completions", chat, "X-Program-Id", "p-1", "Idempotency-Key", "r-1");
+        assertThat(answer.body()).contains("one two three");
+        assertThat(answer.headers().firstValue("X-Program-Id")).hasValue("p-1");
+        assertThat(answer.headers().firstValue("X-Request-Id")).hasValue("r-1");
+        assertThat(answer.headers().firstValue("X-Durability")).hasValue("durable");
+        assertThat(get("/v1/programs/p-1/requests/r-1").body()).isEqualTo(answer.body());
+        assertThat(get("/v1/programs/p-1/requests/r-2").statusCode()).isEqualTo(404);
+        assertThat(get("/v1/programs/p-1").body()).contains("\"spent_tokens\":6");
+        HttpRequest delete = request("/v1/programs/p-1").DELETE().build();
+        assertThat(mClient.send(delete, BodyHandlers.ofString()).body()).contains("ended");
+    }
+
+    /** Guards against a repeat of a call without a program that runs again. */
+    @Test
+    void dedupesACallWithAnIdentityAndNoProgram() throws Exception {
+        String first = post("/v1/services/orders/pay", "{}", "Idempotency-Key", "i").body();
+        HttpResponse<String> again = post("/v1/services/orders/pay", "{}", "Idempotency-Key", "i");
+        assertThat(again.body()).isEqualTo(first).isEqualTo("done");
+        assertThat(mFixture.targets.sent).hasSize(1);
+        assertThat(mFixture.log.records(LogRecord.IntentRecorded.class)).hasSize(1);
+        int conflict = post("/v1/services/orders/pay", "{1}", "Idempotency-Key", "i").statusCode();
+        assertThat(conflict).isEqualTo(409);
+    }
+
+    /** Guards against a caller's key that reaches a target. */
+    @Test
+    void sendsNoCredentialsToTargets() throws Exception {
+        post(
+                "/v1/services/orders/a%2Db?q=1",
+                "x", "X-Api-Key", KEY, "X-Copy", "a" + KEY, "X-A", "b");
+        Map<String, List<String>> headers = mFixture.targets.sent.get(0).headers();
+        assertThat(headers.toString()).doesNotContain(KEY);
+        assertThat(headers).containsEntry("X-A", List.of("b")).doesNotContainKey("Authorization");
+        assertThat(headers).containsEntry("X-Workspace-Id", List.of("berzins"));
+        assertThat(mFixture.targets.sent.get(0).pathAndQuery()).isEqualTo("/a-b?q=1");
+        assertThat(get("/v1/services/orders/x?key=" + KEY).statusCode()).isEqualTo(400);
+    }
+
+    /** Guards against requests without a key on closed routes, also by way of odd paths. */
+    @Test
+    void asksForAKeyExceptOnOpenRoutes() throws Exception {
+        assertThat(status("/v1/services/orders/open/x")).isEqualTo(200);
+        assertThat(status("/v1/services/orders/%6fpen/x")).isEqualTo(200);
+        assertThat(status("/v1/services/orders/other")).isEqualTo(401);
+        assertThat(status("/v1/services/orders/opening")).isEqualTo(401);
+        assertThat(status("/v1/services/orders/open/../other")).isNotEqualTo(200);
+        assertThat(status("/v1/services/orders/open/%2e%2e/other")).isNotEqualTo(200);
+        assertThat(status("/v1/services/orders/open%2f..%2fother")).isNotEqualTo(200);
+        assertThat(status("/v1/models")).isEqualTo(401);
+        assertThat(mFixture.targets.sent)
+                .allMatch(r -> r.pathAndQuery().equals("/open/x"))
+                .allMatch(r -> !r.headers().containsKey("X-Workspace-Id"));
+    }
+
+    /** Sends a request without a key over a plain socket, as clients would normalise the path. */
+    private int status(String path) throws Exception {
+        String answer = raw("GET " + path + " HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n");
+        return Integer.parseInt(answer.split(" ")[1]);
+    }
+
+    private String raw(String bytes) throws Exception {
+        try (Socket socket = new Socket(InetAddress.getLoopbackAddress(), mPort)) {
+            socket.getOutputStream().write(bytes.getBytes(StandardCharsets.ISO_8859_1));
+            BufferedReader in = new BufferedReader(new InputStreamReader(socket.getInputStream()));
+            return in.lines().collect(Collectors.joining("\n"));
+        }
+    }
+
+    /** Guards against errors that do not tell what to do. */
+    @Test
+    void reportsErrorsAsJson() throws Exception {
+        HttpResponse<String> bad = post("/v1/chat/completions", "{\n  \"model\": oops}");
+        assertThat(bad.statusCode()).isEqualTo(400);
+        assertThat(bad.body()).contains("line 2, column").contains("\"not_run\":true");
+        assertThat(post("/v1/chat/completions", "x".repeat(8 * 1024 * 1024 + 1)).statusCode())
+                .isEqualTo(413);
+        assertThat(get("/nothing").body()).contains("\"kind\":\"unknown_service\"");
+        mFixture.targets.plain =
+                (address, r) -> {
+                    throw FakeTargets.failure(
+                            address, org.heathercourse.platform.TargetFailure.Kind.BROKEN);
+                };
+        HttpResponse<String> failed =
+                post("/v1/services/orders/pay", "{}", "X-Program-Id", "p", "Idempotency-Key", "1");
+        assertThat(failed.statusCode()).isEqualTo(502);
+        assertThat(failed.body()).contains("outcome_unknown").contains("\"not_run\":false");
+    }
+
+    /** Guards against calls cut off by the idle timeout while their target is at work. */
+    @Test
+    void keepsASlowCallOpenBeyondTheIdleTimeout() throws Exception {
+        CountDownLatch go = new CountDownLatch(1);
+        mFixture.targets.engine =
+                (request, listener) -> {
+                    try {
+                        go.await(3, java.util.concurrent.TimeUnit.SECONDS);
+                    } catch (InterruptedException e) {
+                        return;
+                    }
+                    FakeTargets.answer(request, listener);
+                };
+        String chat = new String(CallFixture.chat(false, "hello"));
+        HttpResponse<String> answer = post("/v1/chat/completions", chat, "X-Program-Id", "p-1");
+        assertThat(answer.body()).contains("one two three");
+    }
+
+    /** Guards against streams that outlive their key, and calls that die with it. */
+    @Test
+    void endsTheStreamOfAWithdrawnKeyButNotTheCall() throws Exception {
+        CountDownLatch go = new CountDownLatch(1);
+        mFixture.targets.engine =
+                (request, listener) -> {
+                    listener.onToken(0, "one");
+                    try {
+                        go.await();
+                    } catch (InterruptedException e) {
+                        return;
+                    }
+                    listener.onComplete("stop", new org.heathercourse.core.model.Usage(1, 1, 0));
+                };
+        mValid = false;
+        HttpResponse<String> answer =
+                post("/v1/chat/completions", CHAT, "X-Program-Id", "p-1", "Idempotency-Key", "r");
+        assertThat(answer.body()).contains("event: error\ndata: {").contains("key_withdrawn");
+        assertThat(answer.body()).doesNotContain("[DONE]");
+        go.countDown();
+        await().until(() -> !mFixture.log.records(LogRecord.CallCompleted.class).isEmpty());
+    }
+
+    /** Guards against bytes that are no HTTP doing harm to other requests. */
+    @Test
+    void survivesGarbage() throws Exception {
+        SplittableRandom random = new SplittableRandom(99);
+        for (int i = 0; i < 30; i++) {
+            byte[] bytes = new byte[200];
+            random.nextBytes(bytes);
+            raw(new String(bytes, StandardCharsets.ISO_8859_1) + "\r\n\r\n");
+        }
+        assertThat(get("/v1/models").body()).contains("\"weave\"");
+    }
+
+    /** Guards against callers that stay at, or are sent to, a daemon that is leaving. */
+    @Test
+    void sendsCallersElsewhereWhileDraining() throws Exception {
+        DaemonInfo other = FakeShards.daemon("vm-2", 4);
+        mFixture.shards.all = List.of(mFixture.shards.self(), other);
+        mServer.setDraining(true);
+        HttpResponse<String> advice = get("/v1/address");
+        assertThat(advice.body()).contains("\"keep_seconds\":30").contains("\"alternatives\":[]");
+        String raw = raw("GET /v1/address HTTP/1.1\r\nHost: a\r\n\r\n");
+        assertThat(raw).contains("200 OK").containsIgnoringCase("connection: close");
+    }
+}
