--- a/src/main/java/org/heathercourse/daemon/call/CallExecutor.java
+++ b/src/main/java/org/heathercourse/daemon/call/CallExecutor.java
@@ -35,7 +35,7 @@
  * <p>Safe for use by several threads. Life cycle: create, use, {@link #close}.
  */
 public final class CallExecutor implements AutoCloseable {
-    private static final EventLog sLog = EventLog.of(CallExecutor.class);
+    private static final EventLog LOG = EventLog.of(CallExecutor.class);
 
     private final CallServices mServices;
     private final Recorder mRecorder;
@@ -92,7 +92,7 @@
             mMaintenance.run();
             mSessions.retry();
         } catch (RuntimeException e) {
-            sLog.error("program_maintenance_failed", e);
+            LOG.error("program_maintenance_failed", e);
         }
     }
 
@@ -342,7 +342,7 @@
         } catch (HeathercourseException e) {
             job.answer().fail(e);
         } catch (RuntimeException | Error e) {
-            sLog.error(
+            LOG.error(
                     "call_failed",
                     e,
                     "program",
--- a/src/main/java/org/heathercourse/daemon/call/CallRequest.java
+++ b/src/main/java/org/heathercourse/daemon/call/CallRequest.java
@@ -48,7 +48,7 @@
         String path,
         Map<String, List<String>> headers,
         long createdSeconds) {
-    private static final ObjectMapper sMapper =
+    private static final ObjectMapper MAPPER =
             new ObjectMapper().configure(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES, false);
 
     /** What a call asks for. */
@@ -101,7 +101,7 @@
     /** Returns the call as JSON for {@code PeerMessage.CallStart}. */
     public String toJson() {
         try {
-            return sMapper.writeValueAsString(this);
+            return MAPPER.writeValueAsString(this);
         } catch (JsonProcessingException e) {
             throw new IllegalStateException("call cannot be written as JSON", e);
         }
@@ -116,7 +116,7 @@
      */
     public static CallRequest fromJson(String json) {
         try {
-            CallRequest call = sMapper.readValue(json, CallRequest.class);
+            CallRequest call = MAPPER.readValue(json, CallRequest.class);
             if (call.kind == null || call.program == null || call.request == null) {
                 throw malformed(null);
             }
--- a/src/main/java/org/heathercourse/daemon/call/ChatCall.java
+++ b/src/main/java/org/heathercourse/daemon/call/ChatCall.java
@@ -30,10 +30,10 @@
         boolean stream,
         boolean includeUsage,
         String extraJson) {
-    private static final ObjectMapper sMapper = new ObjectMapper();
-    private static final Set<String> sRoles =
+    private static final ObjectMapper MAPPER = new ObjectMapper();
+    private static final Set<String> ROLES =
             Set.of("system", "developer", "user", "assistant", "tool");
-    private static final List<String> sOwnFields =
+    private static final List<String> OWN_FIELDS =
             List.of(
                     "model",
                     "messages",
@@ -82,7 +82,7 @@
 
     private static JsonNode readTree(byte[] body) {
         try {
-            JsonNode root = sMapper.readTree(body);
+            JsonNode root = MAPPER.readTree(body);
             if (root == null || root.isMissingNode()) {
                 throw bad("the body is empty, expected a JSON object");
             }
@@ -110,8 +110,8 @@
         for (JsonNode message : node) {
             String where = "messages[" + messages.size() + "]";
             String role = message.path("role").asText("");
-            if (!sRoles.contains(role)) {
-                throw bad(where + ".role is \"" + role + "\", expected one of " + sRoles);
+            if (!ROLES.contains(role)) {
+                throw bad(where + ".role is \"" + role + "\", expected one of " + ROLES);
             }
             messages.add(new ChatMessage(role, content(message.path("content"), where)));
         }
@@ -140,7 +140,7 @@
 
     private static String extra(ObjectNode root) {
         ObjectNode rest = root.deepCopy();
-        rest.remove(sOwnFields);
+        rest.remove(OWN_FIELDS);
         return rest.isEmpty() ? "" : rest.toString();
     }
 
--- a/src/main/java/org/heathercourse/daemon/call/ChatFormat.java
+++ b/src/main/java/org/heathercourse/daemon/call/ChatFormat.java
@@ -10,7 +10,7 @@
  * that a call that runs again after a takeover yields the same bytes. Immutable.
  */
 final class ChatFormat {
-    private static final JsonNodeFactory sJson = JsonNodeFactory.instance;
+    private static final JsonNodeFactory JSON = JsonNodeFactory.instance;
 
     private final String mId;
     private final String mModel;
@@ -23,17 +23,17 @@
     }
 
     byte[] first() {
-        ObjectNode delta = sJson.objectNode().put("role", "assistant").put("content", "");
+        ObjectNode delta = JSON.objectNode().put("role", "assistant").put("content", "");
         return event(chunk(delta, null));
     }
 
     byte[] piece(String text) {
-        return event(chunk(sJson.objectNode().put("content", text), null));
+        return event(chunk(JSON.objectNode().put("content", text), null));
     }
 
     byte[] last(String finishReason, Usage usage, boolean includeUsage) {
         StringBuilder out = new StringBuilder();
-        out.append("data: ").append(chunk(sJson.objectNode(), finishReason)).append("\n\n");
+        out.append("data: ").append(chunk(JSON.objectNode(), finishReason)).append("\n\n");
         if (includeUsage) {
             ObjectNode chunk = root("chat.completion.chunk");
             chunk.putArray("choices");
@@ -62,7 +62,7 @@
     }
 
     private ObjectNode root(String object) {
-        return sJson.objectNode()
+        return JSON.objectNode()
                 .put("id", mId)
                 .put("object", object)
                 .put("created", mCreatedSeconds)
@@ -71,7 +71,7 @@
 
     private static ObjectNode usage(Usage usage) {
         ObjectNode node =
-                sJson.objectNode()
+                JSON.objectNode()
                         .put("prompt_tokens", usage.promptTokens())
                         .put("completion_tokens", usage.completionTokens())
                         .put("total_tokens", usage.totalTokens());
--- a/src/main/java/org/heathercourse/daemon/call/EphemeralSessions.java
+++ b/src/main/java/org/heathercourse/daemon/call/EphemeralSessions.java
@@ -15,7 +15,7 @@
  * several threads.
  */
 final class EphemeralSessions {
-    private static final EventLog sLog = EventLog.of(EphemeralSessions.class);
+    private static final EventLog LOG = EventLog.of(EphemeralSessions.class);
     private static final int MAX_TRIES = 12;
 
     private record Owed(TargetAddress target, String session) {}
@@ -59,7 +59,7 @@
             int tries = mOwed.merge(owed, 1, Integer::sum);
             if (tries >= MAX_TRIES) {
                 mOwed.remove(owed);
-                sLog.warn(
+                LOG.warn(
                         "ephemeral_release_given_up",
                         "target",
                         owed.target().target(),
--- a/src/main/java/org/heathercourse/daemon/call/PlainHeaders.java
+++ b/src/main/java/org/heathercourse/daemon/call/PlainHeaders.java
@@ -8,7 +8,7 @@
 
 /** Chooses the headers that plain requests and answers carry. */
 public final class PlainHeaders {
-    private static final Set<String> sHopByHop =
+    private static final Set<String> HOP_BY_HOP =
             Set.of(
                     "connection",
                     "keep-alive",
@@ -21,9 +21,9 @@
                     "expect",
                     "host",
                     "http2-settings");
-    private static final Set<String> sCredentials =
+    private static final Set<String> CREDENTIALS =
             Set.of("authorization", "proxy-authorization", "x-api-key", "api-key", "cookie");
-    private static final Set<String> sOwn =
+    private static final Set<String> OWN =
             Set.of(
                     "x-program-id",
                     "x-request-id",
@@ -55,9 +55,9 @@
                             key != null
                                     && !key.isEmpty()
                                     && values.stream().anyMatch(v -> v.contains(key));
-                    if (!sHopByHop.contains(lower)
-                            && !sCredentials.contains(lower)
-                            && !sOwn.contains(lower)
+                    if (!HOP_BY_HOP.contains(lower)
+                            && !CREDENTIALS.contains(lower)
+                            && !OWN.contains(lower)
                             && !holdsKey) {
                         kept.put(name, List.copyOf(values));
                     }
@@ -71,7 +71,7 @@
         headers.forEach(
                 (name, values) -> {
                     String lower = name.toLowerCase(Locale.ROOT);
-                    if (!sHopByHop.contains(lower) && !sOwn.contains(lower)) {
+                    if (!HOP_BY_HOP.contains(lower) && !OWN.contains(lower)) {
                         kept.put(name, List.copyOf(values));
                     }
                 });
--- a/src/main/java/org/heathercourse/daemon/call/PlainRun.java
+++ b/src/main/java/org/heathercourse/daemon/call/PlainRun.java
@@ -24,7 +24,7 @@
 final class PlainRun {
     private static final long DEFAULT_TIMEOUT_MILLIS = 60_000;
     private static final int READ_BYTES = 32 * 1024;
-    private static final Set<Integer> sRetriedStatuses = Set.of(502, 503, 504);
+    private static final Set<Integer> RETRIED_STATUSES = Set.of(502, 503, 504);
 
     private final CallServices mServices;
     private final PlainOutcomes mOutcomes;
@@ -208,7 +208,7 @@
             throws IOException {
         try (PlainClient.Response response =
                 mServices.plain().send(Attempts.address(choice), request(fence))) {
-            if (!last && mRepeatable && sRetriedStatuses.contains(response.status())) {
+            if (!last && mRepeatable && RETRIED_STATUSES.contains(response.status())) {
                 TargetFailure failure =
                         new TargetFailure(
                                 TargetFailure.Kind.BROKEN,
--- a/src/main/java/org/heathercourse/daemon/call/ProgramMaintenance.java
+++ b/src/main/java/org/heathercourse/daemon/call/ProgramMaintenance.java
@@ -22,7 +22,7 @@
  * for use by several threads.
  */
 final class ProgramMaintenance {
-    private static final EventLog sLog = EventLog.of(ProgramMaintenance.class);
+    private static final EventLog LOG = EventLog.of(ProgramMaintenance.class);
     private static final long FIRST_BACKOFF_MILLIS = 1000;
     private static final long MAX_BACKOFF_MILLIS = 60_000;
 
@@ -85,7 +85,7 @@
         synchronized (mRecorder.lock(program)) {
             ProgramState state = mRecorder.find(program).orElse(null);
             if (state != null && !state.ended() && !mBusy.test(program)) {
-                sLog.info("program_idle_ended", "program", program);
+                LOG.info("program_idle_ended", "program", program);
                 mRecorder.append(program, List.of(new LogRecord.ProgramEnded(program, "idle")));
             }
         }
@@ -126,7 +126,7 @@
             }
             confirm(release);
         } catch (HeathercourseException e) {
-            sLog.debug(
+            LOG.debug(
                     "cache_release_failed",
                     "program",
                     release.program(),
--- a/src/main/java/org/heathercourse/daemon/call/ProgramOps.java
+++ b/src/main/java/org/heathercourse/daemon/call/ProgramOps.java
@@ -29,7 +29,7 @@
  * Safe for use by several threads.
  */
 public final class ProgramOps {
-    private static final ObjectMapper sMapper = new ObjectMapper();
+    private static final ObjectMapper MAPPER = new ObjectMapper();
 
     private final CallExecutor mExecutor;
     private final CallServices mServices;
@@ -88,7 +88,7 @@
 
     private static JsonNode arguments(ProgramOp op) {
         try {
-            return sMapper.readTree(op.json().isEmpty() ? "{}" : op.json());
+            return MAPPER.readTree(op.json().isEmpty() ? "{}" : op.json());
         } catch (JsonProcessingException e) {
             throw new HeathercourseException(
                     ErrorKind.BAD_REQUEST, "the arguments are no JSON", "send a JSON object");
@@ -158,7 +158,7 @@
             if (wanted < 1 || wanted > free) {
                 throw CallErrors.budgetExceeded(wanted, free);
             }
-            answer = sMapper.createObjectNode().put("budget_tokens", wanted).toString();
+            answer = MAPPER.createObjectNode().put("budget_tokens", wanted).toString();
             long reserved = Math.min(state.reservedTokens(), left - wanted);
             durable = mRecorder.append(parent, List.of(spent(state, child, answer, reserved)));
         }
@@ -170,7 +170,7 @@
             ProgramState parent, ProgramId child, String answer, long reserved) {
         long tokens;
         try {
-            tokens = sMapper.readTree(answer).path("budget_tokens").asLong();
+            tokens = MAPPER.readTree(answer).path("budget_tokens").asLong();
         } catch (JsonProcessingException e) {
             throw new IllegalStateException("an own answer is no JSON", e);
         }
@@ -205,7 +205,7 @@
     }
 
     private static String show(ProgramState state) {
-        ObjectNode node = sMapper.createObjectNode();
+        ObjectNode node = MAPPER.createObjectNode();
         node.put("program", state.program().value());
         node.put("workspace", state.workspace().value());
         if (state.parent() != null) {
@@ -227,7 +227,7 @@
         if (entry == null) {
             throw CallErrors.unknownRequest(request);
         }
-        ObjectNode node = sMapper.createObjectNode();
+        ObjectNode node = MAPPER.createObjectNode();
         node.put("request", request.value());
         node.put("state", entry.state().name().toLowerCase(Locale.ROOT));
         node.put("status", entry.status());
@@ -237,12 +237,12 @@
     }
 
     private String list(WorkspaceId workspace) {
-        ArrayNode programs = sMapper.createArrayNode();
+        ArrayNode programs = MAPPER.createArrayNode();
         for (ProgramState state : mServices.log().held()) {
             if (workspace == null || state.workspace().equals(workspace)) {
                 programs.add(state.program().value());
             }
         }
-        return sMapper.createObjectNode().set("programs", programs).toString();
+        return MAPPER.createObjectNode().set("programs", programs).toString();
     }
 }
--- a/src/main/java/org/heathercourse/daemon/call/ProgramRouter.java
+++ b/src/main/java/org/heathercourse/daemon/call/ProgramRouter.java
@@ -29,7 +29,7 @@
  * Methods block. Safe for use by several threads.
  */
 public final class ProgramRouter {
-    private static final ObjectMapper sMapper = new ObjectMapper();
+    private static final ObjectMapper MAPPER = new ObjectMapper();
     private static final long POLL_MILLIS = 50;
     private static final long REPLY_TIMEOUT_MILLIS = 8000;
 
@@ -74,10 +74,10 @@
             mRandom.nextBytes(bytes);
             started = new ProgramId("p." + HexFormat.of().formatHex(bytes));
         }
-        ObjectNode arguments = sMapper.createObjectNode();
+        ObjectNode arguments = MAPPER.createObjectNode();
         long budget = budgetTokens;
         if (parent != null) {
-            ObjectNode carve = sMapper.createObjectNode().put("child", started.value());
+            ObjectNode carve = MAPPER.createObjectNode().put("child", started.value());
             if (budgetTokens > 0) {
                 carve.put("budget_tokens", budgetTokens);
             }
@@ -92,7 +92,7 @@
 
     private static long budgetOf(String json) {
         try {
-            return sMapper.readTree(json).path("budget_tokens").asLong();
+            return MAPPER.readTree(json).path("budget_tokens").asLong();
         } catch (JsonProcessingException e) {
             throw HeathercourseException.builder(ErrorKind.INTERNAL)
                     .message("the owner of the parent sent a malformed reply")
--- a/src/main/java/org/heathercourse/daemon/http/AnswerWriter.java
+++ b/src/main/java/org/heathercourse/daemon/http/AnswerWriter.java
@@ -23,7 +23,7 @@
 /** Writes one answer to a caller as it comes. Used by one thread. */
 final class AnswerWriter {
     private static final long CHECK_MILLIS = 1000;
-    private static final byte[] sKeepAlive = ": waiting\n\n".getBytes(StandardCharsets.UTF_8);
+    private static final byte[] KEEP_ALIVE = ": waiting\n\n".getBytes(StandardCharsets.UTF_8);
     // An idle event stream is kept open by comments; they also show that a caller has gone.
     private static final long KEEP_ALIVE_MILLIS = 10_000;
 
@@ -89,7 +89,7 @@
 
     private void keepAlive() throws IOException {
         if (mEvents && mTicker.readMillis() - mWrittenMillis > KEEP_ALIVE_MILLIS) {
-            put(sKeepAlive);
+            put(KEEP_ALIVE);
         }
     }
 
--- a/src/main/java/org/heathercourse/daemon/http/CallerHandlers.java
+++ b/src/main/java/org/heathercourse/daemon/http/CallerHandlers.java
@@ -9,6 +9,7 @@
 import jakarta.servlet.http.HttpServletRequest;
 import java.io.IOException;
 import java.io.InputStream;
+import java.nio.charset.StandardCharsets;
 import java.time.Clock;
 import java.util.HexFormat;
 import java.util.concurrent.atomic.AtomicInteger;
@@ -41,7 +42,7 @@
 
 /** Answers the requests of callers. Safe for use by several threads. */
 public final class CallerHandlers {
-    private static final ObjectMapper sMapper = new ObjectMapper();
+    private static final ObjectMapper MAPPER = new ObjectMapper();
     private static final String SERVICES = "/v1/services/";
     // A new share arrives within one round trip to its grantor.
     private static final long SHARE_WAIT_MILLIS = 1500;
@@ -99,7 +100,7 @@
 
     String models(Context context) throws IOException {
         principal(context);
-        ObjectNode root = sMapper.createObjectNode().put("object", "list");
+        ObjectNode root = MAPPER.createObjectNode().put("object", "list");
         ArrayNode data = root.putArray("data");
         for (ServiceSpec service : mConfig.current().services()) {
             for (ModelSpec model : service.models()) {
@@ -115,9 +116,7 @@
     private static String json(Context context, int status, String json) throws IOException {
         context.res().setStatus(status);
         context.res().setContentType("application/json");
-        context.res()
-                .getOutputStream()
-                .write(json.getBytes(java.nio.charset.StandardCharsets.UTF_8));
+        context.res().getOutputStream().write(json.getBytes(StandardCharsets.UTF_8));
         return "ok";
     }
 
@@ -135,7 +134,7 @@
                     "budget_tokens is " + arguments.get("budget_tokens"), "send a number from 1");
         }
         String result = mPrograms.start(principal.workspace(), program, parent, budget);
-        context.res().setHeader("X-Program-Id", sMapper.readTree(result).path("program").asText());
+        context.res().setHeader("X-Program-Id", MAPPER.readTree(result).path("program").asText());
         return json(context, 201, result);
     }
 
@@ -147,10 +146,10 @@
 
     private static JsonNode object(byte[] body) throws IOException {
         if (body.length == 0) {
-            return sMapper.createObjectNode();
+            return MAPPER.createObjectNode();
         }
         try {
-            JsonNode root = sMapper.readTree(body);
+            JsonNode root = MAPPER.readTree(body);
             if (root.isObject()) {
                 return root;
             }
@@ -175,7 +174,7 @@
 
     String endProgram(Context context) throws IOException {
         Principal principal = principal(context);
-        String arguments = sMapper.createObjectNode().put("reason", "completed").toString();
+        String arguments = MAPPER.createObjectNode().put("reason", "completed").toString();
         return json(
                 context,
                 200,
--- a/src/main/java/org/heathercourse/daemon/http/CallerServer.java
+++ b/src/main/java/org/heathercourse/daemon/http/CallerServer.java
@@ -3,6 +3,7 @@
 import io.javalin.Javalin;
 import io.javalin.config.JavalinConfig;
 import io.javalin.http.Context;
+import io.javalin.http.Handler;
 import io.javalin.http.HandlerType;
 import java.io.IOException;
 import java.util.List;
@@ -17,8 +18,8 @@
  * #close}.
  */
 public final class CallerServer implements AutoCloseable {
-    private static final EventLog sLog = EventLog.of(CallerServer.class);
-    private static final List<HandlerType> sMethods =
+    private static final EventLog LOG = EventLog.of(CallerServer.class);
+    private static final List<HandlerType> METHODS =
             List.of(
                     HandlerType.GET,
                     HandlerType.POST,
@@ -86,7 +87,7 @@
         config.routes.delete("/v1/programs/{id}", route(mHandlers::endProgram));
         config.routes.get("/v1/programs/{id}/requests/{request}", route(mHandlers::resume));
         config.routes.post("/v1/chat/completions", route(mHandlers::chat));
-        for (HandlerType method : sMethods) {
+        for (HandlerType method : METHODS) {
             config.routes.addHttpHandler(
                     method, "/v1/services/{service}/<path>", route(mHandlers::service));
             config.routes.addHttpHandler(
@@ -106,7 +107,7 @@
         }
     }
 
-    private io.javalin.http.Handler route(Route route) {
+    private Handler route(Route route) {
         return context -> {
             context.attribute("handled", true);
             long start = mTicker.readMillis();
@@ -120,7 +121,7 @@
                 kind = e.kind().wireName();
                 HttpErrors.write(context.res(), e);
             } catch (IOException e) {
-                sLog.debug("caller_went_away", "reason", e.getClass().getSimpleName());
+                LOG.debug("caller_went_away", "reason", e.getClass().getSimpleName());
             } catch (InterruptedException e) {
                 Thread.currentThread().interrupt();
             } catch (RuntimeException e) {
@@ -136,7 +137,7 @@
     }
 
     private static void access(Context context, String kind, long durationMillis) {
-        sLog.info(
+        LOG.info(
                 "access",
                 "method",
                 context.method().name(),
--- a/src/main/java/org/heathercourse/daemon/http/PrometheusText.java
+++ b/src/main/java/org/heathercourse/daemon/http/PrometheusText.java
@@ -11,7 +11,7 @@
 
 /** Writes metrics in the Prometheus text format. */
 final class PrometheusText {
-    private static final double[] sQuantiles = {0.5, 0.95, 0.99};
+    private static final double[] QUANTILES = {0.5, 0.95, 0.99};
     private static final double NANOS_PER_SECOND = 1e9;
 
     private PrometheusText() {}
@@ -55,7 +55,7 @@
             StringBuilder out, String name, Snapshot snapshot, long count, double divisor) {
         String clean = name(name);
         out.append("# TYPE ").append(clean).append(" summary\n");
-        for (double quantile : sQuantiles) {
+        for (double quantile : QUANTILES) {
             out.append(clean).append("{quantile=\"").append(quantile).append("\"} ");
             out.append(snapshot.getValue(quantile) / divisor).append('\n');
         }
--- a/src/main/java/org/heathercourse/daemon/peer/Frame.java
+++ b/src/main/java/org/heathercourse/daemon/peer/Frame.java
@@ -31,7 +31,7 @@
     static final String CALL = "call";
     static final String MESSAGE = "msg";
 
-    private static final ObjectMapper sMapper =
+    private static final ObjectMapper MAPPER =
             new MessagePackMapper()
                     .configure(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES, false)
                     .configure(DeserializationFeature.FAIL_ON_INVALID_SUBTYPE, false)
@@ -48,7 +48,7 @@
     /** Returns the frame as MessagePack. */
     byte[] encode() {
         try {
-            return sMapper.writeValueAsBytes(this);
+            return MAPPER.writeValueAsBytes(this);
         } catch (IOException e) {
             throw new IllegalStateException("frame " + k + " cannot be encoded", e);
         }
@@ -62,7 +62,7 @@
      * @throws IOException if the bytes are no frame
      */
     static Frame decode(byte[] bytes) throws IOException {
-        Frame frame = sMapper.readValue(bytes, Frame.class);
+        Frame frame = MAPPER.readValue(bytes, Frame.class);
         if (frame == null || frame.k == null) {
             throw new IOException("frame without a kind");
         }
--- a/src/main/java/org/heathercourse/daemon/peer/LinkHandler.java
+++ b/src/main/java/org/heathercourse/daemon/peer/LinkHandler.java
@@ -19,7 +19,7 @@
     static final int FRAME_LIMIT_BYTES = 16 * 1024 * 1024;
     static final int HANDSHAKE_LIMIT_BYTES = 4096;
     private static final long HANDSHAKE_TIMEOUT_MILLIS = 5000;
-    private static final EventLog sLog = EventLog.of(LinkHandler.class);
+    private static final EventLog LOG = EventLog.of(LinkHandler.class);
 
     /** What the network does with the events of a connection. */
     interface Events {
@@ -152,7 +152,7 @@
 
     private void refuse(ChannelHandlerContext ctx, String reason) {
         mReason = reason;
-        sLog.debug("peer_link_refused", "peer", ctx.channel().remoteAddress(), "reason", reason);
+        LOG.debug("peer_link_refused", "peer", ctx.channel().remoteAddress(), "reason", reason);
         ctx.close();
     }
 
--- a/src/main/java/org/heathercourse/daemon/peer/NettyPeerNetwork.java
+++ b/src/main/java/org/heathercourse/daemon/peer/NettyPeerNetwork.java
@@ -41,12 +41,12 @@
  * #close}. Links are opened on demand, one per host, port and incarnation.
  */
 public final class NettyPeerNetwork implements PeerNetwork {
-    private static final EventLog sLog = EventLog.of(NettyPeerNetwork.class);
+    private static final EventLog LOG = EventLog.of(NettyPeerNetwork.class);
     private static final int CONNECT_TIMEOUT_MILLIS = 2000;
     private static final int PING_SECONDS = 5;
     // Three pings may be lost before a half-open link is given up.
     private static final int SILENCE_SECONDS = 15;
-    private static final WriteBufferWaterMark sWaterMark =
+    private static final WriteBufferWaterMark WATER_MARK =
             new WriteBufferWaterMark(256 * 1024, 1024 * 1024);
 
     private final PeerSettings mSettings;
@@ -104,7 +104,7 @@
                         .channel(NioServerSocketChannel.class)
                         .option(ChannelOption.SO_REUSEADDR, true)
                         .childOption(ChannelOption.TCP_NODELAY, true)
-                        .childOption(ChannelOption.WRITE_BUFFER_WATER_MARK, sWaterMark)
+                        .childOption(ChannelOption.WRITE_BUFFER_WATER_MARK, WATER_MARK)
                         .childHandler(initializer(this::acceptor));
         try {
             mServer = bootstrap.bind(mSettings.host(), mSettings.port()).sync().channel();
@@ -217,7 +217,7 @@
                 .channel(NioSocketChannel.class)
                 .option(ChannelOption.TCP_NODELAY, true)
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS)
-                .option(ChannelOption.WRITE_BUFFER_WATER_MARK, sWaterMark)
+                .option(ChannelOption.WRITE_BUFFER_WATER_MARK, WATER_MARK)
                 .handler(initializer(() -> opener(to, ready)))
                 .connect(to.host(), to.peerPort())
                 .addListener(
@@ -297,12 +297,12 @@
 
         @Override
         public void onReady(Link link) {
-            sLog.debug("peer_link_ready");
+            LOG.debug("peer_link_ready");
         }
 
         @Override
         public void onClosed(Link link, String reason) {
-            sLog.debug("peer_link_closed", "reason", reason);
+            LOG.debug("peer_link_closed", "reason", reason);
         }
     }
 
@@ -323,7 +323,7 @@
                                                                     reply))));
             case Frame.CALL -> acceptCall(link, frame);
             case Frame.MESSAGE -> link.deliver(frame.id(), frame.m());
-            default -> sLog.debug("peer_frame_ignored", "kind", frame.k());
+            default -> LOG.debug("peer_frame_ignored", "kind", frame.k());
         }
     }
 
@@ -345,7 +345,7 @@
                 handler.accept(start, stream);
             }
         } catch (RuntimeException e) {
-            sLog.error("peer_call_handler_failed", e);
+            LOG.error("peer_call_handler_failed", e);
             stream.send(PeerErrors.toMessage(e));
         }
     }
--- a/src/main/java/org/heathercourse/daemon/peer/PeerErrors.java
+++ b/src/main/java/org/heathercourse/daemon/peer/PeerErrors.java
@@ -8,7 +8,7 @@
 
 /** Converts errors to messages and back. */
 public final class PeerErrors {
-    private static final EventLog sLog = EventLog.of(PeerErrors.class);
+    private static final EventLog LOG = EventLog.of(PeerErrors.class);
 
     private PeerErrors() {}
 
@@ -31,7 +31,7 @@
                     e.notRun(),
                     e.retryAfterMillis());
         }
-        sLog.error("internal_error", cause);
+        LOG.error("internal_error", cause);
         return new ErrorReply(
                 ErrorKind.INTERNAL.wireName(),
                 "internal error: " + cause.getClass().getSimpleName(),
--- a/src/main/java/org/heathercourse/daemon/peer/PeerNetwork.java
+++ b/src/main/java/org/heathercourse/daemon/peer/PeerNetwork.java
@@ -5,6 +5,7 @@
 import java.util.function.BiConsumer;
 import java.util.function.Consumer;
 import java.util.function.Function;
+import org.heathercourse.core.error.HeathercourseException;
 import org.heathercourse.core.ownership.DaemonInfo;
 
 /**
@@ -23,7 +24,7 @@
      * @param timeoutMillis longest time to wait for the reply, in milliseconds
      * @param <R> type of the reply
      * @return the reply; fails with a {@link PeerException} if there is no reply, or with the
-     *     {@link org.heathercourse.core.error.HeathercourseException} that the peer answered
+     *     {@link HeathercourseException} that the peer answered
      */
     <R extends PeerMessage> CompletableFuture<R> request(
             DaemonInfo to, PeerMessage message, Class<R> replyType, long timeoutMillis);
@@ -32,8 +33,8 @@
      * Sets the handler for a type of request.
      *
      * @param type the type
-     * @param handler returns the reply; a {@link
-     *     org.heathercourse.core.error.HeathercourseException} is passed back to the sender
+     * @param handler returns the reply; a {@link HeathercourseException} is passed back to the
+     *     sender
      * @param <M> the type
      */
     <M extends PeerMessage> void onRequest(
--- a/src/test/java/org/heathercourse/daemon/call/AtMostOnceTest.java
+++ b/src/test/java/org/heathercourse/daemon/call/AtMostOnceTest.java
@@ -6,7 +6,11 @@
 import static org.heathercourse.daemon.call.CallFixture.plain;
 import static org.heathercourse.daemon.call.CallFixture.read;
 
+import java.util.List;
+import org.assertj.core.api.Assertions;
 import org.heathercourse.core.error.ErrorKind;
+import org.heathercourse.core.model.RequestId;
+import org.heathercourse.core.model.TargetId;
 import org.heathercourse.core.program.LogRecord;
 import org.heathercourse.core.program.LogRecord.CallFailed;
 import org.heathercourse.core.program.LogRecord.IntentRecorded;
@@ -61,7 +65,7 @@
 
     /** Guards against a call that is refused as not run and dispatched later all the same. */
     @Test
-    void neverDispatchesACallWhoseIntentCameTooLate() {
+    void neverDispatchesCallWhoseIntentCameTooLate() {
         mFixture.log.mode = FakeLog.Mode.HELD;
         Seen refused = pay("r");
         assertThat(refused.error().kind()).isEqualTo("store_unavailable");
@@ -95,7 +99,7 @@
 
     /** Guards against a dispatch under another fence than the intent's. */
     @Test
-    void doesNotDispatchUnderANewFence() {
+    void doesNotDispatchUnderNewFence() {
         mFixture.log.mode = FakeLog.Mode.HELD;
         AnswerBuffer answer = mFixture.executor.submit(plain("r", "/pay").build(), bytes("42"));
         await().until(() -> !mFixture.log.records(IntentRecorded.class).isEmpty());
@@ -107,17 +111,17 @@
 
     /** Guards against a second run after the owner died between intent and outcome. */
     @Test
-    void reportsUnknownAfterATakeover() {
+    void reportsUnknownAfterTakeover() {
         pay("other");
         targetFails(TargetFailure.Kind.BROKEN);
         mFixture.log.append(
                 CallFixture.PROGRAM,
-                java.util.List.of(
+                List.of(
                         new IntentRecorded(
                                 CallFixture.PROGRAM,
-                                new org.heathercourse.core.model.RequestId("r"),
+                                new RequestId("r"),
                                 Job.digest(plain("r", "/pay").build(), bytes("42")),
-                                new org.heathercourse.core.model.TargetId("t-1"),
+                                new TargetId("t-1"),
                                 7)));
         mFixture.log.takeOver();
         Seen unknown = pay("r");
@@ -128,7 +132,7 @@
 
     /** Guards against a repeat after a failure that leaves the outcome open. */
     @Test
-    void reportsUnknownAndNeverRepeatsAfterABrokenAttempt() {
+    void reportsUnknownAndNeverRepeatsAfterBrokenAttempt() {
         targetFails(TargetFailure.Kind.TIMEOUT);
         assertThat(pay("r").error().kind()).isEqualTo("outcome_unknown");
         Seen again = pay("r");
@@ -143,7 +147,7 @@
 
     /** Guards against a call that is blocked for ever by an attempt that provably did not run. */
     @Test
-    void mayRunAgainAfterAFailureThatProvesNotRun() {
+    void mayRunAgainAfterFailureThatProvesNotRun() {
         targetFails(TargetFailure.Kind.NOT_SENT);
         Seen refused = pay("r");
         assertThat(refused.error().notRun()).isTrue();
@@ -182,10 +186,7 @@
                             ticker.advanceMillis(1001);
                         }
                     };
-            org.assertj.core.api.Assertions.assertThatThrownBy(
-                            () ->
-                                    outcomes.commitIntent(
-                                            new org.heathercourse.core.model.TargetId("t-1")))
+            Assertions.assertThatThrownBy(() -> outcomes.commitIntent(new TargetId("t-1")))
                     .hasMessageContaining("not dispatched in time");
             assertThat(fixture.log.records(CallFailed.class)).hasSize(1);
         }
--- a/src/test/java/org/heathercourse/daemon/call/CallExecutorTest.java
+++ b/src/test/java/org/heathercourse/daemon/call/CallExecutorTest.java
@@ -13,11 +13,14 @@
 import java.util.List;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.atomic.AtomicInteger;
+import org.assertj.core.api.Assertions;
 import org.heathercourse.core.model.WorkspaceId;
 import org.heathercourse.core.program.LogRecord;
 import org.heathercourse.core.program.LogRecord.CallCompleted;
 import org.heathercourse.core.program.ProgramState;
 import org.heathercourse.daemon.call.CallFixture.Seen;
+import org.heathercourse.daemon.peer.PeerMessage;
+import org.heathercourse.platform.EngineClient;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 
@@ -46,7 +49,7 @@
 
     /** Guards against two calls of one program that run at once or in another order. */
     @Test
-    void runsCallsOfAProgramOneAtATimeInOrder() {
+    void runsCallsOfProgramOneAtTimeInOrder() {
         AtomicInteger running = new AtomicInteger();
         AtomicInteger most = new AtomicInteger();
         mFixture.targets.plain =
@@ -118,9 +121,8 @@
         assertThat(mFixture.targets.generated).hasSize(1);
     }
 
-    private static org.heathercourse.platform.EngineClient.GenerateRequest resumed(
-            org.heathercourse.platform.EngineClient.GenerateRequest r) {
-        return new org.heathercourse.platform.EngineClient.GenerateRequest(
+    private static EngineClient.GenerateRequest resumed(EngineClient.GenerateRequest r) {
+        return new EngineClient.GenerateRequest(
                 r.model(),
                 r.messages(),
                 r.maxTokens(),
@@ -232,23 +234,21 @@
         assertThat(late.error().kind()).isEqualTo("program_ended");
     }
 
-    private static org.heathercourse.daemon.peer.PeerMessage.ProgramOp op(
-            String name, String json) {
-        return new org.heathercourse.daemon.peer.PeerMessage.ProgramOp(
+    private static PeerMessage.ProgramOp op(String name, String json) {
+        return new PeerMessage.ProgramOp(
                 name, CallFixture.WORKSPACE.value(), PROGRAM.value(), json);
     }
 
     /** Guards against sub-agents that spend more than their parent has. */
     @Test
-    void carvesTheBudgetOfASubAgentOnce() {
+    void carvesTheBudgetOfSubAgentOnce() {
         ProgramOps ops = new ProgramOps(mFixture.executor);
         ops.run(op("start", "{\"budget_tokens\":100}"));
         String carve = "{\"child\":\"c\",\"budget_tokens\":60}";
         assertThat(ops.run(op("carve", carve))).contains("60");
         assertThat(ops.run(op("carve", carve))).contains("60");
         assertThat(state().spentTokens()).isEqualTo(60);
-        org.assertj.core.api.Assertions.assertThatThrownBy(
-                        () -> ops.run(op("carve", carve.replace("\"c\"", "\"d\""))))
+        Assertions.assertThatThrownBy(() -> ops.run(op("carve", carve.replace("\"c\"", "\"d\""))))
                 .hasMessageContaining("40 are left");
     }
 }
--- a/src/test/java/org/heathercourse/daemon/call/CallFixture.java
+++ b/src/test/java/org/heathercourse/daemon/call/CallFixture.java
@@ -44,10 +44,12 @@
     public final CallServices services;
     public final CallExecutor executor;
 
+    /** Creates a fixture with default settings. */
     public CallFixture() {
         this(CallSettings.DEFAULT, FakeShards.alone(), Ticker.system());
     }
 
+    /** Creates a fixture. */
     public CallFixture(CallSettings settings, FakeShards shards, Ticker ticker) {
         this.settings = settings;
         this.shards = shards;
@@ -85,6 +87,7 @@
         }
     }
 
+    /** Returns a configuration with a program budget. */
     public static DeploymentConfig declared(long budgetTokens) {
         ServiceId models = new ServiceId("models");
         ServiceId orders = new ServiceId("orders");
@@ -140,6 +143,7 @@
                 "");
     }
 
+    /** Returns a model call of the program. */
     public static CallRequest.Builder model(String identity) {
         return CallRequest.builder(CallRequest.Kind.MODEL)
                 .workspace(WORKSPACE)
@@ -148,6 +152,7 @@
                 .deadlineMillis(20_000);
     }
 
+    /** Returns a plain call of the program. */
     public static CallRequest.Builder plain(String identity, String path) {
         return CallRequest.builder(CallRequest.Kind.PLAIN)
                 .workspace(WORKSPACE)
@@ -171,14 +176,17 @@
         return bytes(json.append("]}").toString());
     }
 
+    /** Returns the bytes of a text. */
     public static byte[] bytes(String text) {
         return text.getBytes(StandardCharsets.UTF_8);
     }
 
+    /** Runs a call to its end. */
     public Seen run(CallRequest.Builder request, byte[] body) {
         return read(executor.submit(request.build(), body));
     }
 
+    /** Reads an answer to its end. */
     public static Seen read(AnswerBuffer answer) {
         return read(CallRouter.local(answer));
     }
--- a/src/test/java/org/heathercourse/daemon/call/CallRouterTest.java
+++ b/src/test/java/org/heathercourse/daemon/call/CallRouterTest.java
@@ -9,6 +9,7 @@
 
 import java.util.SplittableRandom;
 import java.util.concurrent.CountDownLatch;
+import org.heathercourse.core.model.Usage;
 import org.heathercourse.core.ownership.DaemonInfo;
 import org.heathercourse.core.time.Ticker;
 import org.heathercourse.daemon.call.CallFixture.Seen;
@@ -77,7 +78,7 @@
 
     /** Guards against a refusal although a new owner appears in time. */
     @Test
-    void waitsForANewOwner() throws Exception {
+    void waitsForNewOwner() throws Exception {
         Answer answer = mRouter.open(model("r").build(), chat(false, "hello"));
         assertThat(answer.next(200)).isNull();
         mFrontShards.owner = mOwnerInfo;
@@ -108,7 +109,7 @@
                         return;
                     }
                     listener.onToken(1, " two");
-                    listener.onComplete("stop", new org.heathercourse.core.model.Usage(1, 2, 0));
+                    listener.onComplete("stop", new Usage(1, 2, 0));
                 };
         mFrontShards.owner = mOwnerInfo;
         Answer answer = mRouter.open(model("r").build(), chat(true, "hello"));
--- a/src/test/java/org/heathercourse/daemon/call/FakeLog.java
+++ b/src/test/java/org/heathercourse/daemon/call/FakeLog.java
@@ -79,10 +79,12 @@
         mStates.replaceAll((p, s) -> s.afterTakeover());
     }
 
+    /** Returns all records in order. */
     public synchronized List<LogRecord> records() {
         return List.copyOf(mRecords);
     }
 
+    /** Returns the records of a type in order. */
     public <T> List<T> records(Class<T> type) {
         return records().stream().filter(type::isInstance).map(type::cast).toList();
     }
--- a/src/test/java/org/heathercourse/daemon/call/FakeShards.java
+++ b/src/test/java/org/heathercourse/daemon/call/FakeShards.java
@@ -18,17 +18,20 @@
     public volatile List<DaemonInfo> all;
     public volatile long fence = 7;
 
+    /** Creates a directory. */
     public FakeShards(DaemonInfo self, DaemonInfo owner) {
         mSelf = self;
         this.owner = owner;
         all = List.of(self);
     }
 
+    /** Returns a daemon on the loopback address. */
     public static DaemonInfo daemon(String vm, int peerPort) {
         return new DaemonInfo(
                 new VmId(vm), 1, new Zone("z"), "127.0.0.1", 1, peerPort, 3, 1, 2000, false);
     }
 
+    /** Returns the directory of a daemon that owns all shards. */
     public static FakeShards alone() {
         DaemonInfo self = daemon("vm-1", 2);
         return new FakeShards(self, self);
--- a/src/test/java/org/heathercourse/daemon/call/FakeTargets.java
+++ b/src/test/java/org/heathercourse/daemon/call/FakeTargets.java
@@ -19,6 +19,7 @@
 public final class FakeTargets implements EngineClient, PlainClient {
     /** What an engine does with an attempt. */
     public interface EngineScript {
+        /** Handles one attempt. */
         void run(GenerateRequest request, Listener listener);
     }
 
@@ -52,6 +53,7 @@
         };
     }
 
+    /** Returns a whole answer. */
     public static Response ok(String body) {
         return new Response(
                 200,
@@ -77,6 +79,7 @@
         return new Response(200, Map.of(), body);
     }
 
+    /** Returns a failure of a kind. */
     public static TargetException failure(TargetAddress address, TargetFailure.Kind kind) {
         return new TargetException(address, new TargetFailure(kind, 0, "scripted"));
     }
--- a/src/test/java/org/heathercourse/daemon/call/RetryTest.java
+++ b/src/test/java/org/heathercourse/daemon/call/RetryTest.java
@@ -4,6 +4,7 @@
 import static org.heathercourse.daemon.call.CallFixture.chat;
 import static org.heathercourse.daemon.call.CallFixture.model;
 
+import org.heathercourse.core.model.Usage;
 import org.heathercourse.core.program.LogRecord;
 import org.heathercourse.daemon.call.CallFixture.Seen;
 import org.heathercourse.platform.EngineClient;
@@ -73,7 +74,7 @@
         mFixture.targets.engineScripts.add(
                 (request, listener) -> {
                     late[0].onToken(0, "late");
-                    late[0].onComplete("stop", org.heathercourse.core.model.Usage.NONE);
+                    late[0].onComplete("stop", Usage.NONE);
                     FakeTargets.answer(request, listener);
                 });
         assertThat(stream().body()).doesNotContain("late").contains("\"one\"");
--- a/src/test/java/org/heathercourse/daemon/http/CallerServerTest.java
+++ b/src/test/java/org/heathercourse/daemon/http/CallerServerTest.java
@@ -20,9 +20,11 @@
 import java.util.Map;
 import java.util.SplittableRandom;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
 import java.util.stream.Collectors;
 import org.heathercourse.core.error.ErrorKind;
 import org.heathercourse.core.error.HeathercourseException;
+import org.heathercourse.core.model.Usage;
 import org.heathercourse.core.model.WorkspaceId;
 import org.heathercourse.core.ownership.DaemonInfo;
 import org.heathercourse.core.program.LogRecord;
@@ -38,6 +40,7 @@
 import org.heathercourse.daemon.limits.RateLimiter;
 import org.heathercourse.daemon.peer.NettyPeerNetwork;
 import org.heathercourse.daemon.peer.PeerSettings;
+import org.heathercourse.platform.TargetFailure;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -168,7 +171,7 @@
 
     /** Guards against programs and identities that get lost on the way to the owner. */
     @Test
-    void runsAProgramAndResumesItsAnswer() throws Exception {
+    void runsProgramAndResumesItsAnswer() throws Exception {
         HttpResponse<String> started = post("/v1/programs", "{\"program\":\"p-1\"}");
         assertThat(started.statusCode()).isEqualTo(201);
         String chat = new String(CallFixture.chat(false, "hello"));
@@ -187,7 +190,7 @@
 
     /** Guards against a repeat of a call without a program that runs again. */
     @Test
-    void dedupesACallWithAnIdentityAndNoProgram() throws Exception {
+    void dedupesCallWithAnIdentityAndNoProgram() throws Exception {
         String first = post("/v1/services/orders/pay", "{}", "Idempotency-Key", "i").body();
         HttpResponse<String> again = post("/v1/services/orders/pay", "{}", "Idempotency-Key", "i");
         assertThat(again.body()).isEqualTo(first).isEqualTo("done");
@@ -213,7 +216,7 @@
 
     /** Guards against requests without a key on closed routes, also by way of odd paths. */
     @Test
-    void asksForAKeyExceptOnOpenRoutes() throws Exception {
+    void asksForKeyExceptOnOpenRoutes() throws Exception {
         assertThat(status("/v1/services/orders/open/x")).isEqualTo(200);
         assertThat(status("/v1/services/orders/%6fpen/x")).isEqualTo(200);
         assertThat(status("/v1/services/orders/other")).isEqualTo(401);
@@ -252,8 +255,7 @@
         assertThat(get("/nothing").body()).contains("\"kind\":\"unknown_service\"");
         mFixture.targets.plain =
                 (address, r) -> {
-                    throw FakeTargets.failure(
-                            address, org.heathercourse.platform.TargetFailure.Kind.BROKEN);
+                    throw FakeTargets.failure(address, TargetFailure.Kind.BROKEN);
                 };
         HttpResponse<String> failed =
                 post("/v1/services/orders/pay", "{}", "X-Program-Id", "p", "Idempotency-Key", "1");
@@ -263,12 +265,12 @@
 
     /** Guards against calls cut off by the idle timeout while their target is at work. */
     @Test
-    void keepsASlowCallOpenBeyondTheIdleTimeout() throws Exception {
+    void keepsSlowCallOpenBeyondTheIdleTimeout() throws Exception {
         CountDownLatch go = new CountDownLatch(1);
         mFixture.targets.engine =
                 (request, listener) -> {
                     try {
-                        go.await(3, java.util.concurrent.TimeUnit.SECONDS);
+                        go.await(3, TimeUnit.SECONDS);
                     } catch (InterruptedException e) {
                         return;
                     }
@@ -281,7 +283,7 @@
 
     /** Guards against streams that outlive their key, and calls that die with it. */
     @Test
-    void endsTheStreamOfAWithdrawnKeyButNotTheCall() throws Exception {
+    void endsTheStreamOfWithdrawnKeyButNotTheCall() throws Exception {
         CountDownLatch go = new CountDownLatch(1);
         mFixture.targets.engine =
                 (request, listener) -> {
@@ -291,7 +293,7 @@
                     } catch (InterruptedException e) {
                         return;
                     }
-                    listener.onComplete("stop", new org.heathercourse.core.model.Usage(1, 1, 0));
+                    listener.onComplete("stop", new Usage(1, 1, 0));
                 };
         mValid = false;
         HttpResponse<String> answer =
--- a/src/test/java/org/heathercourse/daemon/peer/NettyPeerNetworkTest.java
+++ b/src/test/java/org/heathercourse/daemon/peer/NettyPeerNetworkTest.java
@@ -4,6 +4,7 @@
 import static org.assertj.core.api.Assertions.catchThrowableOfType;
 import static org.awaitility.Awaitility.await;
 
+import java.io.ByteArrayOutputStream;
 import java.io.InputStream;
 import java.net.InetAddress;
 import java.net.ServerSocket;
@@ -11,10 +12,12 @@
 import java.nio.charset.StandardCharsets;
 import java.util.Arrays;
 import java.util.List;
+import java.util.Map;
 import java.util.SplittableRandom;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.heathercourse.core.error.ErrorKind;
 import org.heathercourse.core.error.HeathercourseException;
@@ -32,6 +35,7 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.msgpack.jackson.dataformat.MessagePackMapper;
 
 /** Guards the links between daemons. */
 class NettyPeerNetworkTest {
@@ -142,7 +146,7 @@
 
     /** Guards against "not sent" where the peer may have acted. */
     @Test
-    void tellsWhetherARequestMayHaveArrived() {
+    void tellsWhetherRequestMayHaveArrived() {
         mB.onRequest(ProgramOp.class, op -> new CompletableFuture<ProgramOpReply>());
         assertThat(failure(mA, mInfoB, 300).notSent()).isFalse();
         CompletableFuture<PeerException> lost = new CompletableFuture<>();
@@ -157,7 +161,7 @@
 
     /** Guards against a link that stays dead after its peer came back. */
     @Test
-    void opensALinkAgainAfterItBroke() {
+    void opensLinkAgainAfterItBroke() {
         assertThat(mA.request(mInfoB, OP, ProgramOpReply.class, 5000).join().json()).isEqualTo("p");
         mB.close();
         failure(mA, mInfoB, 2000);
@@ -192,7 +196,7 @@
         mB.onCall(
                 (start, stream) -> {
                     assertThat(start.bodyComplete()).isFalse();
-                    stream.send(new CallHead(200, java.util.Map.of()));
+                    stream.send(new CallHead(200, Map.of()));
                     stream.send(new CallChunk(start.body()));
                     stream.onMessage(
                             m -> {
@@ -203,7 +207,7 @@
                                 }
                             });
                 });
-        java.io.ByteArrayOutputStream got = new java.io.ByteArrayOutputStream();
+        ByteArrayOutputStream got = new ByteArrayOutputStream();
         CompletableFuture<Void> end = new CompletableFuture<>();
         mA.openCall(
                 mInfoB,
@@ -216,7 +220,7 @@
                     }
                 },
                 end::completeExceptionally);
-        end.get(20, java.util.concurrent.TimeUnit.SECONDS);
+        end.get(20, TimeUnit.SECONDS);
         assertThat(Arrays.equals(got.toByteArray(), body)).isTrue();
     }
 
@@ -245,7 +249,7 @@
 
     /** Guards against waiting without end for a peer that accepts and stays silent. */
     @Test
-    void reportsASilentPeerAsNotSent() throws Exception {
+    void reportsSilentPeerAsNotSent() throws Exception {
         try (ServerSocket silent = new ServerSocket(0, 5, InetAddress.getLoopbackAddress())) {
             DaemonInfo to = info("x", 1, silent.getLocalPort());
             assertThat(failure(mA, to, 500).notSent()).isTrue();
@@ -255,10 +259,10 @@
     /** Guards against daemons of neighbouring versions that do not understand each other. */
     @Test
     void ignoresUnknownFieldsAndMessages() throws Exception {
-        var mapper = new org.msgpack.jackson.dataformat.MessagePackMapper();
+        var mapper = new MessagePackMapper();
         byte[] bytes =
                 mapper.writeValueAsBytes(
-                        java.util.Map.of(
+                        Map.of(
                                 "k",
                                 "req",
                                 "id",
@@ -266,12 +270,11 @@
                                 "new",
                                 "x",
                                 "m",
-                                java.util.Map.of("t", "config", "revision", 7, "newer", 1)));
+                                Map.of("t", "config", "revision", 7, "newer", 1)));
         Frame frame = Frame.decode(bytes);
         assertThat(((PeerMessage.ConfigPush) frame.m()).revision()).isEqualTo(7);
         byte[] unknown =
-                mapper.writeValueAsBytes(
-                        java.util.Map.of("k", "req", "id", 1, "m", java.util.Map.of("t", "new")));
+                mapper.writeValueAsBytes(Map.of("k", "req", "id", 1, "m", Map.of("t", "new")));
         assertThat(Frame.decode(unknown).m()).isNull();
     }
 }
