--- a/src/main/java/org/heathercourse/daemon/http/AnswerWriter.java
+++ b/src/main/java/org/heathercourse/daemon/http/AnswerWriter.java
@@ -23,7 +23,7 @@
 /** Writes one answer to a caller as it comes. Used by one thread. */
 final class AnswerWriter {
     private static final long CHECK_MILLIS = 1000;
-    private static final byte[] sKeepAlive = ": waiting\n\n".getBytes(StandardCharsets.UTF_8);
+    private static final byte[] KEEP_ALIVE = ": waiting\n\n".getBytes(StandardCharsets.UTF_8);
     // An idle event stream is kept open by comments; they also show that a caller has gone.
     private static final long KEEP_ALIVE_MILLIS = 10_000;
 
@@ -89,7 +89,7 @@
 
     private void keepAlive() throws IOException {
         if (mEvents && mTicker.readMillis() - mWrittenMillis > KEEP_ALIVE_MILLIS) {
-            put(sKeepAlive);
+            put(KEEP_ALIVE);
         }
     }
 
@@ -140,8 +140,14 @@
         mHeadSent = true;
         mResponse.setStatus(head.status());
         for (Map.Entry<String, List<String>> header : head.headers().entrySet()) {
+            boolean first = true;
             for (String value : header.getValue()) {
-                mResponse.addHeader(header.getKey(), value);
+                if (first) {
+                    mResponse.setHeader(header.getKey(), value);
+                } else {
+                    mResponse.addHeader(header.getKey(), value);
+                }
+                first = false;
                 if (header.getKey().equalsIgnoreCase("Content-Type")) {
                     mEvents = value.startsWith("text/event-stream");
                 }
