--- /dev/null
+++ b/src/main/java/org/heathercourse/testing/bench/package-info.java
@@ -0,0 +1,2 @@
+/** Benches of single parts. */
+package org.heathercourse.testing.bench;
--- a/src/main/java/org/heathercourse/testing/memory/StoreFaults.java
+++ b/src/main/java/org/heathercourse/testing/memory/StoreFaults.java
@@ -16,9 +16,12 @@
     private final Map<String, Boolean> mCutOff = new ConcurrentHashMap<>();
     private final Map<String, AtomicInteger> mLoseBefore = new ConcurrentHashMap<>();
     private final Map<String, AtomicInteger> mLoseAfter = new ConcurrentHashMap<>();
+    private final Map<String, Crash> mCrashes = new ConcurrentHashMap<>();
     private volatile boolean mOutage;
     private volatile long mDelayNanos;
 
+    private record Crash(AtomicInteger writesLeft, boolean withEffect) {}
+
     private record Pause(CountDownLatch reached, CountDownLatch resume) {}
 
     /** Makes all calls of all callers fail. */
@@ -41,6 +44,26 @@
         mLoseAfter.put(caller, new AtomicInteger(count));
     }
 
+    /**
+     * Cuts a caller off at one of its next writes, as if it had crashed there.
+     *
+     * @param caller the caller
+     * @param writes writes that succeed before
+     * @param withEffect whether the write at which it crashes takes effect
+     */
+    public void crashAtWrite(String caller, int writes, boolean withEffect) {
+        mCrashes.put(caller, new Crash(new AtomicInteger(writes), withEffect));
+    }
+
+    /** Ends all failures except pauses. */
+    public void heal() {
+        mOutage = false;
+        mCutOff.clear();
+        mLoseBefore.clear();
+        mLoseAfter.clear();
+        mCrashes.clear();
+    }
+
     /** Delays every call. */
     public void delayNanos(long nanos) {
         mDelayNanos = nanos;
@@ -77,17 +100,29 @@
         }
         delay();
         check(caller);
+        crash(caller, false);
         if (take(mLoseBefore, caller)) {
             throw StoreException.outcomeUnknown("request lost", null);
         }
     }
 
     void afterWrite(String caller) {
+        crash(caller, true);
         if (take(mLoseAfter, caller)) {
             throw StoreException.outcomeUnknown("reply lost", null);
         }
     }
 
+    private void crash(String caller, boolean afterEffect) {
+        Crash crash = mCrashes.get(caller);
+        if (crash != null
+                && crash.withEffect() == afterEffect
+                && crash.writesLeft().getAndDecrement() == 0) {
+            mCutOff.put(caller, true);
+            throw StoreException.outcomeUnknown("caller crashed", null);
+        }
+    }
+
     private void check(String caller) {
         if (mOutage || mCutOff.getOrDefault(caller, false)) {
             throw StoreException.unavailable("connection refused", null);
--- /dev/null
+++ b/src/test/java/org/heathercourse/daemon/state/CommitTest.java
@@ -0,0 +1,202 @@
+package org.heathercourse.daemon.state;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import org.heathercourse.core.model.ProgramId;
+import org.heathercourse.core.model.RequestId;
+import org.heathercourse.core.model.ShardId;
+import org.heathercourse.core.program.CallState;
+import org.heathercourse.core.program.ProgramState;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** Commits with lost replies, crashes, conflicts, outages and snapshots. */
+class CommitTest {
+    private static final ProgramId P = new ProgramId("p1");
+    private static final ShardId SHARD = ShardId.of(P, 4);
+
+    private final Fleet mFleet = new Fleet(4);
+
+    private StateEngine start() {
+        mFleet.add("a", 1);
+        mFleet.add("b", 1);
+        mFleet.seconds(4);
+        StateEngine owner = mFleet.owner(P);
+        owner.append(P, List.of(Fleet.started(P, 1_000, 10)));
+        Fleet.flush(owner);
+        return owner;
+    }
+
+    /** Guards against records written twice or not at all when a reply or a request is lost. */
+    @ParameterizedTest
+    @ValueSource(booleans = {true, false})
+    void lostReplyIsResolvedByReadingBack(boolean afterEffect) {
+        StateEngine owner = start();
+        String vm = owner.self().vm().value();
+        if (afterEffect) {
+            mFleet.faults.loseReply(vm, 1);
+        } else {
+            mFleet.faults.loseBeforeEffect(vm, 1);
+        }
+        CompletableFuture<Void> done = owner.append(P, List.of(Fleet.completed(P, "r1", 1, 10)));
+        Fleet.flush(owner);
+        assertThat(done).isCompleted();
+        mFleet.stop(vm);
+        mFleet.seconds(9);
+        assertThat(mFleet.owner(P).find(P).orElseThrow().history()).hasSize(1);
+    }
+
+    /**
+     * Guards against records that are acknowledged and lost, or written by halves, when the owner
+     * crashes at any write of a commit: object, transaction, or the one after.
+     */
+    @ParameterizedTest
+    @CsvSource({
+        "0,false,10",
+        "0,true,10",
+        "1,false,10",
+        "1,true,10",
+        "0,false,20000",
+        "0,true,20000",
+        "1,false,20000",
+        "1,true,20000",
+        "2,false,20000",
+        "2,true,20000"
+    })
+    void crashAtEachWriteOfACommitKeepsAcknowledgedRecords(
+            int writes, boolean effect, int textLength) {
+        StateEngine owner = start();
+        String vm = owner.self().vm().value();
+        mFleet.faults.crashAtWrite(vm, writes, effect);
+        String text = "x".repeat(textLength);
+        CompletableFuture<Void> first =
+                owner.append(P, List.of(Fleet.completed(P, "r1", 1, 10, text)));
+        owner.flushStep();
+        CompletableFuture<Void> second =
+                owner.append(
+                        P, List.of(Fleet.intent(P, "r2"), Fleet.completed(P, "r2", 1, 10, text)));
+        owner.flushStep();
+        mFleet.stop(vm);
+        mFleet.seconds(9);
+        ProgramState state = mFleet.owner(P).find(P).orElseThrow();
+        int found = state.history().size();
+        assertThat(found).isGreaterThanOrEqualTo(first.isDone() ? 1 : 0);
+        assertThat(found).isGreaterThanOrEqualTo(second.isDone() ? 2 : 0);
+        assertThat(state.calls()).hasSize(found);
+        assertThat(state.spentTokens()).isEqualTo(found + 10);
+    }
+
+    /** Guards against one lost shard that fails the records of the others in a transaction. */
+    @Test
+    void conflictOnOneShardLeavesTheOthersCommitted() {
+        mFleet.add("a", 1);
+        mFleet.seconds(4);
+        StateEngine owner = mFleet.owner(P);
+        ProgramId other = new ProgramId("p4");
+        assertThat(ShardId.of(other, 4)).isNotEqualTo(SHARD);
+        String key = StoreRows.shardKey(SHARD);
+        var row = mFleet.table.as("x").read(key).orElseThrow();
+        ShardRow taken = StoreRows.shard(row).takenBy("x", 1);
+        mFleet.table
+                .as("x")
+                .commit(
+                        org.heathercourse.platform.Transaction.builder("x/1/1")
+                                .put(key, row.version(), StoreRows.encode(taken))
+                                .build());
+        CompletableFuture<Void> lost = owner.append(P, List.of(Fleet.started(P, 1, 0)));
+        CompletableFuture<Void> kept = owner.append(other, List.of(Fleet.started(other, 1, 0)));
+        Fleet.flush(owner);
+        assertThat(Fleet.failure(lost)).isEqualTo("ownership_lost");
+        assertThat(kept).isCompletedWithValue(null);
+        assertThat(owner.pendingBytes()).isZero();
+        assertThat(owner.find(P)).isEmpty();
+    }
+
+    /** Guards against an owner paused inside its write whose transaction wins after a takeover. */
+    @Test
+    @Timeout(30)
+    void writePausedUntilAfterTheTakeoverHasNoEffect() throws Exception {
+        StateEngine owner = start();
+        String vm = owner.self().vm().value();
+        mFleet.faults.pause(vm);
+        CompletableFuture<Void> late = owner.append(P, List.of(Fleet.intent(P, "r1")));
+        Thread flush = new Thread(() -> Fleet.flush(owner));
+        flush.start();
+        mFleet.faults.awaitPaused(vm);
+        mFleet.stop(vm);
+        mFleet.seconds(9);
+        StateEngine successor = mFleet.owner(P);
+        mFleet.faults.resume(vm);
+        flush.join(TimeUnit.SECONDS.toMillis(20));
+        assertThat(Fleet.failure(late)).isEqualTo("ownership_lost");
+        mFleet.stop(successor.self().vm().value());
+        mFleet.add("c", 1);
+        mFleet.seconds(12);
+        assertThat(mFleet.owner(P).find(P).orElseThrow().calls()).isEmpty();
+    }
+
+    /** Guards against lost work and needless takeovers in an outage of the store of one hour. */
+    @Test
+    void outageKeepsRecordsPendingAndOwnersInPlace() {
+        StateEngine owner = start();
+        final long fence = owner.fence(SHARD).orElseThrow();
+        mFleet.faults.outage(true);
+        CompletableFuture<Void> done = owner.append(P, List.of(Fleet.completed(P, "r1", 1, 10)));
+        mFleet.seconds(3_600);
+        assertThat(done).isNotDone();
+        assertThat(owner.storeDown()).isTrue();
+        assertThat(owner.pendingBytes()).isPositive();
+        assertThat(owner.fence(SHARD)).isEmpty();
+        assertThat(owner.ownsDuringOutage(SHARD)).isEmpty();
+        mFleet.evidence = true;
+        assertThat(owner.ownsDuringOutage(SHARD)).hasValue(fence);
+        mFleet.faults.outage(false);
+        mFleet.seconds(15);
+        assertThat(done).isCompleted();
+        assertThat(owner.fence(SHARD)).hasValue(fence);
+        assertThat(owner.storeDown()).isFalse();
+        assertThat(owner.pendingBytes()).isZero();
+    }
+
+    /** Guards against a log that grows without end and against snapshots that lose records. */
+    @ParameterizedTest
+    @ValueSource(ints = {10, 30_000})
+    void longTailMovesToSnapshotsAndSurvivesATakeover(int textLength) {
+        StateEngine owner = start();
+        String text = "y".repeat(textLength);
+        for (int i = 0; i < 300; i++) {
+            CompletableFuture<Void> done =
+                    owner.append(P, List.of(Fleet.completed(P, "r" + i, 1, 10, text)));
+            Fleet.flush(owner);
+            assertThat(done).isCompleted();
+        }
+        Fleet.flush(owner);
+        ProgramState before = owner.find(P).orElseThrow();
+        int tail = mFleet.table.count(StoreRows.logPrefix(SHARD));
+        assertThat(tail).isLessThan(Compactor.TAIL_SEGMENTS + 5);
+        assertThat(mFleet.objects.count("log/")).isLessThanOrEqualTo(tail);
+        mFleet.stop(owner.self().vm().value());
+        mFleet.seconds(9);
+        ProgramState after = mFleet.owner(P).find(P).orElseThrow();
+        assertThat(after.history()).isEqualTo(before.history());
+        assertThat(after.calls().keySet()).isEqualTo(before.calls().keySet());
+        assertThat(after.spentTokens()).isEqualTo(310);
+    }
+
+    /** Guards against a second dispatch of a call whose intent is already recorded. */
+    @Test
+    void secondIntentOfACallIsRefused() {
+        StateEngine owner = start();
+        owner.append(P, List.of(Fleet.intent(P, "r1")));
+        assertThat(Fleet.failure(owner.append(P, List.of(Fleet.intent(P, "r1")))))
+                .isEqualTo("conflict");
+        assertThat(owner.find(P).orElseThrow().calls().get(new RequestId("r1")).state())
+                .isEqualTo(CallState.INTENT);
+    }
+}
--- a/src/test/java/org/heathercourse/daemon/state/Fleet.java
+++ b/src/test/java/org/heathercourse/daemon/state/Fleet.java
@@ -31,6 +31,9 @@
     public final Map<String, StateEngine> engines = new LinkedHashMap<>();
     public final int shards;
 
+    /** Whether daemons hear that a majority cannot reach the store. */
+    public volatile boolean evidence;
+
     Fleet(int shards) {
         this.shards = shards;
         ticker.advanceMillis(100_000);
@@ -53,6 +56,7 @@
                 StateEngine.builder(StateSettings.of(self, shards))
                         .store(table.as(vm), objects.as(vm))
                         .ticker(ticker)
+                        .evidence(() -> evidence)
                         .random(new Random(1))
                         .build();
         engines.put(vm, engine);
--- /dev/null
+++ b/src/test/java/org/heathercourse/daemon/state/HandoverTest.java
@@ -0,0 +1,157 @@
+package org.heathercourse.daemon.state;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import org.heathercourse.core.model.ProgramId;
+import org.heathercourse.core.model.RequestId;
+import org.heathercourse.core.model.ShardId;
+import org.heathercourse.core.model.VmId;
+import org.heathercourse.core.program.CallState;
+import org.heathercourse.core.program.ProgramState;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** Planned and raced changes of owner. */
+class HandoverTest {
+    private static final ProgramId P = new ProgramId("p1");
+    private static final int SHARDS = 8;
+    private static final ShardId SHARD = ShardId.of(P, SHARDS);
+
+    private final Fleet mFleet = new Fleet(SHARDS);
+
+    /** Guards against a planned stop that cuts off calls, burns budgets or loses outcomes. */
+    @Test
+    void drainWaitsForUsesAndKeepsReservations() {
+        mFleet.add("a", 1);
+        mFleet.add("b", 1);
+        mFleet.seconds(4);
+        StateEngine owner = mFleet.owner(P);
+        owner.append(P, List.of(Fleet.started(P, 100, 30), Fleet.intent(P, "r1")));
+        ShardDirectory.Use use = owner.use(SHARD).orElseThrow();
+        CompletableFuture<Void> drained = owner.drain();
+        mFleet.seconds(20);
+        assertThat(drained).isNotDone();
+        assertThat(owner.fence(SHARD)).isPresent();
+        assertThat(owner.use(SHARD)).isEmpty();
+        owner.append(P, List.of(Fleet.completed(P, "r1", 5, 25)));
+        use.close();
+        use.close();
+        mFleet.seconds(4);
+        assertThat(drained).isCompleted();
+        StateEngine successor = mFleet.owner(P);
+        assertThat(successor).isNotSameAs(owner);
+        ProgramState state = successor.find(P).orElseThrow();
+        assertThat(state.calls().get(new RequestId("r1")).state()).isEqualTo(CallState.COMPLETED);
+        assertThat(state.spentTokens()).isEqualTo(5);
+        assertThat(state.reservedTokens()).isEqualTo(25);
+    }
+
+    /** Guards against a daemon that joins and stalls many shards at once, or gets none. */
+    @Test
+    void joiningDaemonGetsShardsAFewAtATime() {
+        mFleet.add("a", 1);
+        mFleet.seconds(4);
+        mFleet.add("b", 1);
+        Set<ShardId> moved = new HashSet<>();
+        for (int second = 0; second < 20; second++) {
+            mFleet.second();
+            int missing = 0;
+            for (int s = 0; s < SHARDS; s++) {
+                ShardId shard = new ShardId(s);
+                boolean held =
+                        mFleet.engines.values().stream()
+                                .anyMatch(engine -> engine.fence(shard).isPresent());
+                missing += held ? 0 : 1;
+                if (mFleet.engines.get("b").fence(shard).isPresent()) {
+                    moved.add(shard);
+                }
+            }
+            assertThat(missing).isLessThanOrEqualTo(2);
+        }
+        assertThat(moved.size()).isBetween(3, 5);
+    }
+
+    /** Guards against two daemons that both believe they have won a race for a shard. */
+    @Test
+    @Timeout(30)
+    void raceForAShardHasOneWinner() throws Exception {
+        StateEngine a = mFleet.add("a", 1);
+        Fleet.beat(a);
+        mFleet.faults.pause("a");
+        Thread slow = new Thread(a::scanStep);
+        slow.start();
+        mFleet.faults.awaitPaused("a");
+        mFleet.stop("a");
+        StateEngine b = mFleet.add("b", 1);
+        Fleet.beat(b);
+        // The row of a is gone from the view of b, as with a list that lags.
+        var row = mFleet.table.as("x").read(StoreRows.daemonKey(new VmId("a"))).orElseThrow();
+        mFleet.table
+                .as("x")
+                .commit(
+                        org.heathercourse.platform.Transaction.builder("x/1/1")
+                                .delete(row.key(), row.version())
+                                .build());
+        b.scanStep();
+        mFleet.faults.resume("a");
+        slow.join(TimeUnit.SECONDS.toMillis(20));
+        for (int s = 0; s < SHARDS; s++) {
+            assertThat(a.fence(new ShardId(s))).isEmpty();
+            assertThat(b.fence(new ShardId(s))).isPresent();
+        }
+    }
+
+    /** Guards against a shard without an owner, or with two, after a crash inside a takeover. */
+    @ParameterizedTest
+    @ValueSource(ints = {0, 1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13})
+    void crashAtEachWriteOfATakeover(int writes) {
+        crashInTakeover(new Fleet(SHARDS), writes, false);
+        crashInTakeover(new Fleet(SHARDS), writes, true);
+    }
+
+    private static void crashInTakeover(Fleet fleet, int writes, boolean effect) {
+        fleet.add("a", 1);
+        fleet.seconds(4);
+        StateEngine first = fleet.owner(P);
+        first.append(P, List.of(Fleet.started(P, 100, 30), Fleet.intent(P, "r1")));
+        Fleet.flush(first);
+        fleet.stop("a");
+        fleet.add("b", 1);
+        fleet.seconds(5);
+        fleet.faults.crashAtWrite("b", writes, effect);
+        fleet.seconds(6);
+        fleet.stop("b");
+        fleet.faults.heal();
+        fleet.add("c", 1);
+        fleet.add("b", 2);
+        fleet.seconds(16);
+        ProgramState state = fleet.owner(P).find(P).orElseThrow();
+        assertThat(state.calls().get(new RequestId("r1")).state()).isEqualTo(CallState.UNKNOWN);
+        assertThat(state.spentTokens()).isEqualTo(30);
+        for (int s = 0; s < SHARDS; s++) {
+            assertThat(fleet.owner(new ShardId(s))).isNotNull();
+        }
+    }
+
+    /** Guards against an old process that goes on after its VM was restarted. */
+    @Test
+    void laterIncarnationReplacesTheOldProcess() {
+        StateEngine old = mFleet.add("a", 1);
+        mFleet.seconds(4);
+        mFleet.stop("a");
+        mFleet.add("a", 2);
+        mFleet.second();
+        mFleet.second();
+        assertThat(old.heartbeatStep()).isEqualTo(Heartbeat.Step.REPLACED);
+        assertThat(old.fence(SHARD)).isEmpty();
+        mFleet.seconds(8);
+        assertThat(mFleet.owner(SHARD).self().incarnation()).isEqualTo(2);
+    }
+}
--- /dev/null
+++ b/src/test/java/org/heathercourse/daemon/state/InterleavingTest.java
@@ -0,0 +1,219 @@
+package org.heathercourse.daemon.state;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.concurrent.CompletableFuture;
+import org.heathercourse.core.model.ChatMessage;
+import org.heathercourse.core.model.ProgramId;
+import org.heathercourse.core.model.RequestId;
+import org.heathercourse.core.model.ShardId;
+import org.heathercourse.core.program.CallState;
+import org.heathercourse.core.program.LogRecord;
+import org.heathercourse.core.program.ProgramState;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.MethodSource;
+
+/**
+ * Random interleavings of several engines over one store with failures, compared with the sequence
+ * of acknowledged records. {@code -Dinterleaving.seeds=N} runs N seeds from {@code
+ * -Dinterleaving.from}.
+ */
+class InterleavingTest {
+    private static final int SHARDS = 4;
+    private static final int PROGRAMS = 6;
+    private static final int STEPS = 600;
+    private static final String[] VMS = {"a", "b", "c"};
+
+    private final Map<String, Long> mIncarnations = new HashMap<>();
+    private final List<StateEngine> mGone = new ArrayList<>();
+    private final List<Sent> mSent = new ArrayList<>();
+    private final Map<String, Integer> mDispatches = new HashMap<>();
+    private Fleet mFleet;
+    private Random mRandom;
+    private int mNumber;
+
+    /** One append and what became of it. */
+    private record Sent(
+            ProgramId program, String request, boolean intent, CompletableFuture<Void> done) {
+        boolean acknowledged() {
+            return done.isDone() && !done.isCompletedExceptionally();
+        }
+    }
+
+    static List<Long> seeds() {
+        long from = Long.getLong("interleaving.from", 1);
+        long count = Long.getLong("interleaving.seeds", 40);
+        List<Long> seeds = new ArrayList<>();
+        for (long seed = from; seed < from + count; seed++) {
+            seeds.add(seed);
+        }
+        return seeds;
+    }
+
+    /**
+     * Guards against acknowledged records that are lost, doubled, reordered or mixed between
+     * programs, against two holders of one lease, and against a second dispatch of one call.
+     */
+    @ParameterizedTest(name = "seed {0}")
+    @MethodSource("seeds")
+    void acknowledgedRecordsSurviveAnyInterleaving(long seed) {
+        mFleet = new Fleet(SHARDS);
+        mRandom = new Random(seed);
+        for (String vm : VMS) {
+            mIncarnations.put(vm, 1L);
+            mFleet.add(vm, 1);
+        }
+        mFleet.seconds(3);
+        for (int step = 0; step < STEPS; step++) {
+            randomStep();
+            assertOneLeaseHolder();
+        }
+        mFleet.faults.heal();
+        for (String vm : VMS) {
+            if (!mFleet.engines.containsKey(vm)) {
+                restart(vm);
+            }
+        }
+        mGone.forEach(Fleet::flush);
+        mFleet.seconds(40);
+        for (int p = 0; p < PROGRAMS; p++) {
+            compare(new ProgramId("p" + p));
+        }
+        mDispatches.forEach((call, count) -> assertThat(count).as(call).isEqualTo(1));
+    }
+
+    private void randomStep() {
+        String vm = VMS[mRandom.nextInt(VMS.length)];
+        StateEngine engine = mFleet.engines.get(vm);
+        int choice = mRandom.nextInt(100);
+        if (choice < 18) {
+            mFleet.ticker.advanceMillis(mRandom.nextInt(900));
+        } else if (choice < 19) {
+            mFleet.ticker.advanceMillis(mRandom.nextInt(9_000));
+        } else if (choice < 22) {
+            fault(vm);
+        } else if (choice < 23) {
+            mFleet.faults.heal();
+        } else if (choice < 24 && engine != null) {
+            mGone.add(mFleet.stop(vm));
+        } else if (engine == null) {
+            if (choice < 45) {
+                restart(vm);
+            } else if (!mGone.isEmpty()) {
+                // A process thought dead was only paused and goes on for a moment.
+                drive(mGone.get(mRandom.nextInt(mGone.size())), choice);
+            }
+        } else {
+            drive(engine, choice);
+        }
+    }
+
+    private void drive(StateEngine engine, int choice) {
+        if (choice < 40) {
+            engine.heartbeatStep();
+        } else if (choice < 60) {
+            engine.scanStep();
+        } else if (choice < 76) {
+            engine.flushStep();
+        } else if (choice < 80) {
+            engine.backgroundStep();
+        } else {
+            append(engine);
+        }
+    }
+
+    private void fault(String vm) {
+        switch (mRandom.nextInt(5)) {
+            case 0 -> mFleet.faults.loseReply(vm, 1 + mRandom.nextInt(3));
+            case 1 -> mFleet.faults.loseBeforeEffect(vm, 1 + mRandom.nextInt(3));
+            case 2 -> mFleet.faults.cutOff(vm, mRandom.nextBoolean());
+            case 3 -> mFleet.faults.crashAtWrite(vm, mRandom.nextInt(6), mRandom.nextBoolean());
+            default -> mFleet.faults.outage(mRandom.nextInt(3) == 0);
+        }
+    }
+
+    private void restart(String vm) {
+        mFleet.add(vm, mIncarnations.merge(vm, 1L, Long::sum));
+    }
+
+    private void append(StateEngine engine) {
+        ProgramId program = new ProgramId("p" + mRandom.nextInt(PROGRAMS));
+        if (engine.find(program).isEmpty()) {
+            mSent.add(
+                    new Sent(
+                            program,
+                            "",
+                            false,
+                            engine.append(program, List.of(Fleet.started(program, 1 << 30, 0)))));
+            return;
+        }
+        if (mRandom.nextInt(3) == 0) {
+            // A small set of identities, so that daemons meet the intents of others.
+            String request = "i" + mRandom.nextInt(40);
+            LogRecord intent = Fleet.intent(program, request);
+            CompletableFuture<Void> done = engine.append(program, List.of(intent));
+            mSent.add(new Sent(program, request, true, done));
+            done.thenRun(() -> mDispatches.merge(program + "/" + request, 1, Integer::sum));
+            return;
+        }
+        String request = "r" + mNumber++;
+        String text =
+                program + "/" + request + (mRandom.nextInt(20) == 0 ? "#".repeat(20_000) : "");
+        LogRecord completed = Fleet.completed(program, request, 1, 0, text);
+        mSent.add(new Sent(program, request, false, engine.append(program, List.of(completed))));
+    }
+
+    private void assertOneLeaseHolder() {
+        List<StateEngine> all = new ArrayList<>(mFleet.engines.values());
+        all.addAll(mGone);
+        for (int s = 0; s < SHARDS; s++) {
+            ShardId shard = new ShardId(s);
+            long holders = all.stream().filter(e -> e.fence(shard).isPresent()).count();
+            assertThat(holders).isLessThanOrEqualTo(1);
+        }
+    }
+
+    private void compare(ProgramId program) {
+        List<String> acknowledged = new ArrayList<>();
+        Map<String, Sent> sent = new LinkedHashMap<>();
+        boolean started = false;
+        for (Sent one : mSent) {
+            if (one.program().equals(program)) {
+                started |= one.request().isEmpty() && one.acknowledged();
+                if (!one.request().isEmpty() && !one.intent()) {
+                    sent.put(one.request(), one);
+                    if (one.acknowledged()) {
+                        acknowledged.add(one.request());
+                    }
+                }
+            }
+        }
+        if (!started) {
+            assertThat(acknowledged).isEmpty();
+            return;
+        }
+        ProgramState state = mFleet.owner(program).find(program).orElseThrow();
+        List<String> found = new ArrayList<>();
+        for (ChatMessage message : state.history()) {
+            String[] parts = message.content().replace("#", "").split("/");
+            assertThat(parts[0]).isEqualTo(program.value());
+            found.add(parts[1]);
+        }
+        assertThat(found).doesNotHaveDuplicates();
+        assertThat(found).containsSubsequence(acknowledged);
+        assertThat(sent.keySet()).containsAll(found);
+        assertThat(state.spentTokens()).isEqualTo(found.size());
+        for (Sent one : mSent) {
+            if (one.program().equals(program) && one.intent() && one.acknowledged()) {
+                CallState call = state.calls().get(new RequestId(one.request())).state();
+                assertThat(call).isIn(CallState.INTENT, CallState.UNKNOWN);
+            }
+        }
+    }
+}
