Count each heartbeat attempt and keep rows of dead daemons

A deleted daemon row also let versions start again at 1. Change: the number rises with each attempt; a dead daemon is marked in its row, which is deleted 10 minutes later.

--- a/src/main/java/org/heathercourse/core/ownership/DaemonInfo.java
+++ b/src/main/java/org/heathercourse/core/ownership/DaemonInfo.java
@@ -28,4 +28,36 @@
         int operatorPort,
         long heartbeat,
         long periodMillis,
-        boolean draining) {}
+        boolean draining) {
+    /** Heartbeat of a row that another daemon wrote when it declared this one dead. */
+    private static final long DEAD = -1;
+
+    /** Returns this daemon with other changing values. */
+    public DaemonInfo with(long newHeartbeat, long newPeriodMillis, boolean nowDraining) {
+        return new DaemonInfo(
+                vm,
+                incarnation,
+                zone,
+                host,
+                callerPort,
+                peerPort,
+                operatorPort,
+                newHeartbeat,
+                newPeriodMillis,
+                nowDraining);
+    }
+
+    /** Returns the row that declares this daemon dead. */
+    public DaemonInfo asDead() {
+        return with(DEAD, periodMillis, draining);
+    }
+
+    /**
+     * Returns whether the row declares the daemon dead. Such a row stays for a while: deleting it
+     * at once would let the versions of a new row start again at 1, and an observer with an old
+     * reading could then declare a living daemon dead.
+     */
+    public boolean declaredDead() {
+        return heartbeat == DEAD;
+    }
+}
--- a/src/main/java/org/heathercourse/core/ownership/DaemonList.java
+++ b/src/main/java/org/heathercourse/core/ownership/DaemonList.java
@@ -96,7 +96,7 @@
     public List<DaemonInfo> alive(long nowNanos) {
         List<DaemonInfo> alive = new ArrayList<>();
         for (Observed o : mObserved.values()) {
-            if (beating(o, nowNanos) && !retired(o.info())) {
+            if (!o.info().declaredDead() && beating(o, nowNanos) && !retired(o.info())) {
                 alive.add(o.info());
             }
         }
@@ -118,11 +118,26 @@
      *
      * @param vm the VM
      * @param nowNanos present ticker time
-     * @return whether its row is known and was unchanged for three periods
+     * @return whether its row is known, was unchanged for three periods and does not declare it
+     *     dead
      */
     public boolean heartbeatStopped(VmId vm, long nowNanos) {
         Observed o = mObserved.get(vm);
-        return o != null && !beating(o, nowNanos);
+        return o != null && !o.info().declaredDead() && !beating(o, nowNanos);
+    }
+
+    /**
+     * Returns whether a row that declares a daemon dead may be deleted.
+     *
+     * @param vm the VM
+     * @param nowNanos present ticker time
+     * @return whether it was seen for at least {@link LeaseRules#DEAD_ROW_MILLIS}
+     */
+    public boolean deadRowExpired(VmId vm, long nowNanos) {
+        Observed o = mObserved.get(vm);
+        return o != null
+                && o.info().declaredDead()
+                && nowNanos - o.changedNanos() >= LeaseRules.DEAD_ROW_MILLIS * 1_000_000L;
     }
 
     /**
--- a/src/main/java/org/heathercourse/core/ownership/LeaseRules.java
+++ b/src/main/java/org/heathercourse/core/ownership/LeaseRules.java
@@ -16,6 +16,9 @@
     /** Periods of an unchanged heartbeat after which an observer declares a daemon dead. */
     public static final int DEATH_PERIODS = 3;
 
+    /** Time for which a row that declares a daemon dead is kept, in milliseconds. */
+    public static final long DEAD_ROW_MILLIS = 600_000;
+
     /** Time between scans of the shard rows, in milliseconds. */
     public static final long SCAN_MILLIS = 1_000;
 
--- a/src/main/java/org/heathercourse/daemon/state/Heartbeat.java
+++ b/src/main/java/org/heathercourse/daemon/state/Heartbeat.java
@@ -18,9 +18,9 @@
  * Writes the row of this daemon and holds its lease.
  *
  * <p>The write requires the version of the last one. Others take shards of this daemon only after
- * they have deleted its row, so a write that succeeds proves that all shards are still held, and
- * one that finds the row gone means that all are lost. {@link #step} is called by one thread; the
- * other methods are safe for use by several threads.
+ * they have written into its row that it is dead, so a write that succeeds proves that all shards
+ * are still held, and one that finds the row so changed means that all are lost. {@link #step} is
+ * called by one thread; the other methods are safe for use by several threads.
  */
 final class Heartbeat {
     private static final EventLog LOG = EventLog.of(Heartbeat.class);
@@ -54,6 +54,13 @@
     private long mVersion = Row.ABSENT;
     private String mOpenCommit = "";
 
+    /**
+     * Number of the next heartbeat. It rises with each attempt: if the repeat of a write with a
+     * lost reply had the same number, observers would see no change and declare this daemon dead
+     * within its lease.
+     */
+    private long mAttempts;
+
     Heartbeat(
             DaemonInfo self, TableStore table, Ticker ticker, StoreHealth health, Context context) {
         mSelf = self;
@@ -94,7 +101,7 @@
             return Step.REPLACED;
         }
         long startNanos = mTicker.readNanos();
-        DaemonInfo next = next(periodMillis, draining);
+        DaemonInfo next = mSelf.with(++mAttempts, periodMillis, draining);
         String commitId = mContext.nextCommitId();
         try {
             Transaction tx =
@@ -119,21 +126,6 @@
         }
     }
 
-    private DaemonInfo next(long periodMillis, boolean draining) {
-        DaemonInfo s = mSelf;
-        return new DaemonInfo(
-                s.vm(),
-                s.incarnation(),
-                s.zone(),
-                s.host(),
-                s.callerPort(),
-                s.peerPort(),
-                s.operatorPort(),
-                s.heartbeat() + 1,
-                periodMillis,
-                draining);
-    }
-
     private void written(DaemonInfo next, long startNanos) {
         if (mWritten && !LeaseRules.leaseValid(mLeaseStartNanos, startNanos)) {
             mLapsed.set(true);
@@ -147,14 +139,14 @@
     /** Finds out why the row had another version. */
     private Step conflict() {
         Optional<Row> row = mTable.read(mKey);
-        if (row.isEmpty()) {
+        DaemonInfo found = row.map(StoreRows::daemon).orElse(mSelf.asDead());
+        if (found.declaredDead() && found.incarnation() <= mSelf.incarnation()) {
             LOG.warn("declared_dead", "vm", mSelf.vm());
             mWritten = false;
-            mVersion = Row.ABSENT;
+            mVersion = row.map(Row::version).orElse(Row.ABSENT);
             mContext.declaredDead();
             return Step.RETRY;
         }
-        DaemonInfo found = StoreRows.daemon(row.get());
         if (found.incarnation() > mSelf.incarnation()
                 || (found.incarnation() == mSelf.incarnation() && !mayBeOwn(row.get()))) {
             LOG.warn("replaced", "vm", mSelf.vm(), "incarnation", found.incarnation());
@@ -180,10 +172,11 @@
         return self.vm() + "/" + self.incarnation() + "/";
     }
 
-    /** Deletes the row after all shards were released. */
-    void delete() {
+    /** Writes into the row that this daemon is gone, after all shards were released. */
+    void leave() {
+        byte[] gone = StoreRows.encode(mSelf.asDead());
         Transaction tx =
-                Transaction.builder(mContext.nextCommitId()).delete(mKey, mVersion).build();
+                Transaction.builder(mContext.nextCommitId()).put(mKey, mVersion, gone).build();
         mTable.commit(tx);
         mWritten = false;
         mReplaced = true;
--- a/src/main/java/org/heathercourse/daemon/state/OwnershipLoop.java
+++ b/src/main/java/org/heathercourse/daemon/state/OwnershipLoop.java
@@ -169,9 +169,9 @@
     }
 
     /**
-     * Deletes the rows of daemons whose heartbeat stopped. The deletion requires the row that was
-     * seen unchanged, so it fails if the daemon has written since; only afterwards may its shards
-     * be taken. To save writes only the first daemon and those that take a shard try it.
+     * Declares daemons dead whose heartbeat stopped. The write requires the row that was seen
+     * unchanged, so it fails if the daemon has written since; only afterwards may its shards be
+     * taken. To save writes only the first daemon and those that take a shard try it.
      */
     private void removeDead(Set<VmId> alive, Set<VmId> wanted, long nowNanos) {
         VmId first = alive.stream().min(Comparator.naturalOrder()).orElseThrow();
@@ -179,9 +179,9 @@
         for (VmId vm : Set.copyOf(mRowVersions.keySet())) {
             if ((isFirst || wanted.contains(vm)) && mList.heartbeatStopped(vm, nowNanos)) {
                 LOG.info("daemon_dead", "vm", vm);
-                if (mTakeover.deleteDaemon(vm, mRowVersions.get(vm))) {
-                    mRowVersions.remove(vm);
-                }
+                mTakeover.declareDead(mList.find(vm).orElseThrow(), mRowVersions.get(vm));
+            } else if (isFirst && mList.deadRowExpired(vm, nowNanos)) {
+                mTakeover.deleteDaemon(vm, mRowVersions.get(vm));
             }
         }
     }
@@ -237,9 +237,18 @@
         if (mList.replaced(owner, row.incarnation(), nowNanos)) {
             return true;
         }
-        // The list may be older than the shard row: only a fresh read proves that the row is gone.
-        return !mRowVersions.containsKey(owner)
-                && mTable.read(StoreRows.daemonKey(owner)).isEmpty();
+        boolean believedAlive =
+                mList.find(owner).isPresent()
+                        && !mList.heartbeatStopped(owner, nowNanos)
+                        && !mList.find(owner).get().declaredDead();
+        if (believedAlive) {
+            return false;
+        }
+        // The list may be older than the shard row: only a row read now proves that the owner was
+        // declared dead after it took the shard.
+        Optional<DaemonInfo> now = mTable.read(StoreRows.daemonKey(owner)).map(StoreRows::daemon);
+        return now.isEmpty()
+                || (now.get().declaredDead() && now.get().incarnation() == row.incarnation());
     }
 
     private void releaseShards(Map<ShardId, VmId> plan, long nowNanos) {
--- a/src/main/java/org/heathercourse/daemon/state/StateEngine.java
+++ b/src/main/java/org/heathercourse/daemon/state/StateEngine.java
@@ -92,9 +92,9 @@
         mTimers.stop();
         if (mDrained.isDone()) {
             try {
-                mHeartbeat.delete();
+                mHeartbeat.leave();
             } catch (StoreException e) {
-                LOG.debug("row_not_deleted", "cause", e.getMessage());
+                LOG.debug("row_not_updated", "cause", e.getMessage());
             }
         }
     }
--- a/src/main/java/org/heathercourse/daemon/state/Takeover.java
+++ b/src/main/java/org/heathercourse/daemon/state/Takeover.java
@@ -7,6 +7,7 @@
 import java.util.function.Supplier;
 import org.heathercourse.core.model.ShardId;
 import org.heathercourse.core.model.VmId;
+import org.heathercourse.core.ownership.DaemonInfo;
 import org.heathercourse.core.time.Ticker;
 import org.heathercourse.log.EventLog;
 import org.heathercourse.platform.CommitResult;
@@ -57,16 +58,21 @@
     }
 
     /**
-     * Deletes the row of a dead daemon.
+     * Writes into the row of a daemon that it is dead, unless it has written since.
      *
-     * @param vm the VM
-     * @param version version of the row that was seen unchanged
-     * @return whether the row is gone
+     * @param daemon the row that was seen unchanged
+     * @param version its version
      */
-    boolean deleteDaemon(VmId vm, long version) {
+    void declareDead(DaemonInfo daemon, long version) {
+        String key = StoreRows.daemonKey(daemon.vm());
+        byte[] dead = StoreRows.encode(daemon.asDead());
+        mTable.commit(Transaction.builder(mCommitIds.get()).put(key, version, dead).build());
+    }
+
+    /** Deletes the row of a daemon that was declared dead long ago. */
+    void deleteDaemon(VmId vm, long version) {
         String key = StoreRows.daemonKey(vm);
-        Transaction tx = Transaction.builder(mCommitIds.get()).delete(key, version).build();
-        return mTable.commit(tx).committed();
+        mTable.commit(Transaction.builder(mCommitIds.get()).delete(key, version).build());
     }
 
     /**
--- a/src/test/java/org/heathercourse/daemon/state/CommitTest.java
+++ b/src/test/java/org/heathercourse/daemon/state/CommitTest.java
@@ -69,7 +69,7 @@
         "2,false,20000",
         "2,true,20000"
     })
-    void crashAtEachWriteOfACommitKeepsAcknowledgedRecords(
+    void crashAtEachWriteOfCommitKeepsAcknowledgedRecords(
             int writes, boolean effect, int textLength) {
         StateEngine owner = start();
         String vm = owner.self().vm().value();
@@ -167,7 +167,7 @@
     /** Guards against a log that grows without end and against snapshots that lose records. */
     @ParameterizedTest
     @ValueSource(ints = {10, 30_000})
-    void longTailMovesToSnapshotsAndSurvivesATakeover(int textLength) {
+    void longTailMovesToSnapshotsAndSurvivesTakeover(int textLength) {
         StateEngine owner = start();
         String text = "y".repeat(textLength);
         for (int i = 0; i < 300; i++) {
@@ -191,7 +191,7 @@
 
     /** Guards against a second dispatch of a call whose intent is already recorded. */
     @Test
-    void secondIntentOfACallIsRefused() {
+    void secondIntentOfSameCallIsRefused() {
         StateEngine owner = start();
         owner.append(P, List.of(Fleet.intent(P, "r1")));
         assertThat(Fleet.failure(owner.append(P, List.of(Fleet.intent(P, "r1")))))
--- a/src/test/java/org/heathercourse/daemon/state/HandoverTest.java
+++ b/src/test/java/org/heathercourse/daemon/state/HandoverTest.java
@@ -55,7 +55,7 @@
 
     /** Guards against a daemon that joins and stalls many shards at once, or gets none. */
     @Test
-    void joiningDaemonGetsShardsAFewAtATime() {
+    void joiningDaemonGetsFewShardsPerSecond() {
         mFleet.add("a", 1);
         mFleet.seconds(4);
         mFleet.add("b", 1);
@@ -81,7 +81,7 @@
     /** Guards against two daemons that both believe they have won a race for a shard. */
     @Test
     @Timeout(30)
-    void raceForAShardHasOneWinner() throws Exception {
+    void raceForOneShardHasOneWinner() throws Exception {
         StateEngine a = mFleet.add("a", 1);
         Fleet.beat(a);
         mFleet.faults.pause("a");
@@ -111,7 +111,7 @@
     /** Guards against a shard without an owner, or with two, after a crash inside a takeover. */
     @ParameterizedTest
     @ValueSource(ints = {0, 1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13})
-    void crashAtEachWriteOfATakeover(int writes) {
+    void crashAtEachWriteOfTakeover(int writes) {
         crashInTakeover(new Fleet(SHARDS), writes, false);
         crashInTakeover(new Fleet(SHARDS), writes, true);
     }
--- a/src/test/java/org/heathercourse/daemon/state/InterleavingTest.java
+++ b/src/test/java/org/heathercourse/daemon/state/InterleavingTest.java
@@ -6,6 +6,7 @@
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
 import java.util.Random;
 import java.util.concurrent.CompletableFuture;
@@ -76,15 +77,17 @@
         }
         mFleet.faults.heal();
         for (String vm : VMS) {
-            if (!mFleet.engines.containsKey(vm)) {
-                restart(vm);
+            if (mFleet.engines.containsKey(vm)) {
+                mGone.add(mFleet.stop(vm));
             }
+            restart(vm);
         }
         mGone.forEach(Fleet::flush);
-        mFleet.seconds(40);
+        mFleet.seconds(60);
         for (int p = 0; p < PROGRAMS; p++) {
             compare(new ProgramId("p" + p));
         }
+        System.out.println("interleaving seed=" + seed + " " + summary());
         mDispatches.forEach((call, count) -> assertThat(count).as(call).isEqualTo(1));
     }
 
@@ -98,10 +101,12 @@
             mFleet.ticker.advanceMillis(mRandom.nextInt(9_000));
         } else if (choice < 22) {
             fault(vm);
-        } else if (choice < 23) {
+        } else if (choice < 26) {
             mFleet.faults.heal();
-        } else if (choice < 24 && engine != null) {
+        } else if (choice < 27 && engine != null) {
             mGone.add(mFleet.stop(vm));
+        } else if (choice < 28 && engine != null) {
+            engine.drain();
         } else if (engine == null) {
             if (choice < 45) {
                 restart(vm);
@@ -179,6 +184,25 @@
         }
     }
 
+    /** Shows that a run met failures and was not idle. */
+    private String summary() {
+        long acknowledged = mSent.stream().filter(Sent::acknowledged).count();
+        long failed = mSent.stream().filter(one -> one.done().isCompletedExceptionally()).count();
+        long fences = 0;
+        for (int s = 0; s < SHARDS; s++) {
+            fences += mFleet.owner(new ShardId(s)).fence(new ShardId(s)).orElse(0);
+        }
+        return String.format(
+                Locale.ROOT,
+                "appends=%d acknowledged=%d failed=%d dispatched=%d fences=%d processes=%d",
+                mSent.size(),
+                acknowledged,
+                failed,
+                mDispatches.size(),
+                fences,
+                mGone.size() + VMS.length);
+    }
+
     private void compare(ProgramId program) {
         List<String> acknowledged = new ArrayList<>();
         Map<String, Sent> sent = new LinkedHashMap<>();
