Bound batches, join log objects geometrically and cache the shard plan

Change: 4 MiB per shard and flush; the tail is joined with objects up to twice its size; busy shards move only from a draining or overfull daemon.

--- a/src/main/java/org/heathercourse/daemon/state/Compactor.java
+++ b/src/main/java/org/heathercourse/daemon/state/Compactor.java
@@ -1,7 +1,9 @@
 package org.heathercourse.daemon.state;
 
 import java.io.ByteArrayOutputStream;
+import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.Deque;
 import java.util.List;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.heathercourse.core.program.LogCodec;
@@ -14,9 +16,9 @@
  *
  * <p>Writing all programs for each megabyte of log would multiply the written bytes by the size of
  * the shard, which is hundreds of megabytes at the target size. The tail is therefore joined to one
- * object that follows the last whole snapshot, and a whole snapshot is written only when the
- * objects that follow it have grown to its size: at most about two bytes are written per logged
- * byte.
+ * object that follows the last whole snapshot, together with the objects before it that are not
+ * larger than twice its size, so that their number grows with the logarithm of the log. A whole
+ * snapshot is written when the objects that follow it have grown to its size.
  */
 final class Compactor {
     /** Segments of a tail beyond which it is moved. */
@@ -25,11 +27,8 @@
     /** Bytes of a tail beyond which it is moved. */
     static final long TAIL_BYTES = 1 << 20;
 
-    /** Objects of a snapshot beyond which a whole one is written. */
-    private static final int MAX_PARTS = 32;
-
     /** Size of the objects of a whole snapshot, in bytes. */
-    private static final int PART_BYTES = 8 << 20;
+    private static final int PART_BYTES = 32 << 20;
 
     private final ObjectStore mObjects;
     private final AtomicInteger mNames = new AtomicInteger();
@@ -59,22 +58,46 @@
         for (OwnedShard.Segment segment : capture.tail()) {
             following += segment.content().length;
         }
-        boolean whole =
-                following >= Math.max(TAIL_BYTES, base) || row.snapshot().size() >= MAX_PARTS;
         List<ShardRow.SnapshotPart> parts = new ArrayList<>();
-        List<ShardRow.SnapshotPart> old = List.of();
-        if (whole) {
+        List<ShardRow.SnapshotPart> old = new ArrayList<>();
+        if (following >= Math.max(TAIL_BYTES, base)) {
             writePrograms(shard, capture, parts);
-            old = row.snapshot();
+            old.addAll(row.snapshot());
         } else {
             parts.addAll(row.snapshot());
-            ByteArrayOutputStream joined = new ByteArrayOutputStream();
-            capture.tail().forEach(segment -> joined.writeBytes(segment.content()));
-            parts.add(put(shard, row, joined, false));
+            joinTail(shard, capture, parts, old);
         }
         return new OwnedShard.Cut(parts, row.seq(), old);
     }
 
+    private void joinTail(
+            OwnedShard shard,
+            Capture capture,
+            List<ShardRow.SnapshotPart> parts,
+            List<ShardRow.SnapshotPart> old) {
+        long size = capture.tail().stream().mapToLong(segment -> segment.content().length).sum();
+        Deque<byte[]> contents = new ArrayDeque<>();
+        capture.tail().forEach(segment -> contents.addLast(segment.content()));
+        while (!parts.isEmpty()) {
+            ShardRow.SnapshotPart last = parts.get(parts.size() - 1);
+            if (last.base() || last.bytes() > 2 * size) {
+                break;
+            }
+            byte[] content =
+                    mObjects.get(last.name())
+                            .orElseThrow(
+                                    () ->
+                                            StoreRows.damaged(
+                                                    "object " + last.name() + " is missing", null));
+            contents.addFirst(content);
+            size += last.bytes();
+            old.add(parts.remove(parts.size() - 1));
+        }
+        ByteArrayOutputStream joined = new ByteArrayOutputStream();
+        contents.forEach(joined::writeBytes);
+        parts.add(put(shard, capture.row(), joined, false));
+    }
+
     private void writePrograms(
             OwnedShard shard, Capture capture, List<ShardRow.SnapshotPart> parts) {
         ByteArrayOutputStream part = new ByteArrayOutputStream();
--- a/src/main/java/org/heathercourse/daemon/state/OwnedShard.java
+++ b/src/main/java/org/heathercourse/daemon/state/OwnedShard.java
@@ -48,6 +48,13 @@
     /** What one flush does for the shard. */
     record Work(List<Pending> batch, byte[] mark, Cut cut, boolean release, VmId successor) {}
 
+    /**
+     * Size at which a flush takes no more records of a shard. After an outage tens of megabytes may
+     * wait, and one object of that size could exceed the timeout of the object store again and
+     * again.
+     */
+    private static final long BATCH_BYTES = 4 << 20;
+
     private final ShardId mId;
     private final long mFence;
     private final ShardState mState;
@@ -190,12 +197,13 @@
         if (mPhase == Phase.CLOSED || mPhase == Phase.LOST) {
             return null;
         }
-        boolean release = mPhase == Phase.RELEASING && mUses == 0;
-        if (mPending.isEmpty() && mMark == null && mCut == null && !release) {
+        boolean releasable = mPhase == Phase.RELEASING && mUses == 0;
+        if (mPending.isEmpty() && mMark == null && mCut == null && !releasable) {
             return null;
         }
-        Work work = new Work(List.copyOf(mPending), mMark, mCut, release, mSuccessor);
-        mPending.clear();
+        List<Pending> batch = takeBatch();
+        boolean release = releasable && mPending.isEmpty();
+        Work work = new Work(batch, mMark, mCut, release, mSuccessor);
         mMark = null;
         mCut = null;
         if (release) {
@@ -204,6 +212,17 @@
         return work;
     }
 
+    private List<Pending> takeBatch() {
+        List<Pending> batch = new ArrayList<>();
+        long bytes = 0;
+        while (!mPending.isEmpty() && bytes < BATCH_BYTES) {
+            Pending next = mPending.poll();
+            bytes += next.frame().length;
+            batch.add(next);
+        }
+        return batch;
+    }
+
     synchronized boolean hasWork() {
         return mPhase != Phase.CLOSED
                 && mPhase != Phase.LOST
--- a/src/main/java/org/heathercourse/daemon/state/OwnershipLoop.java
+++ b/src/main/java/org/heathercourse/daemon/state/OwnershipLoop.java
@@ -34,9 +34,6 @@
      */
     private static final int MOVES_PER_SCAN = 2;
 
-    /** Time after which a shard with running calls is moved all the same, in milliseconds. */
-    private static final long BUSY_MOVE_MILLIS = 60_000;
-
     /** What other threads see of the last scan. Immutable. */
     record View(
             List<DaemonInfo> daemons,
@@ -55,12 +52,18 @@
     private final Takeover mTakeover;
     private final DaemonList mList = new DaemonList();
     private final Map<VmId, Long> mRowVersions = new HashMap<>();
-    private final Map<ShardId, Long> mMoveWantedMillis = new HashMap<>();
+    private Set<VmId> mPlannedFor = Set.of();
+    private Map<ShardId, VmId> mPlan = Map.of();
     private volatile View mView = View.EMPTY;
     private volatile boolean mDraining;
     private boolean mDaemonsScanned;
     private long mDaemonScanNanos;
 
+    /** A shard row as scanned. */
+    private record Seen(ShardRow row, long version) {
+        static final Seen NOTHING = new Seen(ShardRow.NEW, Row.ABSENT);
+    }
+
     OwnershipLoop(
             StateSettings settings,
             TableStore table,
@@ -91,7 +94,8 @@
 
     /** Returns whether this daemon is draining and holds nothing any more. */
     boolean drained() {
-        boolean named = mView.owners().containsValue(mHeartbeat.self());
+        VmId self = mHeartbeat.self().vm();
+        boolean named = mView.owners().values().stream().anyMatch(owner -> owner.vm().equals(self));
         return mDraining && mHoldings.shards().isEmpty() && !mTakeover.loading() && !named;
     }
 
@@ -112,9 +116,11 @@
                 mList.restartObservation(nowNanos);
             }
             // Shards first: an owner named by a shard row has written its own row before.
-            Map<ShardId, Row> shardRows = new HashMap<>();
-            StoreRows.scan(mTable, StoreRows.SHARDS)
-                    .forEach(row -> shardRows.put(StoreRows.shardOf(row), row));
+            Map<ShardId, Seen> shardRows = new HashMap<>();
+            for (Row row : StoreRows.scan(mTable, StoreRows.SHARDS)) {
+                shardRows.put(
+                        StoreRows.shardOf(row), new Seen(StoreRows.shard(row), row.version()));
+            }
             scanDaemons(nowNanos);
             act(shardRows, nowNanos);
             return true;
@@ -145,7 +151,7 @@
         mDaemonScanNanos = nowNanos;
     }
 
-    private void act(Map<ShardId, Row> shardRows, long nowNanos) {
+    private void act(Map<ShardId, Seen> shardRows, long nowNanos) {
         Map<VmId, DaemonInfo> alive = new HashMap<>();
         mList.alive(nowNanos).forEach(daemon -> alive.put(daemon.vm(), daemon));
         DaemonInfo self = mHeartbeat.self();
@@ -158,11 +164,11 @@
                 candidates.add(daemon.vm());
             }
         }
-        Map<ShardId, VmId> plan = ShardAssignment.assign(mShards, candidates, mMaxOwners);
+        Map<ShardId, VmId> plan = plan(candidates);
         if (mHeartbeat.leaseValid()) {
             removeDead(alive.keySet(), wantedFrom(shardRows, plan), nowNanos);
             takeShards(shardRows, plan, nowNanos);
-            releaseShards(plan, nowNanos);
+            releaseShards(plan);
         }
         publish(shardRows, alive, plan.containsValue(self.vm()));
         mHoldings.expire(nowNanos / 1_000_000L);
@@ -187,11 +193,11 @@
     }
 
     /** Returns the owners of the shards that this daemon should have. */
-    private Set<VmId> wantedFrom(Map<ShardId, Row> shardRows, Map<ShardId, VmId> plan) {
+    private Set<VmId> wantedFrom(Map<ShardId, Seen> shardRows, Map<ShardId, VmId> plan) {
         Set<VmId> owners = new HashSet<>();
         shardRows.forEach(
-                (shard, row) -> {
-                    ShardRow content = StoreRows.shard(row);
+                (shard, seen) -> {
+                    ShardRow content = seen.row();
                     if (content.owned() && mHeartbeat.self().vm().equals(plan.get(shard))) {
                         owners.add(new VmId(content.owner()));
                     }
@@ -199,20 +205,20 @@
         return owners;
     }
 
-    private void takeShards(Map<ShardId, Row> shardRows, Map<ShardId, VmId> plan, long nowNanos) {
+    private void takeShards(Map<ShardId, Seen> shardRows, Map<ShardId, VmId> plan, long nowNanos) {
         VmId self = mHeartbeat.self().vm();
         for (int index = 0; index < mShards && mHeartbeat.leaseValid(); index++) {
             ShardId shard = new ShardId(index);
             if (mHoldings.holds(shard)) {
                 continue;
             }
-            Optional<Row> row = Optional.ofNullable(shardRows.get(shard));
-            ShardRow content = row.map(StoreRows::shard).orElse(ShardRow.NEW);
+            Seen seen = shardRows.getOrDefault(shard, Seen.NOTHING);
+            ShardRow content = seen.row();
             boolean own =
                     content.owner().equals(self.value())
                             && content.incarnation() == mHeartbeat.self().incarnation();
             if (own || (self.equals(plan.get(shard)) && free(content, nowNanos))) {
-                take(shard, content, row.map(Row::version).orElse(Row.ABSENT));
+                take(shard, content, seen.version());
             }
         }
     }
@@ -251,33 +257,45 @@
                 || (now.get().declaredDead() && now.get().incarnation() == row.incarnation());
     }
 
-    private void releaseShards(Map<ShardId, VmId> plan, long nowNanos) {
+    /**
+     * Starts to release what others should have. A release lets new calls wait until the running
+     * ones have ended, so a shard with running calls is moved only if this daemon drains or holds
+     * more than its bound.
+     */
+    private void releaseShards(Map<ShardId, VmId> plan) {
         VmId self = mHeartbeat.self().vm();
-        long nowMillis = nowNanos / 1_000_000L;
+        List<OwnedShard> held = mHoldings.shards();
+        int owners = Math.max(1, Math.min(mMaxOwners, mPlannedFor.size()));
+        boolean overfull = held.size() > ShardAssignment.bound(mShards, owners);
         int moves = 0;
-        for (OwnedShard shard : mHoldings.shards()) {
+        for (OwnedShard shard : held) {
             VmId successor = plan.get(shard.id());
+            boolean move = successor != null && !successor.equals(self);
             if (mDraining) {
                 shard.release(successor);
-            } else if (successor != null && !successor.equals(self)) {
-                long since = mMoveWantedMillis.computeIfAbsent(shard.id(), id -> nowMillis);
-                boolean ready = shard.uses() == 0 || nowMillis - since >= BUSY_MOVE_MILLIS;
-                if (ready && moves < MOVES_PER_SCAN) {
-                    shard.release(successor);
-                    moves++;
-                }
-                continue;
+            } else if (move && moves < MOVES_PER_SCAN && (overfull || shard.uses() == 0)) {
+                shard.release(successor);
+                moves++;
             }
-            mMoveWantedMillis.remove(shard.id());
         }
         mHoldings.flushNeeded();
     }
 
-    private void publish(Map<ShardId, Row> shardRows, Map<VmId, DaemonInfo> alive, boolean mayOwn) {
+    /** The plan depends on the candidates only, so it is computed again only if they change. */
+    private Map<ShardId, VmId> plan(Set<VmId> candidates) {
+        if (!candidates.equals(mPlannedFor)) {
+            mPlan = ShardAssignment.assign(mShards, candidates, mMaxOwners);
+            mPlannedFor = Set.copyOf(candidates);
+        }
+        return mPlan;
+    }
+
+    private void publish(
+            Map<ShardId, Seen> shardRows, Map<VmId, DaemonInfo> alive, boolean mayOwn) {
         Map<ShardId, DaemonInfo> owners = new HashMap<>();
         shardRows.forEach(
-                (shard, row) -> {
-                    ShardRow content = StoreRows.shard(row);
+                (shard, seen) -> {
+                    ShardRow content = seen.row();
                     DaemonInfo owner =
                             content.owned() ? alive.get(new VmId(content.owner())) : null;
                     if (owner != null && owner.incarnation() == content.incarnation()) {
--- a/src/main/java/org/heathercourse/daemon/state/StateEngine.java
+++ b/src/main/java/org/heathercourse/daemon/state/StateEngine.java
@@ -92,7 +92,7 @@
         mTimers.stop();
         if (mDrained.isDone()) {
             try {
-                mHeartbeat.leave();
+                mTimers.withoutHeartbeat(mHeartbeat::leave);
             } catch (StoreException e) {
                 LOG.debug("row_not_updated", "cause", e.getMessage());
             }
--- a/src/main/java/org/heathercourse/daemon/state/StateTimers.java
+++ b/src/main/java/org/heathercourse/daemon/state/StateTimers.java
@@ -114,6 +114,13 @@
         }
     }
 
+    /** Runs a task while no heartbeat is under way. */
+    void withoutHeartbeat(Runnable task) {
+        synchronized (mHeartbeatLock) {
+            task.run();
+        }
+    }
+
     void background(Runnable task) {
         if (!mRunning) {
             mWaiting.add(task);
