--- a/src/main/java/org/heathercourse/core/limits/HeldShare.java
+++ b/src/main/java/org/heathercourse/core/limits/HeldShare.java
@@ -30,6 +30,12 @@
     /** Share of the demand of a second below which tokens count as low. */
     private static final double LOW_TOKENS_SECONDS = 0.3;
 
+    /** Change of demand that is reported early, relative to the smaller value. */
+    private static final double MOVED_RATIO = 0.3;
+
+    /** A decrease below this part of the former share is reported early. */
+    private static final double REPORT_RATIO = 0.9;
+
     private final VmId mVm;
     private final long mIncarnation;
     private final DemandMeter mDemand;
@@ -43,6 +49,7 @@
     private boolean mAwaiting;
     private boolean mEverAsked;
     private long mAskedNanos;
+    private double mReportedDemand;
     private long mLastDemandNanos;
 
     /**
@@ -91,15 +98,29 @@
         if (!mEverAsked || mAwaiting || mSequence == 0) {
             return true;
         }
-        if (sinceAsk >= PERIOD_NANOS) {
+        double demand = mDemand.perSecond(nowNanos);
+        if (sinceAsk >= PERIOD_NANOS || demandMoved(demand) || owesReport()) {
             return true;
         }
         mBucket.fill(nowNanos);
-        double demand = mDemand.perSecond(nowNanos);
         return mBucket.tokens() < 1 + demand * LOW_TOKENS_SECONDS
                 && nowNanos - mLastDemandNanos < PERIOD_NANOS;
     }
 
+    /** Returns whether demand differs from the reported one by more than random variation. */
+    private boolean demandMoved(double demand) {
+        double least = Math.min(demand, mReportedDemand);
+        return Math.abs(demand - mReportedDemand) > 2 + least * MOVED_RATIO;
+    }
+
+    /** Returns whether the grantor waits for a report before it can give tokens or rate on. */
+    private boolean owesReport() {
+        return mUnreported != null
+                && (mUnreported.addedTokens() < 0
+                        || mUnreported.ratePerSecond() < mBucket.ratePerSecond() * REPORT_RATIO
+                        || mUnreported.capacity() < mBucket.capacity() * REPORT_RATIO);
+    }
+
     /**
      * Creates the next request and counts it as sent. A decrease that an earlier reply brought
      * takes effect here.
@@ -117,11 +138,12 @@
         mAwaiting = true;
         mEverAsked = true;
         mAskedNanos = nowNanos;
+        mReportedDemand = mDemand.perSecond(nowNanos);
         return new ShareAsk(
                 mVm,
                 mIncarnation,
                 mNumber,
-                mDemand.perSecond(nowNanos),
+                mReportedDemand,
                 mSequence,
                 mBucket.ratePerSecond(),
                 mBucket.capacity(),
--- a/src/main/java/org/heathercourse/core/limits/ShareLedger.java
+++ b/src/main/java/org/heathercourse/core/limits/ShareLedger.java
@@ -25,6 +25,9 @@
     /** Fence of the first owner ever: no earlier grantor can have given shares. */
     static final long FIRST_FENCE = 1;
 
+    /** Absorbs the rounding of sums of doubles. */
+    private static final double ROUNDING = 1e-9;
+
     private final long mFence;
     private final long mTakeoverNanos;
     private final Map<HolderKey, ShareEntry> mEntries = new LinkedHashMap<>();
@@ -33,6 +36,11 @@
     private double mRate;
     private double mBurst;
     private boolean mSettling;
+
+    /** Rate and burst that holders unknown to this grantor may be using until it has settled. */
+    private double mUnknownRate;
+
+    private double mUnknownBurst;
     private long mNextSequence = 1;
 
     /** A process on a VM. */
@@ -52,6 +60,8 @@
         mRate = ratePerSecond;
         mBurst = burst;
         mSettling = fence > FIRST_FENCE;
+        mUnknownRate = mSettling ? ratePerSecond : 0;
+        mUnknownBurst = mSettling ? burst : 0;
         mPolicy = new SharePolicy();
         mCentral =
                 mSettling
@@ -68,6 +78,11 @@
      */
     public void reconfigure(double ratePerSecond, double burst, long nowNanos) {
         expire(nowNanos);
+        if (mSettling) {
+            // The earlier grantor may have handed out the increase already.
+            mUnknownRate += Math.max(0, ratePerSecond - mRate);
+            mUnknownBurst += Math.max(0, burst - mBurst);
+        }
         mRate = ratePerSecond;
         mBurst = burst;
         reshapeCentral(nowNanos);
@@ -113,11 +128,14 @@
         if (!adoptable(ask)) {
             return;
         }
-        double restRate = mRate - countedRate();
-        double restBurst = mBurst - countedCapacity();
-        if (ask.ratePerSecond() <= restRate + 1e-9 && ask.capacity() <= restBurst + 1e-9) {
+        boolean fits =
+                ask.ratePerSecond() <= mUnknownRate + ROUNDING
+                        && ask.capacity() <= mUnknownBurst + ROUNDING;
+        if (fits) {
             entry.rate = ask.ratePerSecond();
             entry.capacity = ask.capacity();
+            mUnknownRate = Math.max(0, mUnknownRate - entry.rate);
+            mUnknownBurst = Math.max(0, mUnknownBurst - entry.capacity);
         }
     }
 
@@ -191,6 +209,8 @@
         boolean settled = mSettling && nowNanos - mTakeoverNanos >= VALID_NANOS;
         if (settled) {
             mSettling = false;
+            mUnknownRate = 0;
+            mUnknownBurst = 0;
         }
         if (removed || settled) {
             reshapeCentral(nowNanos);
@@ -219,12 +239,12 @@
 
     /** Returns the fill rate that holders may be using, unknown holders included. */
     double outstandingRate() {
-        return mSettling ? Math.max(mRate, countedRate()) : countedRate();
+        return mUnknownRate + countedRate();
     }
 
     /** Returns the capacity that holders may be using, unknown holders included. */
     double outstandingCapacity() {
-        return mSettling ? Math.max(mBurst, countedCapacity()) : countedCapacity();
+        return mUnknownBurst + countedCapacity();
     }
 
     private void reshapeCentral(long nowNanos) {
--- a/src/main/java/org/heathercourse/core/limits/SharePolicy.java
+++ b/src/main/java/org/heathercourse/core/limits/SharePolicy.java
@@ -9,14 +9,41 @@
  * The ledger enforces the limits; this class only states targets. Stateless.
  */
 final class SharePolicy {
-    /** Demand that a holder gets on top of what it reported, since demand varies. */
-    private static final double HEADROOM = 1.15;
+    /** Smallest demand, so that a holder with little traffic is not shut out. */
+    private static final double MIN_DEMAND = 0.05;
 
-    /** Smallest need, so that a holder with little traffic is not shut out. */
-    private static final double MIN_NEED = 0.05;
+    /**
+     * Up to this ratio of demand to rate, shares are proportional: measured demand varies, and
+     * max-min would take all of a short excess from the holder with the most traffic.
+     */
+    private static final double HEADROOM = 1.25;
 
-    /** Share of rate and burst that goes to holders; the rest serves holders that run low. */
-    private static final double HANDED_OUT = 0.9;
+    /** Part of the tokens that holders keep; the rest serves holders that run low. */
+    private static final double HELD_TOKENS = 0.7;
+
+    /**
+     * Fill that a holder may accumulate, in seconds. Too little loses tokens when arrivals pause,
+     * too much leaves the central bucket no room.
+     */
+    private static final double ACCUMULATED_SECONDS = 0.4;
+
+    /** Capacity of every holder, for the variation of small demands. */
+    private static final double BASE_CAPACITY = 4;
+
+    /** Fill beyond the demand that a holder gets when the rate is not used up. */
+    private static final double SPARE_RATIO = 1.5;
+
+    /** Part of the rate that a holder may get beyond that, so that it can grow from nothing. */
+    private static final double SPARE_RATE = 0.02;
+
+    /** Most tokens that a holder gets beyond the top-up, in seconds of its demand. */
+    private static final double GOAL_SECONDS = 2;
+
+    /** Tokens that a holder which runs low gets at least, in seconds of its demand. */
+    private static final double TOP_UP_SECONDS = 0.3;
+
+    /** Part of the central tokens that a holder which runs low gets on top of that. */
+    private static final double TOP_UP_PART = 0.05;
 
     /** What a holder should have; tokens within the slack are not taken back. */
     record Target(double rate, double capacity, double tokens, double slack) {}
@@ -27,27 +54,27 @@
             double rate,
             double burst,
             double centralTokens) {
-        double needs = 0;
+        double demands = 0;
         double tokens = centralTokens;
         for (ShareEntry other : all) {
-            needs += need(other);
+            demands += need(other);
             tokens += other.tokens;
         }
-        double own = need(entry);
-        double targetRate;
-        if (needs <= rate) {
-            targetRate = Math.max(own, own * rate * HANDED_OUT / needs);
-        } else {
-            targetRate = Math.min(own, waterLevel(all, rate));
+        boolean scarce = demands > rate * HEADROOM;
+        double own = scarce ? Math.min(need(entry), waterLevel(all, rate)) : need(entry);
+        double part = own / (scarce ? rate : demands);
+        double fill = Math.min(part * rate, own * SPARE_RATIO + rate * SPARE_RATE);
+        double topUp = 1 + own * TOP_UP_SECONDS + centralTokens * TOP_UP_PART;
+        double goal = Math.min(part * tokens * HELD_TOKENS, topUp + own * GOAL_SECONDS);
+        if (entry.tokens < topUp) {
+            goal = Math.max(goal, topUp);
         }
-        double part = own / needs;
-        double capacity = Math.min(burst, Math.max(1, part * burst * HANDED_OUT));
-        double share = part * tokens * HANDED_OUT;
-        return new Target(targetRate, capacity, Math.min(share, capacity), 1 + share * 0.25);
+        double capacity = Math.min(burst, BASE_CAPACITY + goal + fill * ACCUMULATED_SECONDS);
+        return new Target(fill, capacity, goal, 1 + goal * 0.25);
     }
 
     private static double need(ShareEntry entry) {
-        return Math.max(MIN_NEED, entry.demand * HEADROOM);
+        return Math.max(MIN_DEMAND, entry.demand);
     }
 
     /** Returns the level such that the needs, cut off at the level, add up to the rate. */
--- a/src/main/java/org/heathercourse/testing/bench/RateBench.java
+++ b/src/main/java/org/heathercourse/testing/bench/RateBench.java
@@ -38,6 +38,8 @@
                         .withRequiredArg()
                         .ofType(Double.class)
                         .defaultsTo(2.0);
+        var part =
+                parser.accepts("moved-part").withRequiredArg().ofType(Double.class).defaultsTo(0.3);
         OptionSet options = parser.parse(args);
         RateScenario scenario =
                 new RateScenario(
@@ -48,7 +50,8 @@
                         options.valueOf(rate),
                         options.valueOf(burst),
                         options.valueOf(load),
-                        options.valueOf(move));
+                        options.valueOf(move),
+                        options.valueOf(part));
         System.out.println(new ObjectMapper().writeValueAsString(measure(scenario)));
     }
 
--- a/src/main/java/org/heathercourse/testing/bench/RateScenario.java
+++ b/src/main/java/org/heathercourse/testing/bench/RateScenario.java
@@ -11,6 +11,7 @@
  * @param burst burst of each workspace
  * @param load arrivals of the first workspace relative to its rate
  * @param moveSeconds time over which traffic moves to its next distribution
+ * @param movedPart part of the VMs whose weight changes every few seconds
  */
 public record RateScenario(
         long seed,
@@ -20,7 +21,8 @@
         double ratePerSecond,
         double burst,
         double load,
-        double moveSeconds) {
+        double moveSeconds,
+        double movedPart) {
     /** Time between two distributions of the traffic over the VMs. */
     static final double DISTRIBUTION_SECONDS = 10;
 
