Serve small bursts with tokens for waiting requests

Cause: fractions of tokens spread over many holders served nobody.

Change: holders without room for fill get tokens for requests that wait; requests wait up to 300 ms when a token is likely.

--- a/src/main/java/org/heathercourse/core/limits/HeldShare.java
+++ b/src/main/java/org/heathercourse/core/limits/HeldShare.java
@@ -36,6 +36,12 @@
     /** A decrease below this part of the former share is reported early. */
     private static final double REPORT_RATIO = 0.9;
 
+    /** Requests that may wait for a first share. */
+    private static final int MAX_WAITING = 64;
+
+    /** Demand that may wait for tokens of the grantor, in seconds: the time between requests. */
+    private static final double WAITING_SECONDS = 0.1;
+
     private final VmId mVm;
     private final long mIncarnation;
     private final DemandMeter mDemand;
@@ -49,6 +55,8 @@
     private boolean mAwaiting;
     private boolean mEverAsked;
     private long mAskedNanos;
+    private int mAskedWaiting;
+    private boolean mDry;
     private double mReportedDemand;
     private long mLastDemandNanos;
 
@@ -85,8 +93,35 @@
         mLastDemandNanos = nowNanos;
     }
 
-    /** Returns whether a request to the grantor is due. */
-    public boolean askDue(long nowNanos) {
+    /**
+     * Returns whether a request that found no token should wait for one.
+     *
+     * @param nowNanos present reading of the ticker
+     * @param waiting requests that wait already
+     * @param maxWaitNanos longest time to wait
+     * @return true if there is no share yet, if the share's own fill suffices in time, or if the
+     *     grantor may have tokens and few requests wait
+     */
+    public boolean worthWaiting(long nowNanos, int waiting, long maxWaitNanos) {
+        expire(nowNanos);
+        if (mSequence == 0) {
+            return waiting < MAX_WAITING;
+        }
+        mBucket.fill(nowNanos);
+        double filled = mBucket.tokens() + mBucket.ratePerSecond() * maxWaitNanos / 1e9;
+        if (filled >= 1 + waiting) {
+            return true;
+        }
+        return !mDry && waiting < 2 + mDemand.perSecond(nowNanos) * WAITING_SECONDS;
+    }
+
+    /**
+     * Returns whether a request to the grantor is due.
+     *
+     * @param nowNanos present reading of the ticker
+     * @param waiting requests that wait here for a token
+     */
+    public boolean askDue(long nowNanos, int waiting) {
         expire(nowNanos);
         long sinceAsk = nowNanos - mAskedNanos;
         if (mEverAsked && sinceAsk < (mAwaiting ? REPLY_TIMEOUT_NANOS : MIN_SPACING_NANOS)) {
@@ -102,8 +137,12 @@
         if (sinceAsk >= PERIOD_NANOS || demandMoved(demand) || owesReport()) {
             return true;
         }
+        if (waiting > 0) {
+            return true;
+        }
         mBucket.fill(nowNanos);
-        return mBucket.tokens() < 1 + demand * LOW_TOKENS_SECONDS
+        return mBucket.ratePerSecond() > 0
+                && mBucket.tokens() < 1 + demand * LOW_TOKENS_SECONDS
                 && nowNanos - mLastDemandNanos < PERIOD_NANOS;
     }
 
@@ -115,6 +154,10 @@
 
     /** Returns whether the grantor waits for a report before it can give tokens or rate on. */
     private boolean owesReport() {
+        if (mBucket.ratePerSecond() == 0 && mBucket.capacity() >= 1 && mBucket.tokens() < 1) {
+            // Without fill, the capacity of spent tokens is of use to others only.
+            return true;
+        }
         return mUnreported != null
                 && (mUnreported.addedTokens() < 0
                         || mUnreported.ratePerSecond() < mBucket.ratePerSecond() * REPORT_RATIO
@@ -126,9 +169,10 @@
      * takes effect here.
      *
      * @param nowNanos present reading of the ticker
+     * @param waiting requests that wait here for a token
      * @return the request
      */
-    public ShareAsk ask(long nowNanos) {
+    public ShareAsk ask(long nowNanos, int waiting) {
         expire(nowNanos);
         if (idle(nowNanos)) {
             drop(nowNanos);
@@ -138,6 +182,7 @@
         mAwaiting = true;
         mEverAsked = true;
         mAskedNanos = nowNanos;
+        mAskedWaiting = waiting;
         mReportedDemand = mDemand.perSecond(nowNanos);
         return new ShareAsk(
                 mVm,
@@ -150,7 +195,8 @@
                 mBucket.tokens(),
                 mReturned,
                 mSequence == 0 ? 0 : (mValidUntilNanos - nowNanos) / 1_000_000L,
-                mFence);
+                mFence,
+                waiting);
     }
 
     /** Applies the decrease that the request now being sent reports. */
@@ -194,6 +240,7 @@
         mReturned = 0;
         mValidUntilNanos = validUntil;
         mUnreported = grant;
+        mDry = mAskedWaiting > 0 && mBucket.tokens() < 1;
         return true;
     }
 
@@ -260,6 +307,12 @@
         return Math.min(mBucket.nanosUntil(1, nowNanos), PERIOD_NANOS);
     }
 
+    /** Returns the time until the share's own fill provides a token; MAX_VALUE if it does not. */
+    public long nanosUntilToken(long nowNanos) {
+        expire(nowNanos);
+        return mBucket.nanosUntil(1, nowNanos);
+    }
+
     /** Returns the fill rate in use. */
     public double ratePerSecond() {
         return mBucket.ratePerSecond();
--- a/src/main/java/org/heathercourse/core/limits/ShareAsk.java
+++ b/src/main/java/org/heathercourse/core/limits/ShareAsk.java
@@ -16,6 +16,7 @@
  * @param returnedTokens tokens that the holder gave up when it adopted this sequence number
  * @param remainingMillis validity left in milliseconds
  * @param grantorFence fencing number of the grantor that gave it; 0 if there is none
+ * @param waiting requests that wait at the holder for a token
  */
 public record ShareAsk(
         VmId holder,
@@ -28,10 +29,12 @@
         double tokens,
         double returnedTokens,
         long remainingMillis,
-        long grantorFence) {
+        long grantorFence,
+        int waiting) {
     /** Returns whether all amounts are finite and none is negative. */
     boolean wellFormed() {
         return number > 0
+                && waiting >= 0
                 && amount(demandPerSecond)
                 && amount(ratePerSecond)
                 && amount(capacity)
--- a/src/main/java/org/heathercourse/core/limits/ShareEntry.java
+++ b/src/main/java/org/heathercourse/core/limits/ShareEntry.java
@@ -14,6 +14,8 @@
 
     double tokens;
 
+    int waiting;
+
     /** Share that the holder reported last. */
     double rate;
 
@@ -32,6 +34,7 @@
         lastNumber = ask.number();
         receivedNanos = nowNanos;
         demand = ask.demandPerSecond();
+        waiting = ask.waiting();
         tokens = Math.min(ask.tokens(), capacity);
     }
 
--- a/src/main/java/org/heathercourse/core/limits/SharePolicy.java
+++ b/src/main/java/org/heathercourse/core/limits/SharePolicy.java
@@ -21,14 +21,28 @@
     /** Part of the tokens that holders keep; the rest serves holders that run low. */
     private static final double HELD_TOKENS = 0.7;
 
+    /** Part of the burst that holders may hold by demand, and equally for small demands. */
+    private static final double HELD_BY_DEMAND = 0.5;
+
+    private static final double HELD_EQUALLY = 0.2;
+
     /**
-     * Fill that a holder may accumulate, in seconds. Too little loses tokens when arrivals pause,
-     * too much leaves the central bucket no room.
+     * Fill that a holder may accumulate: a base for the variation of small demands, and seconds of
+     * fill. Too little loses tokens when arrivals pause, too much leaves the central bucket no
+     * room.
      */
+    private static final double BASE_CAPACITY = 4;
+
     private static final double ACCUMULATED_SECONDS = 0.4;
 
-    /** Capacity of every holder, for the variation of small demands. */
-    private static final double BASE_CAPACITY = 4;
+    /**
+     * A holder that may hold less than this many tokens, or is filled more slowly than this per
+     * second, gets no fill. It gets tokens for requests that wait; fractions of tokens spread over
+     * many holders would be of no use to any.
+     */
+    private static final double LEAST_CAPACITY = 1.5;
+
+    private static final double LEAST_FILL = 1;
 
     /** Fill beyond the demand that a holder gets when the rate is not used up. */
     private static final double SPARE_RATIO = 1.5;
@@ -64,13 +78,23 @@
         double own = scarce ? Math.min(need(entry), waterLevel(all, rate)) : need(entry);
         double part = own / (scarce ? rate : demands);
         double fill = Math.min(part * rate, own * SPARE_RATIO + rate * SPARE_RATE);
-        double topUp = 1 + own * TOP_UP_SECONDS + centralTokens * TOP_UP_PART;
+        double room = burst * (HELD_BY_DEMAND * part + HELD_EQUALLY / all.size());
+        if (room < LEAST_CAPACITY || fill < LEAST_FILL) {
+            double goal = Math.min(burst, entry.waiting);
+            return new Target(0, goal, goal, 1);
+        }
+        // The less a holder can accumulate, the more of its fill would overflow.
+        fill *= 1 - 1 / (1 + room);
+        double topUp =
+                Math.min(room, 1 + own * TOP_UP_SECONDS + centralTokens * TOP_UP_PART)
+                        + entry.waiting;
         double goal = Math.min(part * tokens * HELD_TOKENS, topUp + own * GOAL_SECONDS);
         if (entry.tokens < topUp) {
             goal = Math.max(goal, topUp);
         }
-        double capacity = Math.min(burst, BASE_CAPACITY + goal + fill * ACCUMULATED_SECONDS);
-        return new Target(fill, capacity, goal, 1 + goal * 0.25);
+        double accumulated = BASE_CAPACITY + fill * ACCUMULATED_SECONDS;
+        double capacity = Math.min(burst, Math.min(room + entry.waiting, goal + accumulated));
+        return new Target(fill, capacity, Math.min(goal, capacity), 1 + goal * 0.25);
     }
 
     private static double need(ShareEntry entry) {
--- a/src/main/java/org/heathercourse/daemon/limits/LocalShare.java
+++ b/src/main/java/org/heathercourse/daemon/limits/LocalShare.java
@@ -22,6 +22,7 @@
     private final Condition mArrived = mLock.newCondition();
     private final AtomicBoolean mAskPending = new AtomicBoolean();
     private final HeldShare mShare;
+    private int mWaiting;
 
     /** Result of an attempt to take one request out of the share. */
     record Admission(boolean admitted, boolean holdsShare, long retryAfterMillis) {
@@ -34,7 +35,7 @@
     }
 
     /**
-     * Takes one request, waiting for a first share if none is held.
+     * Takes one request, waiting for a token if one is likely to arrive in time.
      *
      * @param maxWaitMillis longest time to wait
      * @param requestAsk run if a request to the grantor is due and none is scheduled yet
@@ -43,20 +44,39 @@
         mLock.lock();
         try {
             boolean admitted = mShare.tryAcquire(mTicker.readNanos());
-            if (mShare.askDue(mTicker.readNanos()) && mAskPending.compareAndSet(false, true)) {
+            long rest = TimeUnit.MILLISECONDS.toNanos(maxWaitMillis);
+            boolean wait =
+                    !admitted
+                            && rest > 0
+                            && mShare.worthWaiting(mTicker.readNanos(), mWaiting, rest);
+            mWaiting += wait ? 1 : 0;
+            if (mShare.askDue(mTicker.readNanos(), mWaiting)
+                    && mAskPending.compareAndSet(false, true)) {
                 requestAsk.run();
             }
-            long rest = TimeUnit.MILLISECONDS.toNanos(maxWaitMillis);
-            while (!admitted && rest > 0 && !mShare.holdsShare(mTicker.readNanos())) {
-                rest = mArrived.awaitNanos(rest);
-                admitted = mShare.retryAcquire(mTicker.readNanos());
+            return wait ? await(rest) : admitted ? Admission.ADMITTED : refusal();
+        } finally {
+            mLock.unlock();
+        }
+    }
+
+    private Admission await(long maxWaitNanos) {
+        long rest = maxWaitNanos;
+        try {
+            while (rest > 0) {
+                long now = mTicker.readNanos();
+                long step = Math.min(rest, Math.max(1_000, mShare.nanosUntilToken(now)));
+                rest -= step - Math.max(0, mArrived.awaitNanos(step));
+                if (mShare.retryAcquire(mTicker.readNanos())) {
+                    return Admission.ADMITTED;
+                }
             }
-            return admitted ? Admission.ADMITTED : refusal();
+            return refusal();
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
             return refusal();
         } finally {
-            mLock.unlock();
+            mWaiting--;
         }
     }
 
@@ -71,7 +91,9 @@
         try {
             mAskPending.set(false);
             long now = mTicker.readNanos();
-            return mShare.askDue(now) ? Optional.of(mShare.ask(now)) : Optional.empty();
+            return mShare.askDue(now, mWaiting)
+                    ? Optional.of(mShare.ask(now, mWaiting))
+                    : Optional.empty();
         } finally {
             mLock.unlock();
         }
@@ -103,7 +125,7 @@
     boolean retireIfUnused() {
         mLock.lock();
         try {
-            return mShare.droppedOut(mTicker.readNanos()) && !mLock.hasWaiters(mArrived);
+            return mWaiting == 0 && mShare.droppedOut(mTicker.readNanos());
         } finally {
             mLock.unlock();
         }
--- a/src/main/java/org/heathercourse/daemon/limits/ShareMessages.java
+++ b/src/main/java/org/heathercourse/daemon/limits/ShareMessages.java
@@ -23,7 +23,8 @@
                 ask.remainingMillis(),
                 ask.grantorFence(),
                 ask.number(),
-                ask.returnedTokens());
+                ask.returnedTokens(),
+                ask.waiting());
     }
 
     static ShareAsk fromMessage(ShareRequest message) {
@@ -38,7 +39,8 @@
                 message.tokens(),
                 message.returnedTokens(),
                 message.remainingMillis(),
-                message.grantorFence());
+                message.grantorFence(),
+                message.waiting());
     }
 
     static ShareReply toMessage(WorkspaceId workspace, ShareGrant grant) {
--- a/src/main/java/org/heathercourse/daemon/peer/PeerMessage.java
+++ b/src/main/java/org/heathercourse/daemon/peer/PeerMessage.java
@@ -74,6 +74,7 @@
      * @param number number of this request at its holder, rising, by which a grantor recognises
      *     repeated and overtaken requests
      * @param returnedTokens tokens that the holder gave up when it adopted this sequence number
+     * @param waiting requests that wait at the holder for a token
      */
     record ShareRequest(
             WorkspaceId workspace,
@@ -87,7 +88,8 @@
             long remainingMillis,
             long grantorFence,
             long number,
-            double returnedTokens)
+            double returnedTokens,
+            int waiting)
             implements PeerMessage {}
 
     /**
--- a/src/main/java/org/heathercourse/testing/bench/RateRun.java
+++ b/src/main/java/org/heathercourse/testing/bench/RateRun.java
@@ -152,7 +152,7 @@
         HeldShare holder = mHolders[vm];
         if (holder.tryAcquire(mNow)) {
             mCeiling.admitted(mNow);
-        } else if (!holder.holdsShare(mNow)) {
+        } else if (holder.worthWaiting(mNow, mWaiting.get(vm).size(), MAX_WAIT_NANOS)) {
             park(vm, ideal);
         } else {
             mRefusedWithin += ideal ? 1 : 0;
@@ -160,13 +160,14 @@
         askIfDue(vm);
     }
 
-    /** Waits for a first share, as the daemon's limiter does. */
+    /** Waits for a token, as the daemon's limiter does. */
     private void park(int vm, boolean ideal) {
         long id = mOrder;
         mWaiting.get(vm).add(id);
         at(
                 mNow + MAX_WAIT_NANOS,
                 () -> {
+                    serveWaiting(vm);
                     if (mWaiting.get(vm).remove(id)) {
                         mRefusedWithin += ideal ? 1 : 0;
                     }
@@ -186,16 +187,17 @@
     private void tick(int vm) {
         at(mNow + TICK_NANOS, () -> tick(vm));
         if (mAlive[vm]) {
+            serveWaiting(vm);
             askIfDue(vm);
         }
     }
 
     private void askIfDue(int vm) {
-        if (mGrantor < 0 || !mHolders[vm].askDue(mNow)) {
+        if (mGrantor < 0 || !mHolders[vm].askDue(mNow, mWaiting.get(vm).size())) {
             return;
         }
         HeldShare holder = mHolders[vm];
-        ShareAsk ask = holder.ask(mNow);
+        ShareAsk ask = holder.ask(mNow, mWaiting.get(vm).size());
         int grantor = mGrantor;
         long fence = mFence;
         send(vm, grantor, () -> serve(vm, grantor, fence, holder, ask));
