Move whole tokens to holders without fill

Cause: fractions of tokens blocked the burst of small workspaces.

Change: holders without fill get and keep whole tokens only; capacity beyond the holder's room follows the tokens that were really moved.

--- a/src/main/java/org/heathercourse/core/limits/ShareLedger.java
+++ b/src/main/java/org/heathercourse/core/limits/ShareLedger.java
@@ -182,17 +182,11 @@
         SharePolicy.Target target =
                 mPolicy.target(entry, mEntries.values(), mRate, mBurst, mCentral.tokens());
         double rate = Math.min(target.rate(), entry.rate + freeRate);
-        double capacity = Math.min(target.capacity(), entry.capacity + freeCapacity);
-        double added = 0;
-        if (target.tokens() > entry.tokens) {
-            // In flight, the holder may have the old capacity and the added tokens at once.
-            double wanted = Math.min(target.tokens(), capacity) - entry.tokens;
-            added = mCentral.takeUpTo(Math.min(wanted, freeCapacity), nowNanos);
-        } else if (entry.tokens - target.tokens() >= target.slack()) {
-            added = target.tokens() - entry.tokens;
-        }
+        double wanted = target.wanted(entry.tokens, Math.min(freeCapacity, mCentral.tokens()));
+        double added = wanted > 0 ? mCentral.takeUpTo(wanted, nowNanos) : wanted;
         // Capacity moves only as far as the tokens that stay behind still fit the central bucket.
         double movable = Math.max(0, freeCapacity - mCentral.tokens());
+        double capacity = Math.max(target.capacity(), entry.tokens + added);
         capacity = Math.min(capacity, entry.capacity + movable);
         ShareGrant grant =
                 new ShareGrant(mNextSequence++, rate, capacity, added, VALID_MILLIS, mFence);
--- a/src/main/java/org/heathercourse/core/limits/SharePolicy.java
+++ b/src/main/java/org/heathercourse/core/limits/SharePolicy.java
@@ -9,6 +9,9 @@
  * The ledger enforces the limits; this class only states targets. Stateless.
  */
 final class SharePolicy {
+    /** Absorbs the rounding of sums of doubles. */
+    private static final double ROUNDING = 1e-9;
+
     /** Smallest demand, so that a holder with little traffic is not shut out. */
     private static final double MIN_DEMAND = 0.05;
 
@@ -59,8 +62,27 @@
     /** Part of the central tokens that a holder which runs low gets on top of that. */
     private static final double TOP_UP_PART = 0.05;
 
-    /** What a holder should have; tokens within the slack are not taken back. */
-    record Target(double rate, double capacity, double tokens, double slack) {}
+    /**
+     * What a holder should have. Tokens may exceed the capacity, which then follows them; tokens
+     * within the slack are not taken back.
+     */
+    record Target(double rate, double capacity, double tokens, double slack) {
+        /**
+         * Returns the tokens to move to a holder, or, if negative, the tokens to take back.
+         *
+         * @param held tokens that the holder has
+         * @param free tokens that can be moved to it
+         */
+        double wanted(double held, double free) {
+            if (rate > 0) {
+                double missing = tokens - held;
+                return missing > 0 ? Math.min(missing, free) : -missing >= slack ? missing : 0;
+            }
+            // Without fill, a fraction of a token would never become a whole one.
+            double whole = Math.min(Math.ceil(tokens), Math.floor(held + free + ROUNDING));
+            return Math.min(free, whole - held);
+        }
+    }
 
     Target target(
             ShareEntry entry,
@@ -80,8 +102,7 @@
         double fill = Math.min(part * rate, own * SPARE_RATIO + rate * SPARE_RATE);
         double room = burst * (HELD_BY_DEMAND * part + HELD_EQUALLY / all.size());
         if (room < LEAST_CAPACITY || fill < LEAST_FILL) {
-            double goal = Math.min(burst, entry.waiting);
-            return new Target(0, goal, goal, 1);
+            return new Target(0, 0, Math.min(burst, entry.waiting), 1);
         }
         // The less a holder can accumulate, the more of its fill would overflow.
         fill *= 1 - 1 / (1 + room);
@@ -93,8 +114,8 @@
             goal = Math.max(goal, topUp);
         }
         double accumulated = BASE_CAPACITY + fill * ACCUMULATED_SECONDS;
-        double capacity = Math.min(burst, Math.min(room + entry.waiting, goal + accumulated));
-        return new Target(fill, capacity, Math.min(goal, capacity), 1 + goal * 0.25);
+        double capacity = Math.min(room, goal + accumulated);
+        return new Target(fill, capacity, Math.min(burst, goal), 1 + goal * 0.25);
     }
 
     private static double need(ShareEntry entry) {
