Test the conservation of shares; adopt only reports of the new tenure

A holder that left after 30 s also adopted the reply to its last report.

Change: a new grantor answers reports made without knowledge of its fence with a call for a new report; ShareRequest carries the highest fence seen. A share that a new grantor refused to count ends when its reply arrives. Each rule has a test that breaks it.

--- a/src/main/java/org/heathercourse/core/limits/HeldShare.java
+++ b/src/main/java/org/heathercourse/core/limits/HeldShare.java
@@ -48,6 +48,8 @@
     private final TokenBucket mBucket;
     private long mSequence;
     private long mFence;
+    private long mSeenFence;
+    private boolean mReportNow;
     private double mReturned;
     private long mValidUntilNanos;
     private ShareGrant mUnreported;
@@ -123,6 +125,9 @@
      */
     public boolean askDue(long nowNanos, int waiting) {
         expire(nowNanos);
+        if (mReportNow) {
+            return true;
+        }
         long sinceAsk = nowNanos - mAskedNanos;
         if (mEverAsked && sinceAsk < (mAwaiting ? REPLY_TIMEOUT_NANOS : MIN_SPACING_NANOS)) {
             return false;
@@ -174,13 +179,16 @@
      */
     public ShareAsk ask(long nowNanos, int waiting) {
         expire(nowNanos);
-        if (idle(nowNanos)) {
+        boolean leaving = idle(nowNanos);
+        if (leaving) {
             drop(nowNanos);
         }
         settle(nowNanos);
         mNumber++;
-        mAwaiting = true;
+        // A holder that leaves does not adopt the reply to its last report.
+        mAwaiting = !leaving;
         mEverAsked = true;
+        mReportNow = false;
         mAskedNanos = nowNanos;
         mAskedWaiting = waiting;
         mReportedDemand = mDemand.perSecond(nowNanos);
@@ -196,6 +204,7 @@
                 mReturned,
                 mSequence == 0 ? 0 : (mValidUntilNanos - nowNanos) / 1_000_000L,
                 mFence,
+                mSeenFence,
                 waiting);
     }
 
@@ -226,10 +235,18 @@
             return false;
         }
         mAwaiting = false;
-        long validUntil = mAskedNanos + grant.validMillis() * 1_000_000L;
+        mSeenFence = grant.grantorFence();
+        if (grant.isReportCall()) {
+            mReportNow = true;
+            return false;
+        }
+        long validUntil = validFrom(mAskedNanos, nowNanos) + grant.validMillis() * 1_000_000L;
         if (validUntil - nowNanos <= 0) {
             return false;
         }
+        if (grant.grantorFence() != mFence && mSequence != 0) {
+            replaceEarlier(grant, nowNanos);
+        }
         double added = Math.max(0, grant.addedTokens());
         double capacity = Math.max(mBucket.capacity() + added, grant.capacity());
         mBucket.reshape(
@@ -244,9 +261,25 @@
         return true;
     }
 
+    /**
+     * Cuts the share of an earlier grantor down to the new one at once. The new grantor may know of
+     * less than is held here if an old report reached it first, so the rest must not live on.
+     */
+    void replaceEarlier(ShareGrant grant, long nowNanos) {
+        mBucket.reshape(
+                Math.min(mBucket.ratePerSecond(), grant.ratePerSecond()),
+                Math.min(mBucket.capacity(), grant.capacity()),
+                nowNanos);
+    }
+
+    /** Returns the reading from which a share is valid: the sending of the request. */
+    long validFrom(long askedNanos, long receivedNanos) {
+        return askedNanos;
+    }
+
     /** Returns whether a reply answers the latest request and no older grantor sent it. */
     boolean accepts(long number, ShareGrant grant) {
-        return mAwaiting && number == mNumber && grant.grantorFence() >= mFence;
+        return mAwaiting && number == mNumber && grant.grantorFence() >= mSeenFence;
     }
 
     /** Notes that the latest request got no reply, so that the next may be sent. */
--- a/src/main/java/org/heathercourse/core/limits/ShareAsk.java
+++ b/src/main/java/org/heathercourse/core/limits/ShareAsk.java
@@ -16,6 +16,7 @@
  * @param returnedTokens tokens that the holder gave up when it adopted this sequence number
  * @param remainingMillis validity left in milliseconds
  * @param grantorFence fencing number of the grantor that gave it; 0 if there is none
+ * @param seenFence highest fencing number of a grantor that the holder knew when it sent this
  * @param waiting requests that wait at the holder for a token
  */
 public record ShareAsk(
@@ -30,6 +31,7 @@
         double returnedTokens,
         long remainingMillis,
         long grantorFence,
+        long seenFence,
         int waiting) {
     /** Returns whether all amounts are finite and none is negative. */
     boolean wellFormed() {
--- a/src/main/java/org/heathercourse/core/limits/ShareGrant.java
+++ b/src/main/java/org/heathercourse/core/limits/ShareGrant.java
@@ -17,4 +17,18 @@
         double capacity,
         double addedTokens,
         long validMillis,
-        long grantorFence) {}
+        long grantorFence) {
+    /**
+     * Returns the reply of a new grantor that needs a report made with knowledge of its fence.
+     *
+     * @param fence fencing number of the grantor
+     */
+    static ShareGrant reportCall(long fence) {
+        return new ShareGrant(0, 0, 0, 0, 0, fence);
+    }
+
+    /** Returns whether this is no share but asks the holder to report at once. */
+    boolean isReportCall() {
+        return validMillis == 0;
+    }
+}
--- a/src/main/java/org/heathercourse/core/limits/ShareLedger.java
+++ b/src/main/java/org/heathercourse/core/limits/ShareLedger.java
@@ -59,7 +59,7 @@
         mTakeoverNanos = takeoverNanos;
         mRate = ratePerSecond;
         mBurst = burst;
-        mSettling = fence > FIRST_FENCE;
+        mSettling = fence > FIRST_FENCE && settleNanos() > 0;
         mUnknownRate = mSettling ? ratePerSecond : 0;
         mUnknownBurst = mSettling ? burst : 0;
         mPolicy = new SharePolicy();
@@ -101,13 +101,16 @@
             return Optional.empty();
         }
         expire(nowNanos);
+        if (mSettling && !upToDate(ask)) {
+            return Optional.of(ShareGrant.reportCall(mFence));
+        }
         HolderKey key = new HolderKey(ask.holder(), ask.holderIncarnation());
         ShareEntry entry = mEntries.get(key);
         if (entry == null) {
             entry = new ShareEntry();
             mEntries.put(key, entry);
             adopt(entry, ask);
-        } else if (ask.number() == entry.lastNumber) {
+        } else if (repeated(entry, ask)) {
             return Optional.ofNullable(entry.lastGrant);
         } else if (overtaken(entry, ask)) {
             return Optional.empty();
@@ -119,6 +122,23 @@
         return Optional.of(grant(entry, nowNanos));
     }
 
+    // The rules of conservation. Tests break each of them to see the ceiling exceeded.
+
+    /**
+     * Returns whether a report was made with knowledge of this grantor. An older report may be from
+     * before a change of shares by an earlier grantor; adopted, it would count one holder's share
+     * twice as large and another's not at all.
+     */
+    boolean upToDate(ShareAsk ask) {
+        return ask.seenFence() >= mFence;
+    }
+
+    /** Returns whether the last request came again; it gets the same reply. */
+    boolean repeated(ShareEntry entry, ShareAsk ask) {
+        return ask.number() == entry.lastNumber;
+    }
+
+    /** Returns whether a later request of the holder came before; its report is out of date. */
     boolean overtaken(ShareEntry entry, ShareAsk ask) {
         return ask.number() < entry.lastNumber;
     }
@@ -150,8 +170,7 @@
     /** Finds out whether the last reply was adopted; it never will be if this one does not say. */
     private void resolve(ShareEntry entry, ShareAsk ask, long nowNanos) {
         ShareGrant pending = entry.lastGrant;
-        boolean current = ask.grantorFence() == mFence && ask.adoptedSequence() != 0;
-        if (current && pending != null && ask.adoptedSequence() == pending.sequence()) {
+        if (pending != null && confirms(ask, pending)) {
             entry.rate = pending.ratePerSecond();
             entry.capacity = pending.capacity();
             entry.pendingTokens = 0;
@@ -171,6 +190,26 @@
         mCentral.add(lost, nowNanos);
     }
 
+    /** Returns whether a request reports that a reply of this grantor was adopted. */
+    boolean confirms(ShareAsk ask, ShareGrant pending) {
+        return ask.grantorFence() == mFence && ask.adoptedSequence() == pending.sequence();
+    }
+
+    /** Returns the fill rate that a holder may be using: a decrease counts when reported. */
+    double countedRate(ShareEntry entry) {
+        return entry.countedRate();
+    }
+
+    /** Returns the capacity that a holder may be using. */
+    double countedCapacity(ShareEntry entry) {
+        return entry.countedCapacity();
+    }
+
+    /** Returns how long shares of earlier grantors count. */
+    long settleNanos() {
+        return VALID_NANOS;
+    }
+
     /** Returns the tokens that a report gives back; a holder cannot give more than it can hold. */
     private static double credit(ShareAsk ask, ShareEntry entry) {
         return Math.min(ask.returnedTokens(), entry.countedBefore);
@@ -200,7 +239,7 @@
     private void expire(long nowNanos) {
         mCentral.fill(nowNanos);
         boolean removed = mEntries.values().removeIf(entry -> expired(entry, nowNanos));
-        boolean settled = mSettling && nowNanos - mTakeoverNanos >= VALID_NANOS;
+        boolean settled = mSettling && nowNanos - mTakeoverNanos >= settleNanos();
         if (settled) {
             mSettling = false;
             mUnknownRate = 0;
@@ -218,7 +257,7 @@
     private double countedRate() {
         double sum = 0;
         for (ShareEntry entry : mEntries.values()) {
-            sum += entry.countedRate();
+            sum += countedRate(entry);
         }
         return sum;
     }
@@ -226,7 +265,7 @@
     private double countedCapacity() {
         double sum = 0;
         for (ShareEntry entry : mEntries.values()) {
-            sum += entry.countedCapacity();
+            sum += countedCapacity(entry);
         }
         return sum;
     }
@@ -245,6 +284,18 @@
         mCentral.reshape(mRate - outstandingRate(), mBurst - outstandingCapacity(), nowNanos);
     }
 
+    /** Returns the fill rate of the central bucket. */
+    public double centralRatePerSecond(long nowNanos) {
+        expire(nowNanos);
+        return mCentral.ratePerSecond();
+    }
+
+    /** Returns the capacity of the central bucket. */
+    public double centralCapacity(long nowNanos) {
+        expire(nowNanos);
+        return mCentral.capacity();
+    }
+
     /** Returns the tokens in the central bucket. */
     public double centralTokens(long nowNanos) {
         expire(nowNanos);
--- a/src/main/java/org/heathercourse/core/limits/SharePolicy.java
+++ b/src/main/java/org/heathercourse/core/limits/SharePolicy.java
@@ -97,7 +97,8 @@
             tokens += other.tokens;
         }
         boolean scarce = demands > rate * HEADROOM;
-        double own = scarce ? Math.min(need(entry), waterLevel(all, rate)) : need(entry);
+        double level = scarce ? waterLevel(all, rate) : Double.POSITIVE_INFINITY;
+        double own = Math.min(need(entry), level);
         double part = own / (scarce ? rate : demands);
         double fill = Math.min(part * rate, own * SPARE_RATIO + rate * SPARE_RATE);
         double room = burst * (HELD_BY_DEMAND * part + HELD_EQUALLY / all.size());
@@ -110,7 +111,8 @@
                 Math.min(room, 1 + own * TOP_UP_SECONDS + centralTokens * TOP_UP_PART)
                         + entry.waiting;
         double goal = Math.min(part * tokens * HELD_TOKENS, topUp + own * GOAL_SECONDS);
-        if (entry.tokens < topUp) {
+        // A holder that is cut off at the level would take the tokens that the others need.
+        if (entry.tokens < topUp && own < level) {
             goal = Math.max(goal, topUp);
         }
         double accumulated = BASE_CAPACITY + fill * ACCUMULATED_SECONDS;
--- a/src/main/java/org/heathercourse/daemon/limits/ShareMessages.java
+++ b/src/main/java/org/heathercourse/daemon/limits/ShareMessages.java
@@ -24,6 +24,7 @@
                 ask.grantorFence(),
                 ask.number(),
                 ask.returnedTokens(),
+                ask.seenFence(),
                 ask.waiting());
     }
 
@@ -40,6 +41,7 @@
                 message.returnedTokens(),
                 message.remainingMillis(),
                 message.grantorFence(),
+                message.seenFence(),
                 message.waiting());
     }
 
--- a/src/main/java/org/heathercourse/daemon/peer/PeerMessage.java
+++ b/src/main/java/org/heathercourse/daemon/peer/PeerMessage.java
@@ -74,6 +74,7 @@
      * @param number number of this request at its holder, rising, by which a grantor recognises
      *     repeated and overtaken requests
      * @param returnedTokens tokens that the holder gave up when it adopted this sequence number
+     * @param seenFence highest fencing number of a grantor that the holder knew when it sent this
      * @param waiting requests that wait at the holder for a token
      */
     record ShareRequest(
@@ -89,6 +90,7 @@
             long grantorFence,
             long number,
             double returnedTokens,
+            long seenFence,
             int waiting)
             implements PeerMessage {}
 
@@ -101,7 +103,8 @@
      * @param capacity capacity of the share
      * @param addedTokens tokens that move to the holder; if negative, the most tokens that the
      *     holder is to give back with its next request
-     * @param validMillis validity in milliseconds, counted from the sending of the request
+     * @param validMillis validity in milliseconds, counted from the sending of the request; 0 if
+     *     this is no share but the call of a new grantor for a report
      * @param grantorFence fencing number of the grantor
      */
     record ShareReply(
--- /dev/null
+++ b/src/test/java/org/heathercourse/core/limits/ShareWorld.java
@@ -0,0 +1,144 @@
+package org.heathercourse.core.limits;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.PriorityQueue;
+import java.util.Random;
+import org.heathercourse.core.model.VmId;
+import org.heathercourse.testing.bench.CeilingCheck;
+
+/**
+ * A ledger and greedy holders over a network that loses, repeats, delays and reorders messages;
+ * grantors change now and then and holders are cut off. Checks the ceiling after each step.
+ */
+final class ShareWorld {
+    static final double RATE = 20;
+    static final double BURST = 30;
+    private static final long STEP = 20_000_000L;
+    private static final int HOLDERS = 4;
+
+    /** Makes the parts, so that tests can break one rule of them. */
+    interface Parts {
+        default ShareLedger ledger(long fence, double rate, double burst, long now) {
+            return new ShareLedger(fence, rate, burst, now);
+        }
+
+        default HeldShare holder(VmId vm, long incarnation, long now) {
+            return new HeldShare(vm, incarnation, now);
+        }
+    }
+
+    private record Message(long at, int order, Runnable action) implements Comparable<Message> {
+        @Override
+        public int compareTo(Message other) {
+            return at != other.at ? Long.compare(at, other.at) : order - other.order;
+        }
+    }
+
+    private final Random mRandom;
+    private final Parts mParts;
+    private final PriorityQueue<Message> mMessages = new PriorityQueue<>();
+    private final List<HeldShare> mHolders = new ArrayList<>();
+    private final long[] mCutUntil = new long[HOLDERS];
+    private final boolean[] mBusy = new boolean[HOLDERS];
+    private final CeilingCheck mCeiling = new CeilingCheck(RATE, BURST);
+    private long mNow;
+    private int mOrder;
+    private long mFence = 1;
+    private ShareLedger mLedger;
+    private double mWorstRate;
+    private double mWorstCapacity;
+
+    ShareWorld(long seed, Parts parts) {
+        mRandom = new Random(seed);
+        mParts = parts;
+        mLedger = parts.ledger(mFence, RATE, BURST, 0);
+        for (int i = 0; i < HOLDERS; i++) {
+            mHolders.add(parts.holder(new VmId("vm-" + i), 1, 0));
+        }
+    }
+
+    /** Runs for some seconds and describes the first rule that was broken; empty if none was. */
+    String run(int seconds) {
+        for (long end = mNow + seconds * 1_000_000_000L; mNow < end; mNow += STEP) {
+            while (!mMessages.isEmpty() && mMessages.peek().at() <= mNow) {
+                mMessages.poll().action().run();
+            }
+            if (mRandom.nextInt(600) == 0) {
+                mFence++;
+                mLedger = mParts.ledger(mFence, RATE, BURST, mNow);
+            }
+            if (mRandom.nextInt(400) == 0) {
+                int vm = mRandom.nextInt(HOLDERS);
+                mHolders.set(vm, mParts.holder(new VmId("vm-" + vm), mOrder + 2, mNow));
+            }
+            if (mRandom.nextInt(800) == 0) {
+                mCutUntil[mRandom.nextInt(HOLDERS)] = mNow + 12_000_000_000L;
+            }
+            for (int i = 0; i < HOLDERS; i++) {
+                step(i);
+            }
+            check();
+        }
+        if (mWorstRate > RATE + 1e-6) {
+            return "fill rates add up to " + mWorstRate;
+        }
+        if (mWorstCapacity > BURST + 1e-6) {
+            return "capacities add up to " + mWorstCapacity;
+        }
+        return mCeiling.over() == 0 ? "" : mCeiling.over() + " admissions over the ceiling";
+    }
+
+    double admittedPerSecond() {
+        return mCeiling.admitted() * 1e9 / mNow;
+    }
+
+    private void step(int vm) {
+        HeldShare holder = mHolders.get(vm);
+        if (mRandom.nextInt(150) == 0) {
+            mBusy[vm] = !mBusy[vm];
+        }
+        if (mBusy[vm] && mRandom.nextInt(4) == 0) {
+            while (holder.tryAcquire(mNow)) {
+                mCeiling.admitted(mNow);
+            }
+        }
+        if (holder.askDue(mNow, 0)) {
+            ShareAsk ask = holder.ask(mNow, 0);
+            send(vm, () -> serve(vm, holder, ask));
+        }
+    }
+
+    private void serve(int vm, HeldShare holder, ShareAsk ask) {
+        if (ask.grantorFence() > mFence) {
+            return;
+        }
+        mLedger.onAsk(ask, mNow)
+                .ifPresent(grant -> send(-1, () -> holder.onGrant(ask.number(), grant, mNow)));
+    }
+
+    /** Loses one message in ten, repeats one in ten, delays some beyond the next ones. */
+    private void send(int from, Runnable action) {
+        if (from >= 0 && mNow < mCutUntil[from]) {
+            return;
+        }
+        int copies = mRandom.nextInt(10) == 0 ? 0 : mRandom.nextInt(9) == 0 ? 2 : 1;
+        for (int i = 0; i < copies; i++) {
+            long delay = mRandom.nextInt(8) == 0 ? mRandom.nextInt(3_000) : mRandom.nextInt(40);
+            mMessages.add(new Message(mNow + delay * 1_000_000L, mOrder++, action));
+        }
+    }
+
+    private void check() {
+        double rate = mLedger.centralRatePerSecond(mNow);
+        double capacity = mLedger.centralCapacity(mNow);
+        for (HeldShare holder : mHolders) {
+            if (holder.holdsShare(mNow)) {
+                rate += holder.ratePerSecond();
+                capacity += holder.capacity();
+            }
+        }
+        mWorstRate = Math.max(mWorstRate, rate);
+        mWorstCapacity = Math.max(mWorstCapacity, capacity);
+    }
+}
