--- a/src/main/java/org/heathercourse/daemon/config/ConfigWatcher.java
+++ b/src/main/java/org/heathercourse/daemon/config/ConfigWatcher.java
@@ -99,9 +99,14 @@
 
     /** Registers the handlers and starts to poll. */
     public void start() {
+        register();
+        mPoll.execute(this::pollAndReschedule);
+    }
+
+    /** Registers the handlers of requests. */
+    void register() {
         mNetwork.onRequest(StatusRequest.class, this::onStatus);
         mNetwork.onRequest(ConfigPush.class, this::onPush);
-        mPoll.execute(this::pollAndReschedule);
     }
 
     @Override
