--- a/src/main/java/org/heathercourse/core/limits/ShareLedger.java
+++ b/src/main/java/org/heathercourse/core/limits/ShareLedger.java
@@ -25,6 +25,9 @@
     /** Fence of the first owner ever: no earlier grantor can have given shares. */
     static final long FIRST_FENCE = 1;
 
+    /** Absorbs the rounding of sums of doubles. */
+    private static final double ROUNDING = 1e-9;
+
     private final long mFence;
     private final long mTakeoverNanos;
     private final Map<HolderKey, ShareEntry> mEntries = new LinkedHashMap<>();
@@ -33,6 +36,11 @@
     private double mRate;
     private double mBurst;
     private boolean mSettling;
+
+    /** Rate and burst that holders unknown to this grantor may be using until it has settled. */
+    private double mUnknownRate;
+
+    private double mUnknownBurst;
     private long mNextSequence = 1;
 
     /** A process on a VM. */
@@ -51,7 +59,9 @@
         mTakeoverNanos = takeoverNanos;
         mRate = ratePerSecond;
         mBurst = burst;
-        mSettling = fence > FIRST_FENCE;
+        mSettling = fence > FIRST_FENCE && settleNanos() > 0;
+        mUnknownRate = mSettling ? ratePerSecond : 0;
+        mUnknownBurst = mSettling ? burst : 0;
         mPolicy = new SharePolicy();
         mCentral =
                 mSettling
@@ -68,6 +78,11 @@
      */
     public void reconfigure(double ratePerSecond, double burst, long nowNanos) {
         expire(nowNanos);
+        if (mSettling) {
+            // The earlier grantor may have handed out the increase already.
+            mUnknownRate += Math.max(0, ratePerSecond - mRate);
+            mUnknownBurst += Math.max(0, burst - mBurst);
+        }
         mRate = ratePerSecond;
         mBurst = burst;
         reshapeCentral(nowNanos);
@@ -86,13 +101,16 @@
             return Optional.empty();
         }
         expire(nowNanos);
+        if (mSettling && !upToDate(ask)) {
+            return Optional.of(ShareGrant.reportCall(mFence));
+        }
         HolderKey key = new HolderKey(ask.holder(), ask.holderIncarnation());
         ShareEntry entry = mEntries.get(key);
         if (entry == null) {
             entry = new ShareEntry();
             mEntries.put(key, entry);
             adopt(entry, ask);
-        } else if (ask.number() == entry.lastNumber) {
+        } else if (repeated(entry, ask)) {
             return Optional.ofNullable(entry.lastGrant);
         } else if (overtaken(entry, ask)) {
             return Optional.empty();
@@ -104,6 +122,23 @@
         return Optional.of(grant(entry, nowNanos));
     }
 
+    // The rules of conservation. Tests break each of them to see the ceiling exceeded.
+
+    /**
+     * Returns whether a report was made with knowledge of this grantor. An older report may be from
+     * before a change of shares by an earlier grantor; adopted, it would count one holder's share
+     * twice as large and another's not at all.
+     */
+    boolean upToDate(ShareAsk ask) {
+        return ask.seenFence() >= mFence;
+    }
+
+    /** Returns whether the last request came again; it gets the same reply. */
+    boolean repeated(ShareEntry entry, ShareAsk ask) {
+        return ask.number() == entry.lastNumber;
+    }
+
+    /** Returns whether a later request of the holder came before; its report is out of date. */
     boolean overtaken(ShareEntry entry, ShareAsk ask) {
         return ask.number() < entry.lastNumber;
     }
@@ -113,11 +148,14 @@
         if (!adoptable(ask)) {
             return;
         }
-        double restRate = mRate - countedRate();
-        double restBurst = mBurst - countedCapacity();
-        if (ask.ratePerSecond() <= restRate + 1e-9 && ask.capacity() <= restBurst + 1e-9) {
+        boolean fits =
+                ask.ratePerSecond() <= mUnknownRate + ROUNDING
+                        && ask.capacity() <= mUnknownBurst + ROUNDING;
+        if (fits) {
             entry.rate = ask.ratePerSecond();
             entry.capacity = ask.capacity();
+            mUnknownRate = Math.max(0, mUnknownRate - entry.rate);
+            mUnknownBurst = Math.max(0, mUnknownBurst - entry.capacity);
         }
     }
 
@@ -132,8 +170,7 @@
     /** Finds out whether the last reply was adopted; it never will be if this one does not say. */
     private void resolve(ShareEntry entry, ShareAsk ask, long nowNanos) {
         ShareGrant pending = entry.lastGrant;
-        boolean current = ask.grantorFence() == mFence && ask.adoptedSequence() != 0;
-        if (current && pending != null && ask.adoptedSequence() == pending.sequence()) {
+        if (pending != null && confirms(ask, pending)) {
             entry.rate = pending.ratePerSecond();
             entry.capacity = pending.capacity();
             entry.pendingTokens = 0;
@@ -153,6 +190,26 @@
         mCentral.add(lost, nowNanos);
     }
 
+    /** Returns whether a request reports that a reply of this grantor was adopted. */
+    boolean confirms(ShareAsk ask, ShareGrant pending) {
+        return ask.grantorFence() == mFence && ask.adoptedSequence() == pending.sequence();
+    }
+
+    /** Returns the fill rate that a holder may be using: a decrease counts when reported. */
+    double countedRate(ShareEntry entry) {
+        return entry.countedRate();
+    }
+
+    /** Returns the capacity that a holder may be using. */
+    double countedCapacity(ShareEntry entry) {
+        return entry.countedCapacity();
+    }
+
+    /** Returns how long shares of earlier grantors count. */
+    long settleNanos() {
+        return VALID_NANOS;
+    }
+
     /** Returns the tokens that a report gives back; a holder cannot give more than it can hold. */
     private static double credit(ShareAsk ask, ShareEntry entry) {
         return Math.min(ask.returnedTokens(), entry.countedBefore);
@@ -164,17 +221,11 @@
         SharePolicy.Target target =
                 mPolicy.target(entry, mEntries.values(), mRate, mBurst, mCentral.tokens());
         double rate = Math.min(target.rate(), entry.rate + freeRate);
-        double capacity = Math.min(target.capacity(), entry.capacity + freeCapacity);
-        double added = 0;
-        if (target.tokens() > entry.tokens) {
-            // In flight, the holder may have the old capacity and the added tokens at once.
-            double wanted = Math.min(target.tokens(), capacity) - entry.tokens;
-            added = mCentral.takeUpTo(Math.min(wanted, freeCapacity), nowNanos);
-        } else if (entry.tokens - target.tokens() >= target.slack()) {
-            added = target.tokens() - entry.tokens;
-        }
+        double wanted = target.wanted(entry.tokens, Math.min(freeCapacity, mCentral.tokens()));
+        double added = wanted > 0 ? mCentral.takeUpTo(wanted, nowNanos) : wanted;
         // Capacity moves only as far as the tokens that stay behind still fit the central bucket.
         double movable = Math.max(0, freeCapacity - mCentral.tokens());
+        double capacity = Math.max(target.capacity(), entry.tokens + added);
         capacity = Math.min(capacity, entry.capacity + movable);
         ShareGrant grant =
                 new ShareGrant(mNextSequence++, rate, capacity, added, VALID_MILLIS, mFence);
@@ -188,9 +239,11 @@
     private void expire(long nowNanos) {
         mCentral.fill(nowNanos);
         boolean removed = mEntries.values().removeIf(entry -> expired(entry, nowNanos));
-        boolean settled = mSettling && nowNanos - mTakeoverNanos >= VALID_NANOS;
+        boolean settled = mSettling && nowNanos - mTakeoverNanos >= settleNanos();
         if (settled) {
             mSettling = false;
+            mUnknownRate = 0;
+            mUnknownBurst = 0;
         }
         if (removed || settled) {
             reshapeCentral(nowNanos);
@@ -204,7 +257,7 @@
     private double countedRate() {
         double sum = 0;
         for (ShareEntry entry : mEntries.values()) {
-            sum += entry.countedRate();
+            sum += countedRate(entry);
         }
         return sum;
     }
@@ -212,25 +265,37 @@
     private double countedCapacity() {
         double sum = 0;
         for (ShareEntry entry : mEntries.values()) {
-            sum += entry.countedCapacity();
+            sum += countedCapacity(entry);
         }
         return sum;
     }
 
     /** Returns the fill rate that holders may be using, unknown holders included. */
     double outstandingRate() {
-        return mSettling ? Math.max(mRate, countedRate()) : countedRate();
+        return mUnknownRate + countedRate();
     }
 
     /** Returns the capacity that holders may be using, unknown holders included. */
     double outstandingCapacity() {
-        return mSettling ? Math.max(mBurst, countedCapacity()) : countedCapacity();
+        return mUnknownBurst + countedCapacity();
     }
 
     private void reshapeCentral(long nowNanos) {
         mCentral.reshape(mRate - outstandingRate(), mBurst - outstandingCapacity(), nowNanos);
     }
 
+    /** Returns the fill rate of the central bucket. */
+    public double centralRatePerSecond(long nowNanos) {
+        expire(nowNanos);
+        return mCentral.ratePerSecond();
+    }
+
+    /** Returns the capacity of the central bucket. */
+    public double centralCapacity(long nowNanos) {
+        expire(nowNanos);
+        return mCentral.capacity();
+    }
+
     /** Returns the tokens in the central bucket. */
     public double centralTokens(long nowNanos) {
         expire(nowNanos);
--- a/src/main/java/org/heathercourse/daemon/limits/ShareMessages.java
+++ b/src/main/java/org/heathercourse/daemon/limits/ShareMessages.java
@@ -23,7 +23,9 @@
                 ask.remainingMillis(),
                 ask.grantorFence(),
                 ask.number(),
-                ask.returnedTokens());
+                ask.returnedTokens(),
+                ask.seenFence(),
+                ask.waiting());
     }
 
     static ShareAsk fromMessage(ShareRequest message) {
@@ -38,7 +40,9 @@
                 message.tokens(),
                 message.returnedTokens(),
                 message.remainingMillis(),
-                message.grantorFence());
+                message.grantorFence(),
+                message.seenFence(),
+                message.waiting());
     }
 
     static ShareReply toMessage(WorkspaceId workspace, ShareGrant grant) {
