--- a/src/main/java/org/heathercourse/core/admission/AdaptiveLimit.java
+++ b/src/main/java/org/heathercourse/core/admission/AdaptiveLimit.java
@@ -12,8 +12,11 @@
  * @param shrunkMillis time of the last decrease
  */
 public record AdaptiveLimit(double limit, double min, double max, long shrunkMillis) {
-    /** A wait above this time is long. */
-    public static final long LONG_WAIT_MILLIS = 5_000;
+    /**
+     * A wait above this share of the call's deadline is long. Calls of low priority wait for some
+     * seconds by design, so that a short fixed bound refused calls that would have run in time.
+     */
+    private static final double LONG_WAIT_SHARE = 0.25;
 
     /** Waits of one congestion arrive together; only one of them within this time counts. */
     private static final long SHRINK_INTERVAL_MILLIS = 2_000;
@@ -35,11 +38,13 @@
      * Returns the limit after an observation.
      *
      * @param waitMillis time that a call waited before the target began with it
+     * @param deadlineMillis time that the call had until its deadline
      * @param inFlight calls in flight at the target
      * @param nowMillis present time
      */
-    public AdaptiveLimit observe(double waitMillis, double inFlight, long nowMillis) {
-        if (waitMillis > LONG_WAIT_MILLIS) {
+    public AdaptiveLimit observe(
+            double waitMillis, double deadlineMillis, double inFlight, long nowMillis) {
+        if (waitMillis > deadlineMillis * LONG_WAIT_SHARE) {
             if (nowMillis - shrunkMillis < SHRINK_INTERVAL_MILLIS) {
                 return this;
             }
--- a/src/main/java/org/heathercourse/core/placement/TargetView.java
+++ b/src/main/java/org/heathercourse/core/placement/TargetView.java
@@ -182,7 +182,11 @@
         }
         if (attempt.mRequest.requestClass() != RequestClass.URGENT) {
             mLimit =
-                    mLimit.observe(waited - attempt.mWaitMillis, inFlight(nowMillis, 1), nowMillis);
+                    mLimit.observe(
+                            waited - attempt.mWaitMillis,
+                            attempt.mRequest.deadlineMillis(),
+                            inFlight(nowMillis, 1),
+                            nowMillis);
         }
     }
 
