Charge computed prompts with the delay that they put on running calls

Cause: (1) the time of a prompt token was taken from times to the first token, which mostly hold waits, and was several times too high for short prompts; (2) placement ignored that an engine computes a prompt inside the steps of its running calls and so delays each of them. Change: (1) slope of a decaying regression; (2) cost of others = prompt time times running calls.

--- a/src/main/java/org/heathercourse/core/placement/PlacementCost.java
+++ b/src/main/java/org/heathercourse/core/placement/PlacementCost.java
@@ -19,7 +19,7 @@
      * Weight of the delay that a computed prompt puts on each call running at the target. Engines
      * share each step between prompts and answers, so that a computed prompt delays all of them.
      */
-    private static final double OTHERS_WEIGHT = 0.0;
+    private static final double OTHERS_WEIGHT = 1;
 
     private PlacementCost() {}
 
--- a/src/main/java/org/heathercourse/core/placement/TargetView.java
+++ b/src/main/java/org/heathercourse/core/placement/TargetView.java
@@ -19,6 +19,7 @@
     /** Repeated events lie at most this far back; lower numbers mean a restart of the engine. */
     private static final long REPEATED_EVENTS = 256;
 
+    private static final double DEFAULT_PROMPT_TOKEN_MILLIS = 0.05;
     private static final double DEFAULT_CALL_MILLIS = 3_000;
 
     private final int mIndex;
@@ -31,7 +32,7 @@
     private long mReportMillis = Long.MIN_VALUE / 2;
     private double mSlots;
     private int mOwnInFlight;
-    private double mPromptTokenMillis = 0.1;
+    private final PromptSpeed mPromptSpeed = new PromptSpeed(DEFAULT_PROMPT_TOKEN_MILLIS);
     private double mOutputTokenMillis = 30;
     private double mCallMillis = DEFAULT_CALL_MILLIS;
     private double mResidenceMillis = 600_000;
@@ -64,7 +65,7 @@
             mDispatchedMillis = nowMillis;
             mUncachedTokens = Math.max(0, request.promptTokens() - pick.cachedTokens());
             mReservedMillis = reservedMillis;
-            mWaitMillis = mUncachedTokens * view.mPromptTokenMillis;
+            mWaitMillis = mUncachedTokens * view.promptTokenMillis();
         }
 
         TargetView view() {
@@ -174,12 +175,7 @@
         }
         attempt.mFirstTokenMillis = nowMillis;
         double waited = attempt.waitedMillis(nowMillis);
-        if (attempt.mUncachedTokens >= 200) {
-            double sample = waited / attempt.mUncachedTokens;
-            // Waits only lengthen a sample, so that low samples count more.
-            double gain = sample < mPromptTokenMillis ? 0.2 : 0.005;
-            mPromptTokenMillis += gain * (sample - mPromptTokenMillis);
-        }
+        mPromptSpeed.observe(attempt.mUncachedTokens, waited);
         if (attempt.mRequest.requestClass() != RequestClass.URGENT) {
             mLimit =
                     mLimit.observe(
@@ -232,7 +228,7 @@
                 mSlots,
                 inFlight(nowMillis, daemons),
                 backlog,
-                mPromptTokenMillis,
+                promptTokenMillis(),
                 mOutputTokenMillis,
                 mCallMillis,
                 cacheFill(),
@@ -255,7 +251,7 @@
     }
 
     double serviceMillis(double uncachedTokens, double outputTokens) {
-        return uncachedTokens * mPromptTokenMillis + outputTokens * mOutputTokenMillis / mSlots;
+        return uncachedTokens * promptTokenMillis() + outputTokens * mOutputTokenMillis / mSlots;
     }
 
     boolean offers(String model) {
@@ -300,6 +296,6 @@
     }
 
     double promptTokenMillis() {
-        return mPromptTokenMillis;
+        return mPromptSpeed.tokenMillis();
     }
 }
