Copy cache only for a clear gain, and share network interfaces in the bench

Cause: half of all calls copied their cache, as the bench let any number of copies run at once and placement moved calls for gains smaller than the error of its view. Change: copies of an engine follow one another at 25 Gbit/s in the bench; a copy pays only above an estimated gain of 2 s. The oracle releases the cache of ended programs.

--- a/src/main/java/org/heathercourse/core/placement/MigrationRule.java
+++ b/src/main/java/org/heathercourse/core/placement/MigrationRule.java
@@ -4,6 +4,12 @@
 
 /** Decides whether copying cache between engines pays. Pure functions without state. */
 public final class MigrationRule {
+    /**
+     * Estimated gain above which a copy pays. Copies share the engines' network interfaces, and the
+     * load that a daemon sees is old; without a margin half of all calls copied their cache.
+     */
+    static final double MARGIN_MILLIS = 2_000;
+
     /** Fixed time of an export with its import, for both orders and the session lookup. */
     private static final double FIXED_MILLIS = 40;
 
--- a/src/main/java/org/heathercourse/core/placement/Placement.java
+++ b/src/main/java/org/heathercourse/core/placement/Placement.java
@@ -45,7 +45,9 @@
                 PlacementCost.estimate(target, call, source, policy)
                         .plus(
                                 MigrationRule.copyMillis(source, candidate.sourceLink()),
-                                MigrationRule.priceMillis(source, candidate.sourceLink(), policy));
+                                MigrationRule.MARGIN_MILLIS
+                                        + MigrationRule.priceMillis(
+                                                source, candidate.sourceLink(), policy));
         return copied.costMillis() < computed.costMillis()
                 ? new Ranked(index, copied, true)
                 : new Ranked(index, computed, false);
--- a/src/main/java/org/heathercourse/testing/bench/BenchRun.java
+++ b/src/main/java/org/heathercourse/testing/bench/BenchRun.java
@@ -13,8 +13,6 @@
 import org.heathercourse.core.model.TargetId;
 import org.heathercourse.core.model.Usage;
 import org.heathercourse.core.model.Zone;
-import org.heathercourse.core.placement.LinkCost;
-import org.heathercourse.core.placement.MigrationRule;
 import org.heathercourse.core.placement.PauseAdvice;
 import org.heathercourse.core.placement.Pick;
 import org.heathercourse.core.placement.PickRequest;
@@ -33,6 +31,11 @@
     private static final double LOSS_RATIO = 0.001;
     private static final double RETRANSMIT_MILLIS = 200;
 
+    private static final double COPY_FIXED_MILLIS = 40;
+
+    /** 100 KB a token over a 25 Gbit/s interface. */
+    private static final double COPY_TOKENS_PER_MILLI = 30;
+
     /** Time after the last arrival at which programs that still run count as unfinished. */
     private static final double DRAIN_SECONDS = 1_800;
 
@@ -51,6 +54,7 @@
     private final RunStats mStats = new RunStats();
     private final RateModel mRates;
     private final boolean[] mDaemonLost;
+    private final double[] mCopyFree = new double[Scenario.ENGINES];
     private long mAttempts;
     private int mOpenPrograms;
 
@@ -195,18 +199,23 @@
         int tokens = mEngines.get(from).held(flow.session());
         Zone a = mScenario.engineZone(from);
         Zone b = mScenario.engineZone(target);
-        double millis =
-                MigrationRule.copyMillis(
-                        tokens, new LinkCost(mScenario.delayMillis(a, b), LOSS_RATIO, 0));
-        if (tokens > 0) {
-            mStats.onMigration();
-            mLoop.after(
-                    millis,
-                    () -> {
-                        mEngines.get(from).release(flow.session());
-                        mEngines.get(target).importSession(flow.session(), tokens);
-                    });
+        if (tokens == 0) {
+            return COPY_FIXED_MILLIS;
         }
+        // Copies of an engine share its network interface and therefore follow one another.
+        double start = Math.max(mLoop.nowMillis(), Math.max(mCopyFree[from], mCopyFree[target]));
+        double end = start + tokens / COPY_TOKENS_PER_MILLI;
+        mCopyFree[from] = end;
+        mCopyFree[target] = end;
+        double millis =
+                end - mLoop.nowMillis() + COPY_FIXED_MILLIS + 2 * mScenario.delayMillis(a, b);
+        mStats.onMigration(tokens);
+        mLoop.after(
+                millis,
+                () -> {
+                    mEngines.get(from).release(flow.session());
+                    mEngines.get(target).importSession(flow.session(), tokens);
+                });
         return millis;
     }
 
--- a/src/main/java/org/heathercourse/testing/bench/OracleRouter.java
+++ b/src/main/java/org/heathercourse/testing/bench/OracleRouter.java
@@ -5,7 +5,9 @@
 import java.util.Optional;
 import org.heathercourse.core.config.DeploymentConfig;
 import org.heathercourse.core.config.TargetSpec;
+import org.heathercourse.core.model.ProgramId;
 import org.heathercourse.core.model.RequestClass;
+import org.heathercourse.core.model.TargetId;
 import org.heathercourse.core.placement.LoadReport;
 import org.heathercourse.core.placement.Pick;
 import org.heathercourse.core.placement.PickRequest;
@@ -20,6 +22,9 @@
 final class OracleRouter implements Router {
     private static final double CALL_MILLIS = 4_000;
 
+    /** A session that moves leaves a copy behind, which takes memory from others. */
+    private static final double MOVE_MILLIS = 1_000;
+
     private final Scenario mScenario;
     private List<TargetSpec> mTargets = List.of();
     private List<EngineModel> mEngines = List.of();
@@ -74,7 +79,8 @@
         double overflow = Math.max(0, load.running() + load.queued() + 1 - spec.slots());
         return (uncached * (1 + load.running()) + load.queuedTokens()) * spec.promptTokenMillis()
                 + overflow / spec.slots() * CALL_MILLIS
-                + load.running() * spec.perSequenceMillis() * 150;
+                + load.running() * spec.perSequenceMillis() * 150
+                + (engine.held(request.session()) > 0 ? 0 : MOVE_MILLIS);
     }
 
     @Override
@@ -86,4 +92,9 @@
     public boolean sharesRates() {
         return true;
     }
+
+    @Override
+    public List<TargetId> ended(int daemon, ProgramId program, List<String> sessions) {
+        return mTargets.stream().map(TargetSpec::target).toList();
+    }
 }
--- a/src/main/java/org/heathercourse/testing/bench/RunStats.java
+++ b/src/main/java/org/heathercourse/testing/bench/RunStats.java
@@ -15,6 +15,7 @@
     private long mRateLimited;
     private long mFailedCalls;
     private long mMigrations;
+    private long mMigratedTokens;
     private long mWastedTokens;
     private long mComputedTokens;
 
@@ -60,8 +61,9 @@
         mFailedCalls++;
     }
 
-    void onMigration() {
+    void onMigration(long tokens) {
         mMigrations++;
+        mMigratedTokens += tokens;
     }
 
     void onComputed(long tokens, long wasted) {
@@ -111,6 +113,7 @@
         json.put("rate_limited_calls", mRateLimited);
         json.put("failed_calls", mFailedCalls);
         json.put("migrations", mMigrations);
+        json.put("migrated_tokens", mMigratedTokens);
         json.put("engine_busy_ratio", rounded(engineBusyRatio));
         json.put("slowdown_by_kind", byKind());
         return json;
