--- a/src/main/java/org/heathercourse/testing/bench/OverheadBench.java
+++ b/src/main/java/org/heathercourse/testing/bench/OverheadBench.java
@@ -23,6 +23,7 @@
 import org.heathercourse.core.model.ProgramId;
 import org.heathercourse.core.model.ShardId;
 import org.heathercourse.core.time.Ticker;
+import org.heathercourse.ops.ctl.OperatorConnection;
 import org.heathercourse.ops.v1.ListProgramsRequest;
 import org.heathercourse.testing.deployment.LocalDeployment;
 
@@ -175,12 +176,13 @@
     }
 
     private boolean ownsHere(String program) {
-        return mDeployment
-                .operatorAt(mDeployment.daemons().get(0))
-                .call(stub -> stub.listPrograms(ListProgramsRequest.getDefaultInstance()))
-                .getProgramsList()
-                .stream()
-                .anyMatch(p -> p.getProgram().equals(program));
+        try (OperatorConnection operator = mDeployment.operatorAt(mDeployment.daemons().get(0))) {
+            return operator
+                    .call(stub -> stub.listPrograms(ListProgramsRequest.getDefaultInstance()))
+                    .getProgramsList()
+                    .stream()
+                    .anyMatch(p -> p.getProgram().equals(program));
+        }
     }
 
     private void warmUp(Route route) throws IOException {
--- a/src/main/java/org/heathercourse/testing/deployment/LocalDeployment.java
+++ b/src/main/java/org/heathercourse/testing/deployment/LocalDeployment.java
@@ -154,10 +154,11 @@
         mStats = new StandInStats("http://127.0.0.1:" + control);
     }
 
-    private static Map<String, String> environment() {
-        return Map.of(
-                "HEATHERCOURSE_PEER_SECRET", PEER_SECRET,
-                "HEATHERCOURSE_OPERATOR_TOKEN", OPERATOR_TOKEN);
+    private Map<String, String> environment() {
+        Map<String, String> environment = new HashMap<>(mOptions.mEnvironment);
+        environment.put("HEATHERCOURSE_PEER_SECRET", PEER_SECRET);
+        environment.put("HEATHERCOURSE_OPERATOR_TOKEN", OPERATOR_TOKEN);
+        return environment;
     }
 
     private static void flag(List<String> arguments, String name, Object value) {
@@ -293,6 +294,11 @@
         return mDaemons;
     }
 
+    /** Returns where the logs of all processes are. */
+    public Path directory() {
+        return mDirectory;
+    }
+
     /** Returns the base URLs of all daemons for callers. */
     public List<String> entries() {
         return mDaemons.stream().map(DaemonProcess::callerUrl).toList();
@@ -336,6 +342,8 @@
         private List<String> mWorkspaces = List.of("loom-hall", "harbour-mill", "dance-school");
         private List<String> mJavaOptions = List.of("-XX:+UseSerialGC", "-Xmx256m");
         private List<String> mStandInFlags = List.of();
+        private Map<String, String> mEnvironment = Map.of();
+        private final Map<String, double[]> mRates = new HashMap<>();
 
         private Builder() {}
 
@@ -370,6 +378,18 @@
             return this;
         }
 
+        /** Sets the rate and burst of one workspace. */
+        public Builder rateOf(String workspace, double ratePerSecond, double burst) {
+            mRates.put(workspace, new double[] {ratePerSecond, burst});
+            return this;
+        }
+
+        /** Sets further environment variables of the daemons. */
+        public Builder environment(Map<String, String> environment) {
+            mEnvironment = Map.copyOf(environment);
+            return this;
+        }
+
         /** Sets the workspaces. */
         public Builder workspaces(List<String> workspaces) {
             mWorkspaces = List.copyOf(workspaces);
@@ -400,13 +420,25 @@
         }
 
         private Configuration configuration(LocalDeployment deployment) {
-            return TrialConfiguration.create(
-                    mZones,
-                    mWorkspaces,
-                    deployment.mTargetPorts,
-                    mRatePerSecond,
-                    mBurst,
-                    mBudgetTokens);
+            Configuration.Builder configuration =
+                    TrialConfiguration.create(
+                            mZones,
+                            mWorkspaces,
+                            deployment.mTargetPorts,
+                            mRatePerSecond,
+                            mBurst,
+                            mBudgetTokens)
+                            .toBuilder();
+            configuration
+                    .getWorkspacesBuilderList()
+                    .forEach(
+                            w -> {
+                                double[] rate = mRates.get(w.getWorkspace());
+                                if (rate != null) {
+                                    w.setRatePerSecond(rate[0]).setBurst(rate[1]);
+                                }
+                            });
+            return configuration.build();
         }
     }
 }
--- a/src/main/java/org/heathercourse/testing/load/CallerClient.java
+++ b/src/main/java/org/heathercourse/testing/load/CallerClient.java
@@ -16,6 +16,7 @@
 import okhttp3.RequestBody;
 import okhttp3.Response;
 import okio.BufferedSource;
+import org.heathercourse.core.time.Ticker;
 
 /**
  * A caller: asks any daemon which address to use, keeps the answer, and asks another daemon when
@@ -31,7 +32,11 @@
     private final List<String> mEntries;
     private final AtomicInteger mNextEntry;
     private final OkHttpClient mHttp;
-    private volatile String mAddress;
+    private final Ticker mTicker = Ticker.system();
+    private volatile Kept mKept;
+
+    /** An address with the time until which it is kept. */
+    private record Kept(String address, long untilMillis) {}
 
     /**
      * Creates a caller.
@@ -90,7 +95,7 @@
         try (Response response = mHttp.newCall(request.build()).execute()) {
             return read(response);
         } catch (IOException e) {
-            mAddress = null;
+            mKept = null;
             return Either.left(CallFailure.connection(e.toString()));
         }
     }
@@ -150,23 +155,30 @@
     }
 
     private String address() {
-        String known = mAddress;
-        for (int i = 0; known == null && i < mEntries.size(); i++) {
+        Kept known = mKept;
+        if (known != null && mTicker.readMillis() < known.untilMillis()) {
+            return known.address();
+        }
+        Kept fresh = null;
+        for (int i = 0; fresh == null && i < mEntries.size(); i++) {
             int entry = Math.floorMod(mNextEntry.getAndIncrement(), mEntries.size());
-            known = ask(mEntries.get(entry));
+            fresh = ask(mEntries.get(entry));
         }
-        mAddress = known;
-        return known;
+        mKept = fresh;
+        return fresh == null ? null : fresh.address();
     }
 
-    private String ask(String entry) {
+    private Kept ask(String entry) {
+        long now = mTicker.readMillis();
         Request request = new Request.Builder().url(entry + "/v1/address").build();
         try (Response response = mHttp.newCall(request).execute()) {
             if (!response.isSuccessful()) {
                 return null;
             }
-            String address = MAPPER.readTree(response.body().string()).path("address").asText();
-            return address.startsWith("http") ? address : "http://" + address;
+            JsonNode answer = MAPPER.readTree(response.body().string());
+            String address = answer.path("address").asText();
+            String url = address.startsWith("http") ? address : "http://" + address;
+            return new Kept(url, now + 1_000 * answer.path("keep_seconds").asLong(1));
         } catch (IOException e) {
             return null;
         }
@@ -174,7 +186,7 @@
 
     /** Forgets the address, so that the next request asks for one. */
     public void forgetAddress() {
-        mAddress = null;
+        mKept = null;
     }
 
     /** Returns an empty JSON object to be filled. */
--- a/src/main/java/org/heathercourse/testing/load/LoadCounters.java
+++ b/src/main/java/org/heathercourse/testing/load/LoadCounters.java
@@ -20,6 +20,8 @@
         UNKNOWN_OUTCOMES,
         REFUSED_NOT_RUN,
         PENDING_ANSWERS,
+        BROKEN_REQUESTS,
+        RECOVERED_PROGRAMS,
         FAILED_PROGRAMS
     }
 
--- a/src/main/java/org/heathercourse/testing/load/ProgramRunner.java
+++ b/src/main/java/org/heathercourse/testing/load/ProgramRunner.java
@@ -54,8 +54,12 @@
      */
     public boolean run(TraceProgram program, String key) {
         mCounters.add(Counter.PROGRAMS);
-        boolean done = new Run(program, key, null).play();
+        Run run = new Run(program, key, null);
+        boolean done = run.play();
         mCounters.add(done ? Counter.COMPLETED : Counter.FAILED_PROGRAMS);
+        if (done && run.mBroken) {
+            mCounters.add(Counter.RECOVERED_PROGRAMS);
+        }
         return done;
     }
 
@@ -67,6 +71,7 @@
         private final List<ObjectNode> mMessages = new ArrayList<>();
         private int mTurn;
         private int mStep;
+        private boolean mBroken;
 
         private Run(TraceProgram program, String key, String parent) {
             mProgram = program;
@@ -241,9 +246,13 @@
                 CallFailure failure = result.getLeft();
                 count(failure);
                 if (mTicker.readMillis() >= end || !(failure.temporary() || repeatable)) {
+                    System.err.println(
+                            "program " + mProgram.program() + " gave up " + id + ": " + failure);
                     return result;
                 }
                 if (!failure.temporary()) {
+                    System.err.println(
+                            "program " + mProgram.program() + " repeats " + id + ": " + failure);
                     // The recorded failure of this identity is final; a new identity runs anew.
                     generation++;
                 }
@@ -254,6 +263,10 @@
         }
 
         private void count(CallFailure failure) {
+            if (failure.kind().equals("connection")) {
+                mBroken = true;
+                mCounters.add(Counter.BROKEN_REQUESTS);
+            }
             if (failure.kind().equals("outcome_unknown")) {
                 mCounters.add(Counter.UNKNOWN_OUTCOMES);
             }
--- a/src/main/java/org/heathercourse/testing/load/StandInStats.java
+++ b/src/main/java/org/heathercourse/testing/load/StandInStats.java
@@ -67,6 +67,16 @@
         send(new Request.Builder().url(mControlUrl + "/faults").delete().build());
     }
 
+    /**
+     * Switches the faults of one part off.
+     *
+     * @param part the part, for instance {@code table}
+     * @throws IOException if the stand-ins do not answer
+     */
+    public void clearFaults(String part) throws IOException {
+        send(new Request.Builder().url(mControlUrl + "/faults?part=" + part).delete().build());
+    }
+
     private void send(Request request) throws IOException {
         try (Response response = mHttp.newCall(request).execute()) {
             if (!response.isSuccessful()) {
--- a/src/main/java/org/heathercourse/testing/standin/Accounting.java
+++ b/src/main/java/org/heathercourse/testing/standin/Accounting.java
@@ -131,9 +131,13 @@
             account.mSeenTurns.add(prompt.turn());
             if (!allAnswered(account, prompt.turn())) {
                 count("out_of_order");
+                System.err.println(
+                        "out_of_order program=" + prompt.program() + " turn=" + prompt.turn());
             }
             if (!historyMatches(account, prompt)) {
                 count("lost_history");
+                System.err.println(
+                        "lost_history program=" + prompt.program() + " turn=" + prompt.turn());
             }
         }
     }
