--- a/src/main/java/org/heathercourse/core/error/ErrorKind.java
+++ b/src/main/java/org/heathercourse/core/error/ErrorKind.java
@@ -6,8 +6,8 @@
  * The kinds of errors that callers, operators and other daemons see.
  *
  * <p>Each kind carries its HTTP status and whether a refusal of this kind proves that no byte of
- * the request reached a target. A concrete error may narrow a {@code true} to {@code false}, never
- * the other way round.
+ * the request reached a target. A concrete error states what holds for it: {@code false} where a
+ * target may have been reached, {@code true} only where it is certain that none was.
  */
 public enum ErrorKind {
     BAD_REQUEST(400, true),
--- a/src/main/java/org/heathercourse/daemon/call/Attempts.java
+++ b/src/main/java/org/heathercourse/daemon/call/Attempts.java
@@ -110,9 +110,12 @@
         mOpen = false;
         mMayHaveRun |= !failure.kind().provesNotRun();
         mFailed.add(choice.target().target());
-        // A refusal is a sign of load and a cancellation is our own doing; neither is a fault.
+        // A refusal is a sign of load and a cancellation is our own doing; neither is a fault. A
+        // broken exchange whose body is a stream may be the fault of the caller who sends it.
+        boolean callers = mJob.body() == null && failure.kind() == TargetFailure.Kind.BROKEN;
         if (failure.kind() != TargetFailure.Kind.REFUSED
-                && failure.kind() != TargetFailure.Kind.CANCELLED) {
+                && failure.kind() != TargetFailure.Kind.CANCELLED
+                && !callers) {
             mBreakers.onFailure(choice.target().target());
         }
         mServices.selector().failed(mSelected, choice, failure);
--- a/src/main/java/org/heathercourse/daemon/call/EphemeralSessions.java
+++ b/src/main/java/org/heathercourse/daemon/call/EphemeralSessions.java
@@ -2,12 +2,14 @@
 
 import java.util.HexFormat;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.Executor;
+import java.util.concurrent.RejectedExecutionException;
 import org.heathercourse.core.config.TargetSpec;
+import org.heathercourse.core.error.HeathercourseException;
 import org.heathercourse.log.EventLog;
 import org.heathercourse.platform.TargetAddress;
-import org.heathercourse.platform.TargetException;
 
 /**
  * Names and releases the engine sessions of calls that belong to no program. Their releases are
@@ -23,6 +25,7 @@
     private final CallServices mServices;
     private final Executor mWorkers;
     private final Map<Owed, Integer> mOwed = new ConcurrentHashMap<>();
+    private final Set<Owed> mRunning = ConcurrentHashMap.newKeySet();
 
     EphemeralSessions(CallServices services, Executor workers) {
         mServices = services;
@@ -37,25 +40,33 @@
 
     void release(TargetSpec target, String session) {
         Owed owed = new Owed(new TargetAddress(target.target(), target.baseUrl()), session);
-        mOwed.put(owed, 0);
-        mWorkers.execute(() -> tryRelease(owed));
+        mOwed.put(owed, 1);
+        start(owed);
+    }
+
+    private void start(Owed owed) {
+        if (!mRunning.add(owed)) {
+            return;
+        }
+        try {
+            mWorkers.execute(() -> tryRelease(owed));
+        } catch (RejectedExecutionException e) {
+            // It stays owed and is tried again at the next interval.
+            mRunning.remove(owed);
+            LOG.debug("ephemeral_release_delayed", "session", owed.session());
+        }
     }
 
     /** Tries again what failed before; called at intervals. */
     void retry() {
-        mOwed.forEach(
-                (owed, tries) -> {
-                    if (tries > 0) {
-                        mWorkers.execute(() -> tryRelease(owed));
-                    }
-                });
+        mOwed.keySet().forEach(this::start);
     }
 
     private void tryRelease(Owed owed) {
         try {
             mServices.engine().release(owed.target(), owed.session());
             mOwed.remove(owed);
-        } catch (TargetException e) {
+        } catch (HeathercourseException e) {
             int tries = mOwed.merge(owed, 1, Integer::sum);
             if (tries >= MAX_TRIES) {
                 mOwed.remove(owed);
@@ -66,8 +77,10 @@
                         "session",
                         owed.session(),
                         "reason",
-                        e.failure().kind());
+                        e.getMessage());
             }
+        } finally {
+            mRunning.remove(owed);
         }
     }
 }
--- a/src/main/java/org/heathercourse/daemon/call/ProgramMaintenance.java
+++ b/src/main/java/org/heathercourse/daemon/call/ProgramMaintenance.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.Executor;
+import java.util.concurrent.RejectedExecutionException;
 import java.util.function.Predicate;
 import org.heathercourse.core.config.TargetSpec;
 import org.heathercourse.core.error.HeathercourseException;
@@ -105,7 +106,11 @@
                 failures = progress.failures();
                 mReleases.put(release, new Progress(now, failures, true));
             }
-            mWorkers.execute(() -> attempt(release, failures));
+            try {
+                mWorkers.execute(() -> attempt(release, failures));
+            } catch (RejectedExecutionException e) {
+                later(release, failures);
+            }
         }
     }
 
--- a/src/main/java/org/heathercourse/daemon/http/JettySetup.java
+++ b/src/main/java/org/heathercourse/daemon/http/JettySetup.java
@@ -15,6 +15,9 @@
 final class JettySetup {
     private static final int MAX_HEADER_BYTES = 32 * 1024;
 
+    // A caller that sends its body more slowly than this holds a thread for too long.
+    private static final long MIN_BYTES_PER_SECOND = 256;
+
     private JettySetup() {}
 
     static void apply(JavalinConfig config, HttpSettings settings, String threadName) {
@@ -34,6 +37,7 @@
             Server server, HttpConfiguration http, HttpSettings settings) {
         http.setRequestHeaderSize(MAX_HEADER_BYTES);
         http.setSendServerVersion(false);
+        http.setMinRequestDataRate(MIN_BYTES_PER_SECOND);
         HttpConnectionFactory plain = new HttpConnectionFactory(http);
         ServerConnector connector =
                 settings.tls()
--- a/src/test/java/org/heathercourse/daemon/call/CallExecutorTest.java
+++ b/src/test/java/org/heathercourse/daemon/call/CallExecutorTest.java
@@ -11,6 +11,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.SplittableRandom;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.assertj.core.api.Assertions;
@@ -21,6 +22,7 @@
 import org.heathercourse.daemon.call.CallFixture.Seen;
 import org.heathercourse.daemon.peer.PeerMessage;
 import org.heathercourse.platform.EngineClient;
+import org.heathercourse.testing.ManualTicker;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 
@@ -251,4 +253,69 @@
         Assertions.assertThatThrownBy(() -> ops.run(op("carve", carve.replace("\"c\"", "\"d\""))))
                 .hasMessageContaining("40 are left");
     }
+
+    /** Guards against programs that are left behind, and releases forgotten by a dead owner. */
+    @Test
+    void endsIdleProgramsAndReleasesAfterTakeover() {
+        mFixture.targets.releaseFails = true;
+        mFixture.run(model("r"), chat(false, "a"));
+        mFixture.executor.close();
+        ManualTicker ticker = new ManualTicker();
+        CallServices services =
+                new CallServices(
+                        mFixture.log,
+                        mFixture.shards,
+                        mFixture.config,
+                        mFixture.targets,
+                        mFixture.targets,
+                        new StickySelector(mFixture.config, mFixture.shards),
+                        CallSettings.DEFAULT,
+                        ticker,
+                        new SplittableRandom(5));
+        ProgramMaintenance successor =
+                new ProgramMaintenance(services, new Recorder(services), Runnable::run, p -> false);
+        successor.run();
+        ticker.advanceMillis(CallSettings.DEFAULT.idleMillis() - 1);
+        successor.run();
+        assertThat(state().ended()).isFalse();
+        ticker.advanceMillis(1);
+        successor.run();
+        assertThat(state().endReason()).isEqualTo("idle");
+        successor.run();
+        assertThat(state().cacheTargets()).hasSize(1);
+        mFixture.targets.releaseFails = false;
+        ticker.advanceMillis(2000);
+        successor.run();
+        assertThat(mFixture.targets.released).containsExactly("e-1/hc.p-1");
+        assertThat(state().cacheTargets()).isEmpty();
+    }
+
+    /** Guards against calls that wait in the queue beyond their deadline. */
+    @Test
+    void refusesQueuedCallsAtTheirDeadline() {
+        CountDownLatch go = hold();
+        mFixture.executor.submit(plain("r1", "/x").build(), bytes(""));
+        Seen late = mFixture.run(plain("r2", "/x").deadlineMillis(50), bytes(""));
+        assertThat(late.error().kind()).isEqualTo("deadline_exceeded");
+        assertThat(late.error().notRun()).isTrue();
+        go.countDown();
+    }
+
+    /** Guards against ephemeral calls that go on for a caller who has gone. */
+    @Test
+    void cancelsEphemeralCallsOnly() {
+        mFixture.targets.engine = (request, listener) -> listener.onToken(0, "one");
+        CallRequest request =
+                CallRequest.builder(CallRequest.Kind.MODEL)
+                        .workspace(CallFixture.WORKSPACE)
+                        .build();
+        AnswerBuffer answer = mFixture.executor.runEphemeral(request, chat(true, "a"), null);
+        await().until(() -> !answer.untouched());
+        answer.cancel();
+        await().until(() -> mFixture.targets.released.size() == 1);
+        assertThat(mFixture.targets.generated).hasSize(1);
+        AnswerBuffer logged = mFixture.executor.submit(plain("r", "/x").build(), bytes(""));
+        logged.cancel();
+        assertThat(read(logged).body()).isEqualTo("done");
+    }
 }
--- a/src/test/java/org/heathercourse/daemon/http/CallerServerTest.java
+++ b/src/test/java/org/heathercourse/daemon/http/CallerServerTest.java
@@ -5,6 +5,7 @@
 
 import io.vavr.control.Either;
 import java.io.BufferedReader;
+import java.io.InputStream;
 import java.io.InputStreamReader;
 import java.net.InetAddress;
 import java.net.Socket;
@@ -15,6 +16,10 @@
 import java.net.http.HttpResponse;
 import java.net.http.HttpResponse.BodyHandlers;
 import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.security.KeyStore;
+import java.security.cert.CertificateFactory;
 import java.time.Clock;
 import java.util.List;
 import java.util.Map;
@@ -22,6 +27,8 @@
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.stream.Collectors;
+import javax.net.ssl.SSLContext;
+import javax.net.ssl.TrustManagerFactory;
 import org.heathercourse.core.error.ErrorKind;
 import org.heathercourse.core.error.HeathercourseException;
 import org.heathercourse.core.model.Usage;
@@ -55,6 +62,7 @@
     private NettyPeerNetwork mNetwork;
     private CallerServer mServer;
     private int mPort;
+    private Runnable mRestart;
     private volatile boolean mValid = true;
 
     private final Authenticator mAuthenticator =
@@ -112,7 +120,25 @@
                         mFixture.settings,
                         ticker,
                         random);
-        HttpSettings settings = HttpSettings.builder().idleTimeoutMillis(1000).build();
+        mRestart =
+                () ->
+                        start(
+                                HttpSettings.builder()
+                                        .tls(
+                                                "src/test/resources/tls/test-cert.pem",
+                                                "src/test/resources/tls/test-key.pem")
+                                        .build(),
+                                calls,
+                                programs,
+                                random);
+        start(HttpSettings.builder().idleTimeoutMillis(1000).build(), calls, programs, random);
+    }
+
+    private void start(
+            HttpSettings settings,
+            CallRouter calls,
+            ProgramRouter programs,
+            SplittableRandom random) {
         CallerHandlers handlers =
                 new CallerHandlers(
                         settings,
@@ -122,10 +148,10 @@
                         mFixture.shards,
                         calls,
                         programs,
-                        ticker,
+                        Ticker.system(),
                         Clock.systemUTC(),
                         random);
-        mServer = new CallerServer(settings, handlers, ticker);
+        mServer = new CallerServer(settings, handlers, Ticker.system());
         mPort = mServer.start();
     }
 
@@ -327,4 +353,26 @@
         String raw = raw("GET /v1/address HTTP/1.1\r\nHost: a\r\n\r\n");
         assertThat(raw).contains("200 OK").containsIgnoringCase("connection: close");
     }
+
+    /** Guards against a port that speaks plain HTTP although TLS files are given. */
+    @Test
+    void servesTls() throws Exception {
+        mServer.close();
+        mRestart.run();
+        KeyStore trusted = KeyStore.getInstance("PKCS12");
+        trusted.load(null, null);
+        try (InputStream in =
+                Files.newInputStream(Path.of("src/test/resources/tls/test-cert.pem"))) {
+            trusted.setCertificateEntry(
+                    "test", CertificateFactory.getInstance("X.509").generateCertificate(in));
+        }
+        TrustManagerFactory trust = TrustManagerFactory.getInstance("PKIX");
+        trust.init(trusted);
+        SSLContext context = SSLContext.getInstance("TLS");
+        context.init(null, trust.getTrustManagers(), null);
+        HttpClient client = HttpClient.newBuilder().sslContext(context).build();
+        URI uri = URI.create("https://127.0.0.1:" + mPort + "/v1/address");
+        HttpRequest request = HttpRequest.newBuilder(uri).build();
+        assertThat(client.send(request, BodyHandlers.ofString()).statusCode()).isEqualTo(200);
+    }
 }
