Tell a stale configuration from a withdrawn key on open streams

Change: open streams ask why their key is not in force; a daemon that cannot tell says stale_configuration, and so does one that has no configuration yet. Conclusion: callers repeat the request with the same identity elsewhere.

--- a/src/main/java/org/heathercourse/daemon/config/Authenticator.java
+++ b/src/main/java/org/heathercourse/daemon/config/Authenticator.java
@@ -1,6 +1,7 @@
 package org.heathercourse.daemon.config;
 
 import io.vavr.control.Either;
+import java.util.Optional;
 import org.heathercourse.core.error.HeathercourseException;
 import org.heathercourse.core.model.WorkspaceId;
 
@@ -28,11 +29,12 @@
     Either<HeathercourseException, Principal> authenticate(String authorization);
 
     /**
-     * Returns whether a principal that was accepted before would still be accepted now. Open
-     * streams ask this.
+     * Checks a principal again that was accepted before. Open streams ask this.
      *
      * @param principal the principal
-     * @return whether its key is in force
+     * @return empty if its key is still in force; otherwise an error of kind {@code KEY_WITHDRAWN},
+     *     or {@code STALE_CONFIGURATION} if this daemon cannot tell, in which case another daemon
+     *     can
      */
-    boolean stillValid(Principal principal);
+    Optional<HeathercourseException> recheck(Principal principal);
 }
--- a/src/main/java/org/heathercourse/daemon/config/KeyAuthenticator.java
+++ b/src/main/java/org/heathercourse/daemon/config/KeyAuthenticator.java
@@ -5,6 +5,7 @@
 import java.util.HashMap;
 import java.util.HexFormat;
 import java.util.Map;
+import java.util.Optional;
 import org.heathercourse.core.config.DeploymentConfig;
 import org.heathercourse.core.config.KeySpec;
 import org.heathercourse.core.config.WorkspaceSpec;
@@ -56,7 +57,7 @@
         String key = authorization.substring(SCHEME.length()).trim();
         // Freshness is read before the index: a configuration that becomes stale in between was
         // fresh when the check began.
-        boolean fresh = mConfig.fresh();
+        boolean fresh = fresh();
         String keyId = keyId(key);
         Entry entry = index().get(keyId);
         byte[] digest = KeyDigest.of(key);
@@ -74,14 +75,24 @@
     }
 
     @Override
-    public boolean stillValid(Principal principal) {
-        if (!mConfig.fresh()) {
-            return false;
+    public Optional<HeathercourseException> recheck(Principal principal) {
+        if (!fresh()) {
+            return Optional.of(stale());
         }
         Entry entry = index().get(principal.keyId());
-        return entry != null
-                && !entry.withdrawn()
-                && entry.workspace().equals(principal.workspace());
+        boolean valid =
+                entry != null
+                        && !entry.withdrawn()
+                        && entry.workspace().equals(principal.workspace());
+        return valid ? Optional.empty() : Optional.of(withdrawn(principal.keyId()));
+    }
+
+    /**
+     * A process that has not read any configuration yet cannot tell a wrong key from one that it
+     * has not heard of.
+     */
+    private boolean fresh() {
+        return mConfig.fresh() && mConfig.current().revision() > 0;
     }
 
     /** Returns the public part of a key, or an empty text if the key has another form. */
--- a/src/main/java/org/heathercourse/daemon/http/AnswerWriter.java
+++ b/src/main/java/org/heathercourse/daemon/http/AnswerWriter.java
@@ -7,9 +7,9 @@
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.Map;
-import java.util.function.BooleanSupplier;
+import java.util.Optional;
+import java.util.function.Supplier;
 import org.eclipse.jetty.ee10.servlet.ServletContextRequest;
-import org.heathercourse.core.error.ErrorKind;
 import org.heathercourse.core.error.HeathercourseException;
 import org.heathercourse.core.time.Ticker;
 import org.heathercourse.daemon.call.Answer;
@@ -30,7 +30,7 @@
     private final HttpServletRequest mRequest;
     private final HttpServletResponse mResponse;
     private final Answer mAnswer;
-    private final BooleanSupplier mStillValid;
+    private final Supplier<Optional<HeathercourseException>> mRecheck;
     private final Ticker mTicker;
     private OutputStream mOut;
     private boolean mHeadSent;
@@ -44,12 +44,12 @@
             HttpServletRequest request,
             HttpServletResponse response,
             Answer answer,
-            BooleanSupplier stillValid,
+            Supplier<Optional<HeathercourseException>> recheck,
             Ticker ticker) {
         mRequest = request;
         mResponse = response;
         mAnswer = answer;
-        mStillValid = stillValid;
+        mRecheck = recheck;
         mTicker = ticker;
         mCheckedMillis = ticker.readMillis();
         mWrittenMillis = mCheckedMillis;
@@ -106,19 +106,23 @@
             return false;
         }
         mCheckedMillis = now;
-        if (mStillValid.getAsBoolean()) {
+        Optional<HeathercourseException> refusal = mRecheck.get();
+        if (refusal.isEmpty()) {
             return false;
         }
-        fail(
-                PeerErrors.toMessage(
-                        HeathercourseException.builder(ErrorKind.KEY_WITHDRAWN)
-                                .message("the key was withdrawn during the call")
-                                .remedy("use another key of the workspace to read the answer")
-                                .notRun(false)
-                                .build()));
+        fail(PeerErrors.toMessage(duringCall(refusal.get())));
         return true;
     }
 
+    /** The call goes on; only this connection ends, so nothing is said about whether it ran. */
+    private static HeathercourseException duringCall(HeathercourseException refusal) {
+        return HeathercourseException.builder(refusal.kind())
+                .message(refusal.getMessage() + " (during the call)")
+                .remedy("read the answer under the same identity, with a valid key")
+                .notRun(false)
+                .build();
+    }
+
     private boolean handle(PeerMessage message) throws IOException {
         if (message instanceof CallHead head) {
             head(head);
--- a/src/main/java/org/heathercourse/daemon/http/CallerHandlers.java
+++ b/src/main/java/org/heathercourse/daemon/http/CallerHandlers.java
@@ -12,6 +12,7 @@
 import java.nio.charset.StandardCharsets;
 import java.time.Clock;
 import java.util.HexFormat;
+import java.util.Optional;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.random.RandomGenerator;
 import javax.inject.Inject;
@@ -321,7 +322,10 @@
                             context.req(),
                             context.res(),
                             answer,
-                            () -> principal == null || mAuthenticator.stillValid(principal),
+                            () ->
+                                    principal == null
+                                            ? Optional.empty()
+                                            : mAuthenticator.recheck(principal),
                             mTicker)
                     .write();
         } finally {
--- a/src/test/java/org/heathercourse/daemon/config/ConfigServicesTest.java
+++ b/src/test/java/org/heathercourse/daemon/config/ConfigServicesTest.java
@@ -227,7 +227,8 @@
         assertThat(kind(authenticator.authenticate(header))).isEqualTo(ErrorKind.KEY_WITHDRAWN);
         assertThat(kind(authenticator.authenticate(header + "0")))
                 .isEqualTo(ErrorKind.UNAUTHENTICATED);
-        assertThat(authenticator.stillValid(principal)).isFalse();
+        assertThat(authenticator.recheck(principal).map(HeathercourseException::kind))
+                .contains(ErrorKind.KEY_WITHDRAWN);
     }
 
     private static void apply(ConfigWatcher watcher, long revision, KeySpec key) {
--- a/src/test/java/org/heathercourse/daemon/http/CallerServerTest.java
+++ b/src/test/java/org/heathercourse/daemon/http/CallerServerTest.java
@@ -23,6 +23,7 @@
 import java.time.Clock;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.SplittableRandom;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
@@ -77,8 +78,12 @@
                 }
 
                 @Override
-                public boolean stillValid(Principal principal) {
-                    return mValid;
+                public Optional<HeathercourseException> recheck(Principal principal) {
+                    return mValid
+                            ? Optional.empty()
+                            : Optional.of(
+                                    new HeathercourseException(
+                                            ErrorKind.KEY_WITHDRAWN, "withdrawn", "other key"));
                 }
             };
 
