Test slow observers, stale lists and engines on their own threads

Cause: an unconditional declaration of death and a decision on a stale list both passed the tests when the code was broken on purpose. Conclusion: both breaks are now noticed.

--- a/src/main/java/org/heathercourse/daemon/state/StateEngine.java
+++ b/src/main/java/org/heathercourse/daemon/state/StateEngine.java
@@ -9,8 +9,6 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicLong;
-import java.util.random.RandomGenerator;
-import org.heathercourse.core.error.ErrorKind;
 import org.heathercourse.core.error.HeathercourseException;
 import org.heathercourse.core.model.ProgramId;
 import org.heathercourse.core.model.ShardId;
@@ -52,14 +50,13 @@
     private final StateTimers mTimers;
     private final CompletableFuture<Void> mDrained = new CompletableFuture<>();
 
-    private StateEngine(Builder b) {
-        mSettings = b.mSettings;
-        mTicker = b.mTicker;
-        mEvidence = b.mEvidence;
-        mListener = b.mListener;
-        mTimers = new StateTimers(b.mExecutors, b.mTicker, b.mRandom, new Loops());
-        TableStore table = b.mTable;
-        mObjects = b.mObjects;
+    StateEngine(StateEngineBuilder b, TableStore table, ObjectStore objects) {
+        mSettings = b.settings();
+        mTicker = b.ticker();
+        mEvidence = b.evidence();
+        mListener = b.listener();
+        mTimers = new StateTimers(b.executors(), mTicker, b.random(), new Loops());
+        mObjects = objects;
         mHeartbeat =
                 new Heartbeat(mSettings.self(), table, mTicker, mHealth, new HeartbeatContext());
         mCompactor = new Compactor(mObjects);
@@ -77,8 +74,8 @@
     }
 
     /** Returns a builder. */
-    public static Builder builder(StateSettings settings) {
-        return new Builder(settings);
+    public static StateEngineBuilder builder(StateSettings settings) {
+        return new StateEngineBuilder(settings);
     }
 
     /** Starts the loops. Shards are taken from about one second later on. */
@@ -284,8 +281,8 @@
                     OwnedShard.Cut cut = null;
                     try {
                         cut = mCompactor.compact(shard, capture);
-                    } catch (StoreException e) {
-                        LOG.debug("snapshot_failed", "shard", shard.id(), "cause", e.getMessage());
+                    } catch (HeathercourseException e) {
+                        LOG.warn("snapshot_failed", "shard", shard.id(), "cause", e.getMessage());
                     }
                     shard.endCompaction(cut);
                     mTimers.flushSoon();
@@ -435,77 +432,4 @@
             mTimers.background(task);
         }
     }
-
-    /** Collects the parts of a {@link StateEngine}. Not safe for several threads. */
-    public static final class Builder {
-        private final StateSettings mSettings;
-        private TableStore mTable;
-        private ObjectStore mObjects;
-        private Ticker mTicker = Ticker.system();
-        private RandomGenerator mRandom;
-        private StateExecutors mExecutors;
-        private OutageEvidence mEvidence = OutageEvidence.NONE;
-        private HandoverListener mListener = HandoverListener.NONE;
-
-        private Builder(StateSettings settings) {
-            mSettings = settings;
-        }
-
-        /** Sets the store. */
-        public Builder store(TableStore table, ObjectStore objects) {
-            mTable = table;
-            mObjects = objects;
-            return this;
-        }
-
-        /** Sets the time source; without it the one of the Java runtime is used. */
-        public Builder ticker(Ticker ticker) {
-            mTicker = ticker;
-            return this;
-        }
-
-        /** Sets the source of the jitter of retries. */
-        public Builder random(RandomGenerator random) {
-            mRandom = random;
-            return this;
-        }
-
-        /** Sets the executors; without them calls are made only by the steps of tests. */
-        public Builder executors(StateExecutors executors) {
-            mExecutors = executors;
-            return this;
-        }
-
-        /** Sets what tells an outage from being cut off; without it nothing does. */
-        public Builder evidence(OutageEvidence evidence) {
-            mEvidence = evidence;
-            return this;
-        }
-
-        /** Sets who learns of released shards. */
-        public Builder listener(HandoverListener listener) {
-            mListener = listener;
-            return this;
-        }
-
-        /**
-         * Creates the engine.
-         *
-         * @throws HeathercourseException of kind INVALID_SETTING if a part is missing
-         */
-        public StateEngine build() {
-            if (mTable == null || mObjects == null || mRandom == null) {
-                throw new HeathercourseException(
-                        ErrorKind.INVALID_SETTING,
-                        "store or random source is missing, expected both",
-                        "set them on the builder");
-            }
-            if (mExecutors != null) {
-                StoreTimeouts timeouts = new StoreTimeouts(mExecutors.calls());
-                mTable = timeouts.table(mTable, mSettings.storeTimeoutMillis());
-                mObjects = timeouts.objects(mObjects, mSettings.objectTimeoutMillis());
-            }
-            return new StateEngine(this);
-        }
-    }
 }
--- a/src/main/java/org/heathercourse/testing/memory/MemoryObjectStore.java
+++ b/src/main/java/org/heathercourse/testing/memory/MemoryObjectStore.java
@@ -41,7 +41,7 @@
             public void put(String name, byte[] content) {
                 mPuts.incrementAndGet();
                 mPutBytes.addAndGet(content.length);
-                mFaults.beforeWrite(caller);
+                mFaults.beforeWrite(caller, name);
                 mObjects.put(name, content.clone());
                 mFaults.afterWrite(caller);
             }
@@ -54,7 +54,7 @@
 
             @Override
             public void delete(String name) {
-                mFaults.beforeWrite(caller);
+                mFaults.beforeWrite(caller, name);
                 mObjects.remove(name);
                 mFaults.afterWrite(caller);
             }
--- a/src/main/java/org/heathercourse/testing/memory/MemoryTableStore.java
+++ b/src/main/java/org/heathercourse/testing/memory/MemoryTableStore.java
@@ -64,7 +64,7 @@
             @Override
             public CommitResult commit(Transaction transaction) {
                 mCommits.incrementAndGet();
-                mFaults.beforeWrite(caller);
+                mFaults.beforeWrite(caller, transaction.writes().get(0).key());
                 CommitResult result = apply(transaction);
                 mFaults.afterWrite(caller);
                 return result;
--- a/src/main/java/org/heathercourse/testing/memory/StoreFaults.java
+++ b/src/main/java/org/heathercourse/testing/memory/StoreFaults.java
@@ -22,7 +22,7 @@
 
     private record Crash(AtomicInteger writesLeft, boolean withEffect) {}
 
-    private record Pause(CountDownLatch reached, CountDownLatch resume) {}
+    private record Pause(String prefix, CountDownLatch reached, CountDownLatch resume) {}
 
     /** Makes all calls of all callers fail. */
     public void outage(boolean on) {
@@ -71,7 +71,12 @@
 
     /** Stops the caller at its next write, before the effect, until {@link #resume}. */
     public void pause(String caller) {
-        mPauses.put(caller, new Pause(new CountDownLatch(1), new CountDownLatch(1)));
+        pause(caller, "");
+    }
+
+    /** Stops the caller at its next write of a key or name with a prefix. */
+    public void pause(String caller, String prefix) {
+        mPauses.put(caller, new Pause(prefix, new CountDownLatch(1), new CountDownLatch(1)));
     }
 
     /** Waits until a paused caller has reached its write. */
@@ -92,9 +97,9 @@
         check(caller);
     }
 
-    void beforeWrite(String caller) {
+    void beforeWrite(String caller, String key) {
         Pause pause = mPauses.get(caller);
-        if (pause != null) {
+        if (pause != null && key.startsWith(pause.prefix())) {
             pause.reached().countDown();
             await(pause.resume());
         }
--- a/src/test/java/org/heathercourse/daemon/state/HandoverTest.java
+++ b/src/test/java/org/heathercourse/daemon/state/HandoverTest.java
@@ -140,6 +140,62 @@
         }
     }
 
+    /** Guards against a daemon declared dead by an observer that was slow to write so. */
+    @Test
+    @Timeout(30)
+    void daemonThatBeatInTimeIsNotDeclaredDead() throws Exception {
+        StateEngine a = mFleet.add("a", 1);
+        StateEngine b = mFleet.add("b", 1);
+        mFleet.seconds(4);
+        mFleet.stop("a");
+        mFleet.seconds(5);
+        Set<ShardId> held = new HashSet<>();
+        Fleet.beat(b);
+        mFleet.faults.pause("b", "daemon/a");
+        mFleet.ticker.advanceMillis(1_000);
+        Thread slow = new Thread(b::scanStep);
+        slow.start();
+        mFleet.faults.awaitPaused("b");
+        Fleet.beat(a);
+        for (int s = 0; s < SHARDS; s++) {
+            if (a.fence(new ShardId(s)).isPresent()) {
+                held.add(new ShardId(s));
+            }
+        }
+        mFleet.faults.resume("b");
+        slow.join(TimeUnit.SECONDS.toMillis(20));
+        Fleet.beat(a);
+        assertThat(held).isNotEmpty();
+        for (ShardId shard : held) {
+            assertThat(a.fence(shard)).isPresent();
+            assertThat(b.fence(shard)).isEmpty();
+        }
+    }
+
+    /** Guards against a stale list that takes shards from a daemon that has come back. */
+    @Test
+    void daemonThatCameBackKeepsItsShardsFromStaleObserver() {
+        StateEngine a = mFleet.add("a", 1);
+        StateEngine b = mFleet.add("b", 1);
+        mFleet.seconds(4);
+        mFleet.stop("a");
+        mFleet.seconds(5);
+        Fleet.beat(b);
+        mFleet.ticker.advanceMillis(1_000);
+        // The observer declares the daemon dead and is then cut off before it takes a shard.
+        mFleet.faults.crashAtWrite("b", 1, false);
+        b.scanStep();
+        mFleet.faults.heal();
+        Fleet.beat(a);
+        a.scanStep();
+        mFleet.ticker.advanceMillis(100);
+        b.scanStep();
+        for (int s = 0; s < SHARDS; s++) {
+            ShardId shard = new ShardId(s);
+            assertThat(a.fence(shard).isPresent()).isNotEqualTo(b.fence(shard).isPresent());
+        }
+    }
+
     /** Guards against an old process that goes on after its VM was restarted. */
     @Test
     void laterIncarnationReplacesTheOldProcess() {
