--- a/src/test/java/org/heathercourse/daemon/state/Fleet.java
+++ b/src/test/java/org/heathercourse/daemon/state/Fleet.java
@@ -82,8 +82,9 @@
     }
 
     static void beat(StateEngine engine) {
-        for (int i = 0; i < 3 && engine.heartbeatStep() == Heartbeat.Step.RETRY; i++) {
-            engine.heartbeatStep();
+        Heartbeat.Step step = Heartbeat.Step.RETRY;
+        for (int i = 0; i < 4 && step == Heartbeat.Step.RETRY; i++) {
+            step = engine.heartbeatStep();
         }
     }
 
--- a/src/test/java/org/heathercourse/daemon/state/HandoverTest.java
+++ b/src/test/java/org/heathercourse/daemon/state/HandoverTest.java
@@ -172,6 +172,25 @@
         }
     }
 
+    /** Guards against repeats of a heartbeat that observers cannot tell from the first try. */
+    @Test
+    void repeatOfHeartbeatWithLostReplyShowsThatTheDaemonLives() {
+        StateEngine a = mFleet.add("a", 1);
+        StateEngine b = mFleet.add("b", 1);
+        mFleet.seconds(4);
+        mFleet.stop("a");
+        mFleet.faults.loseReply("a", 1);
+        a.heartbeatStep();
+        mFleet.seconds(5);
+        Fleet.beat(a);
+        mFleet.seconds(3);
+        for (int s = 0; s < SHARDS; s++) {
+            ShardId shard = new ShardId(s);
+            assertThat(a.fence(shard).isPresent()).isNotEqualTo(b.fence(shard).isPresent());
+        }
+        assertThat(b.daemons()).hasSize(2);
+    }
+
     /** Guards against a stale list that takes shards from a daemon that has come back. */
     @Test
     void daemonThatCameBackKeepsItsShardsFromStaleObserver() {
