Publish appends as a whole and keep dependents off the loops

Cause: readers could see half of an append; a dependent of an append future that blocks would have stopped all commits or heartbeats; a daemon that beat every 8 s had no lease when it became a candidate; each released shard caused a scan of its own. Change: one publication per append, completions on the store call pool, a heartbeat at once when a daemon may own shards, scans on request joined.

--- a/src/main/java/org/heathercourse/core/program/ShardState.java
+++ b/src/main/java/org/heathercourse/core/program/ShardState.java
@@ -50,7 +50,7 @@
     }
 
     /**
-     * Applies records of one program.
+     * Applies the records of one append; readers see all of them or none.
      *
      * @param records the records; those of unknown programs have no effect
      * @param nowMillis present ticker time in milliseconds
@@ -58,19 +58,26 @@
      */
     public Optional<ProgramState> apply(List<LogRecord> records, long nowMillis) {
         mNowMillis = nowMillis;
-        ProgramState last = null;
+        ProgramState state = null;
         for (LogRecord record : records) {
-            ProgramState known = mPrograms.get(record.program());
-            if (known == null && record instanceof LogRecord.ProgramStarted started) {
-                last = ProgramState.start(started);
-            } else {
-                last = known == null ? null : known.apply(record);
+            if (state == null || !state.program().equals(record.program())) {
+                publish(state);
+                state = mPrograms.get(record.program());
             }
-            if (last != null) {
-                put(last);
+            if (state != null) {
+                state = state.apply(record);
+            } else if (record instanceof LogRecord.ProgramStarted started) {
+                state = ProgramState.start(started);
             }
         }
-        return Optional.ofNullable(last);
+        publish(state);
+        return Optional.ofNullable(state);
+    }
+
+    private void publish(ProgramState state) {
+        if (state != null) {
+            put(state);
+        }
     }
 
     /** Replaces the state of a program. */
--- a/src/main/java/org/heathercourse/daemon/state/CommitLoop.java
+++ b/src/main/java/org/heathercourse/daemon/state/CommitLoop.java
@@ -52,6 +52,9 @@
 
         /** A flush of the shard took effect. */
         void flushed(OwnedShard shard);
+
+        /** Runs the dependents of futures apart from the threads of the loops. */
+        void complete(Runnable completions);
     }
 
     private final TableStore mTable;
@@ -202,7 +205,7 @@
                     committed(part, row.version());
                 }
             }
-            part.work().batch().forEach(this::complete);
+            complete(part.work().batch());
         }
     }
 
@@ -233,18 +236,30 @@
         mContext.dropped(shard, work);
     }
 
-    private void complete(OwnedShard.Pending pending) {
-        mPendingBytes.addAndGet(-pending.frame().length);
-        pending.done().complete(null);
+    private void complete(List<OwnedShard.Pending> batch) {
+        settle(batch);
+        if (!batch.isEmpty()) {
+            mContext.complete(() -> batch.forEach(pending -> pending.done().complete(null)));
+        }
     }
 
     private void fail(List<OwnedShard.Pending> batch) {
-        for (OwnedShard.Pending pending : batch) {
-            mPendingBytes.addAndGet(-pending.frame().length);
-            pending.done().completeExceptionally(lost(String.valueOf(pending.program())));
+        settle(batch);
+        if (!batch.isEmpty()) {
+            mContext.complete(
+                    () ->
+                            batch.forEach(
+                                    pending ->
+                                            pending.done()
+                                                    .completeExceptionally(
+                                                            lost(pending.program().value()))));
         }
     }
 
+    private void settle(List<OwnedShard.Pending> batch) {
+        batch.forEach(pending -> mPendingBytes.addAndGet(-pending.frame().length));
+    }
+
     /** Returns the error of records that were not written because the shard was lost. */
     static HeathercourseException lost(String program) {
         return new HeathercourseException(
--- a/src/main/java/org/heathercourse/daemon/state/OwnedShard.java
+++ b/src/main/java/org/heathercourse/daemon/state/OwnedShard.java
@@ -128,13 +128,24 @@
      * @return the entry, or null if the shard takes no records any more
      * @throws HeathercourseException if the records do not fit the program
      */
-    synchronized Pending append(
+    Pending append(
             ProgramId program, List<LogRecord> records, long nowMillis, Consumer<Pending> added) {
+        byte[] frame = LogCodec.encode(records);
+        synchronized (this) {
+            return append(program, records, frame, nowMillis, added);
+        }
+    }
+
+    private Pending append(
+            ProgramId program,
+            List<LogRecord> records,
+            byte[] frame,
+            long nowMillis,
+            Consumer<Pending> added) {
         if (mPhase == Phase.CLOSED || mPhase == Phase.LOST) {
             return null;
         }
         check(program, records);
-        byte[] frame = LogCodec.encode(records);
         ProgramState after = mState.apply(records, nowMillis).orElseThrow();
         Pending pending = new Pending(program, frame, after, new CompletableFuture<>());
         added.accept(pending);
--- a/src/main/java/org/heathercourse/daemon/state/StateEngine.java
+++ b/src/main/java/org/heathercourse/daemon/state/StateEngine.java
@@ -78,7 +78,11 @@
         return new StateEngineBuilder(settings);
     }
 
-    /** Starts the loops. Shards are taken from about one second later on. */
+    /**
+     * Starts the loops. Shards are taken from about one second later on.
+     *
+     * @throws IllegalStateException if the engine was built without executors
+     */
     public void start() {
         mTimers.start();
     }
@@ -298,6 +302,10 @@
 
     boolean scanStep() {
         boolean read = mOwnership.scan();
+        if (read && mOwnership.view().mayOwn() && !mHeartbeat.leaseValid()) {
+            // This daemon beat rarely while it owned nothing and needs a lease to take shards.
+            mTimers.heartbeatSoon();
+        }
         if (read && mOwnership.drained()) {
             mDrained.complete(null);
         }
@@ -393,6 +401,11 @@
             }
         }
 
+        @Override
+        public void complete(Runnable completions) {
+            mTimers.complete(completions);
+        }
+
         @Override
         public void flushed(OwnedShard shard) {
             if (shard.startCompaction(Compactor.TAIL_SEGMENTS, Compactor.TAIL_BYTES)) {
--- a/src/main/java/org/heathercourse/daemon/state/StateTimers.java
+++ b/src/main/java/org/heathercourse/daemon/state/StateTimers.java
@@ -6,6 +6,7 @@
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicLong;
 import java.util.random.RandomGenerator;
 import org.heathercourse.core.ownership.FlushPacing;
 import org.heathercourse.core.ownership.LeaseRules;
@@ -30,6 +31,12 @@
 
     private static final long HEARTBEAT_RETRY_MAX_MILLIS = 1_000;
 
+    /** Pause before a scan on request, so that many requests make one scan. */
+    private static final long SCAN_SOON_MILLIS = 20;
+
+    /** Failures beyond which a pause grows no more. */
+    private static final int MAX_DOUBLINGS = 10;
+
     /** The steps and the figures that their times depend on. */
     interface Loops {
         Heartbeat.Step heartbeat();
@@ -54,6 +61,11 @@
     private final RandomGenerator mRandom;
     private final Loops mLoops;
     private final AtomicBoolean mFlushQueued = new AtomicBoolean();
+    private final AtomicBoolean mScanQueued = new AtomicBoolean();
+
+    /** Tells the present chain of heartbeats from those that it replaced. */
+    private final AtomicLong mHeartbeatChain = new AtomicLong();
+
     private final Queue<Runnable> mWaiting = new ConcurrentLinkedQueue<>();
     private final Object mControlLock = new Object();
     private final Object mHeartbeatLock = new Object();
@@ -61,7 +73,7 @@
     private volatile boolean mRunning;
     private volatile long mLastFlushNanos;
     private int mFlushFailures;
-    private int mHeartbeatFailures;
+    private volatile int mHeartbeatFailures;
 
     StateTimers(StateExecutors executors, Ticker ticker, RandomGenerator random, Loops loops) {
         mExecutors = executors;
@@ -71,8 +83,11 @@
     }
 
     void start() {
+        if (mExecutors == null) {
+            throw new IllegalStateException("executors are missing, expected them on the builder");
+        }
         mRunning = true;
-        schedule(mExecutors.heartbeat(), this::runHeartbeat, 0);
+        heartbeatSoon();
         // Daemons that start together should see each other before the first takes all shards.
         schedule(mExecutors.control(), this::runScan, LeaseRules.SCAN_MILLIS * NANOS_PER_MILLI);
     }
@@ -81,12 +96,26 @@
         mRunning = false;
     }
 
+    /** Makes a heartbeat now; the next one follows a period later. */
     void heartbeatSoon() {
-        schedule(mExecutors == null ? null : mExecutors.heartbeat(), this::heartbeatOnce, 0);
+        scheduleHeartbeat(mHeartbeatChain.incrementAndGet(), 0);
+    }
+
+    private void scheduleHeartbeat(long chain, long delayNanos) {
+        if (mRunning) {
+            schedule(mExecutors.heartbeat(), () -> runHeartbeat(chain), delayNanos);
+        }
     }
 
     void scanSoon() {
-        schedule(mExecutors == null ? null : mExecutors.control(), this::scanOnce, 0);
+        if (mRunning && mScanQueued.compareAndSet(false, true)) {
+            Runnable scan =
+                    () -> {
+                        mScanQueued.set(false);
+                        scanOnce();
+                    };
+            schedule(mExecutors.control(), scan, SCAN_SOON_MILLIS * NANOS_PER_MILLI);
+        }
     }
 
     /** Flushes at the next time that the pacing allows; at once if the last one is long ago. */
@@ -133,6 +162,20 @@
         }
     }
 
+    /** Runs the dependents of futures; they may block, so no loop waits for them. */
+    void complete(Runnable completions) {
+        if (!mRunning) {
+            completions.run();
+            return;
+        }
+        try {
+            mExecutors.calls().execute(() -> guarded("completion", completions));
+        } catch (RejectedExecutionException e) {
+            LOG.debug("completion_rejected", "cause", e.getMessage());
+            completions.run();
+        }
+    }
+
     void runWaiting() {
         Runnable task = mWaiting.poll();
         while (task != null) {
@@ -145,21 +188,20 @@
         return LeaseRules.heartbeatPeriodMillis(mLoops.daemons(), mLoops.ownsOrMayOwn());
     }
 
-    private void runHeartbeat() {
+    private void runHeartbeat(long chain) {
+        if (chain != mHeartbeatChain.get()) {
+            return;
+        }
         Heartbeat.Step step = heartbeatOnce();
         if (step == Heartbeat.Step.WRITTEN) {
             mHeartbeatFailures = 0;
-            schedule(
-                    mExecutors.heartbeat(),
-                    this::runHeartbeat,
-                    heartbeatMillis() * NANOS_PER_MILLI);
+            scheduleHeartbeat(chain, heartbeatMillis() * NANOS_PER_MILLI);
         } else if (step == Heartbeat.Step.RETRY) {
-            long pause =
-                    backoffNanos(
-                            HEARTBEAT_RETRY_MILLIS,
-                            HEARTBEAT_RETRY_MAX_MILLIS,
-                            mHeartbeatFailures++);
-            schedule(mExecutors.heartbeat(), this::runHeartbeat, pause);
+            int failures = mHeartbeatFailures;
+            mHeartbeatFailures = Math.min(failures + 1, MAX_DOUBLINGS);
+            scheduleHeartbeat(
+                    chain,
+                    backoffNanos(HEARTBEAT_RETRY_MILLIS, HEARTBEAT_RETRY_MAX_MILLIS, failures));
         }
     }
 
@@ -208,7 +250,7 @@
 
     /** Returns a pause that doubles with each failure, of which half is random. */
     private long backoffNanos(long firstMillis, long maxMillis, int failures) {
-        long millis = Math.min(maxMillis, firstMillis << Math.min(failures, 10));
+        long millis = Math.min(maxMillis, firstMillis << Math.min(failures, MAX_DOUBLINGS));
         return (long) (millis * NANOS_PER_MILLI * (0.5 + 0.5 * mRandom.nextDouble()));
     }
 
--- a/src/main/java/org/heathercourse/daemon/state/StoreTimeouts.java
+++ b/src/main/java/org/heathercourse/daemon/state/StoreTimeouts.java
@@ -6,6 +6,7 @@
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Future;
+import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
 import org.heathercourse.platform.CommitResult;
@@ -80,7 +81,12 @@
     }
 
     private <T> T call(Callable<T> call, long millis) {
-        Future<T> future = mExecutor.submit(call);
+        Future<T> future;
+        try {
+            future = mExecutor.submit(call);
+        } catch (RejectedExecutionException e) {
+            throw StoreException.unavailable("the engine is being stopped", e);
+        }
         try {
             return future.get(millis, TimeUnit.MILLISECONDS);
         } catch (TimeoutException e) {
