Judge no daemon by heartbeats of a time without writes

Cause: a lease regained in the middle of a scan let that scan declare others dead although nobody had been able to write. Change: the scan uses the lease it began with; unknown fields of later versions are skipped; a commit found after a lost reply ends an outage.

--- a/src/main/java/org/heathercourse/core/program/LogCodec.java
+++ b/src/main/java/org/heathercourse/core/program/LogCodec.java
@@ -1,6 +1,7 @@
 package org.heathercourse.core.program;
 
 import com.fasterxml.jackson.core.type.TypeReference;
+import com.fasterxml.jackson.databind.DeserializationFeature;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.ObjectReader;
 import com.fasterxml.jackson.databind.ObjectWriter;
@@ -33,7 +34,11 @@
     private static final byte PROGRAM = 4;
     private static final int HEADER_BYTES = 5;
 
-    private static final ObjectMapper MAPPER = new ObjectMapper(new MessagePackFactory());
+    /** Fields of a later version are skipped, so that versions can run side by side. */
+    private static final ObjectMapper MAPPER =
+            new ObjectMapper(new MessagePackFactory())
+                    .configure(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES, false);
+
     private static final ObjectWriter WRITER =
             MAPPER.writerFor(new TypeReference<List<LogRecord>>() {});
     private static final ObjectReader READER =
--- a/src/main/java/org/heathercourse/daemon/state/CommitLoop.java
+++ b/src/main/java/org/heathercourse/daemon/state/CommitLoop.java
@@ -157,6 +157,7 @@
         mOutcomeOpen = false;
         if (outcome == Flight.Outcome.TOOK_EFFECT) {
             LOG.info("commit_found", "commit", mFlight.commitId());
+            mHealth.succeeded();
             List<Flight.Part> lost = new ArrayList<>();
             List<Row> rows = new ArrayList<>();
             for (Flight.Reading reading : readings) {
--- a/src/main/java/org/heathercourse/daemon/state/OwnershipLoop.java
+++ b/src/main/java/org/heathercourse/daemon/state/OwnershipLoop.java
@@ -112,6 +112,9 @@
     boolean scan() {
         try {
             long nowNanos = mTicker.readNanos();
+            // Before takeLapsed: a lease regained during this scan must not judge others by
+            // heartbeats that nobody could write until now.
+            boolean leased = mHeartbeat.leaseValid();
             if (mHeartbeat.takeLapsed()) {
                 mList.restartObservation(nowNanos);
             }
@@ -122,7 +125,7 @@
                         StoreRows.shardOf(row), new Seen(StoreRows.shard(row), row.version()));
             }
             scanDaemons(nowNanos);
-            act(shardRows, nowNanos);
+            act(shardRows, leased, nowNanos);
             return true;
         } catch (StoreException e) {
             LOG.debug("scan_failed", "cause", e.getMessage());
@@ -151,7 +154,7 @@
         mDaemonScanNanos = nowNanos;
     }
 
-    private void act(Map<ShardId, Seen> shardRows, long nowNanos) {
+    private void act(Map<ShardId, Seen> shardRows, boolean leased, long nowNanos) {
         Map<VmId, DaemonInfo> alive = new HashMap<>();
         mList.alive(nowNanos).forEach(daemon -> alive.put(daemon.vm(), daemon));
         DaemonInfo self = mHeartbeat.self();
@@ -165,7 +168,7 @@
             }
         }
         Map<ShardId, VmId> plan = plan(candidates);
-        if (mHeartbeat.leaseValid()) {
+        if (leased && mHeartbeat.leaseValid()) {
             removeDead(alive.keySet(), wantedFrom(shardRows, plan), nowNanos);
             takeShards(shardRows, plan, nowNanos);
             releaseShards(plan);
--- a/src/main/java/org/heathercourse/daemon/state/StoreRows.java
+++ b/src/main/java/org/heathercourse/daemon/state/StoreRows.java
@@ -2,6 +2,7 @@
 
 import com.fasterxml.jackson.annotation.JsonFormat;
 import com.fasterxml.jackson.annotation.JsonPropertyOrder;
+import com.fasterxml.jackson.databind.DeserializationFeature;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import java.io.IOException;
 import java.nio.ByteBuffer;
@@ -30,9 +31,13 @@
 
     private static final ObjectMapper MAPPER =
             new ObjectMapper(new MessagePackFactory())
+                    .configure(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES, false)
                     .addMixIn(DaemonInfo.class, DaemonColumns.class);
 
-    /** Rows are arrays without field names: each daemon reads all of them again and again. */
+    /**
+     * Rows are arrays without field names, since each daemon reads all of them again and again. New
+     * fields go to the end.
+     */
     @JsonFormat(shape = JsonFormat.Shape.ARRAY)
     @JsonPropertyOrder({
         "vm",
--- a/src/main/java/org/heathercourse/testing/memory/StoreFaults.java
+++ b/src/main/java/org/heathercourse/testing/memory/StoreFaults.java
@@ -18,6 +18,7 @@
     private final Map<String, AtomicInteger> mLoseAfter = new ConcurrentHashMap<>();
     private final Map<String, Crash> mCrashes = new ConcurrentHashMap<>();
     private volatile boolean mOutage;
+    private volatile boolean mWriteOutage;
     private volatile long mDelayNanos;
 
     private record Crash(AtomicInteger writesLeft, boolean withEffect) {}
@@ -29,6 +30,11 @@
         mOutage = on;
     }
 
+    /** Makes all writes of all callers fail while reads go on. */
+    public void writeOutage(boolean on) {
+        mWriteOutage = on;
+    }
+
     /** Makes all calls of one caller fail. */
     public void cutOff(String caller, boolean on) {
         mCutOff.put(caller, on);
@@ -58,6 +64,7 @@
     /** Ends all failures except pauses. */
     public void heal() {
         mOutage = false;
+        mWriteOutage = false;
         mCutOff.clear();
         mLoseBefore.clear();
         mLoseAfter.clear();
@@ -105,6 +112,9 @@
         }
         delay();
         check(caller);
+        if (mWriteOutage) {
+            throw StoreException.unavailable("writes refused", null);
+        }
         crash(caller, false);
         if (take(mLoseBefore, caller)) {
             throw StoreException.outcomeUnknown("request lost", null);
--- a/src/test/java/org/heathercourse/daemon/state/CommitTest.java
+++ b/src/test/java/org/heathercourse/daemon/state/CommitTest.java
@@ -164,6 +164,21 @@
         assertThat(owner.pendingBytes()).isZero();
     }
 
+    /** Guards against mass takeovers when only writes failed and heartbeats stood still for all. */
+    @Test
+    void outageOfWritesCausesNoTakeover() {
+        StateEngine owner = start();
+        final long fence = owner.fence(SHARD).orElseThrow();
+        mFleet.faults.writeOutage(true);
+        CompletableFuture<Void> done = owner.append(P, List.of(Fleet.completed(P, "r1", 1, 10)));
+        mFleet.seconds(301);
+        mFleet.faults.writeOutage(false);
+        mFleet.seconds(15);
+        assertThat(done).isCompletedWithValue(null);
+        assertThat(owner.fence(SHARD)).hasValue(fence);
+        assertThat(mFleet.owner(SHARD)).isSameAs(owner);
+    }
+
     /** Guards against a log that grows without end and against snapshots that lose records. */
     @ParameterizedTest
     @ValueSource(ints = {10, 30_000})
--- a/src/test/java/org/heathercourse/daemon/state/InterleavingTest.java
+++ b/src/test/java/org/heathercourse/daemon/state/InterleavingTest.java
@@ -134,11 +134,12 @@
     }
 
     private void fault(String vm) {
-        switch (mRandom.nextInt(5)) {
+        switch (mRandom.nextInt(6)) {
             case 0 -> mFleet.faults.loseReply(vm, 1 + mRandom.nextInt(3));
             case 1 -> mFleet.faults.loseBeforeEffect(vm, 1 + mRandom.nextInt(3));
             case 2 -> mFleet.faults.cutOff(vm, mRandom.nextBoolean());
-            case 3 -> mFleet.faults.crashAtWrite(vm, mRandom.nextInt(6), mRandom.nextBoolean());
+            case 3 -> mFleet.faults.writeOutage(mRandom.nextBoolean());
+            case 4 -> mFleet.faults.crashAtWrite(vm, mRandom.nextInt(6), mRandom.nextBoolean());
             default -> mFleet.faults.outage(mRandom.nextInt(3) == 0);
         }
     }
