Send most appends of the interleavings to the lease holder

Cause: most appends went to daemons that did not own the shard, so few were acknowledged. Change: three of four go to the holder; 800 steps for each seed.

--- a/src/test/java/org/heathercourse/daemon/state/InterleavingTest.java
+++ b/src/test/java/org/heathercourse/daemon/state/InterleavingTest.java
@@ -28,7 +28,7 @@
 class InterleavingTest {
     private static final int SHARDS = 4;
     private static final int PROGRAMS = 6;
-    private static final int STEPS = 600;
+    private static final int STEPS = 800;
     private static final String[] VMS = {"a", "b", "c"};
 
     private final Map<String, Long> mIncarnations = new HashMap<>();
@@ -148,8 +148,15 @@
         mFleet.add(vm, mIncarnations.merge(vm, 1L, Long::sum));
     }
 
-    private void append(StateEngine engine) {
+    private void append(StateEngine any) {
         ProgramId program = new ProgramId("p" + mRandom.nextInt(PROGRAMS));
+        ShardId shard = ShardId.of(program, SHARDS);
+        // Mostly the holder of the lease, now and then a daemon that wrongly thinks it owns it.
+        StateEngine engine =
+                mFleet.engines.values().stream()
+                        .filter(e -> mRandom.nextInt(4) > 0 && e.fence(shard).isPresent())
+                        .findFirst()
+                        .orElse(any);
         if (engine.find(program).isEmpty()) {
             mSent.add(
                     new Sent(
