--- a/src/main/java/org/heathercourse/daemon/config/ConfigCodec.java
+++ b/src/main/java/org/heathercourse/daemon/config/ConfigCodec.java
@@ -28,7 +28,6 @@
                     .enable(StreamReadFeature.STRICT_DUPLICATE_DETECTION)
                     .enable(StreamReadFeature.INCLUDE_SOURCE_IN_LOCATION)
                     .enable(DeserializationFeature.FAIL_ON_TRAILING_TOKENS)
-                    .enable(DeserializationFeature.FAIL_ON_NULL_FOR_PRIMITIVES)
                     .disable(DeserializationFeature.ACCEPT_FLOAT_AS_INT)
                     .build();
 
