Harden the limiter and the freshness of a starting daemon

Cause: a holder that came back after its share was forgotten numbered its requests from 1 and was taken for overtaken for up to 10 s; a new ledger began to fill at its first request; a daemon that knew only itself was fresh without ever having read the store; an exception ended the ticks.

Change: numbers rise over the life of the process, ledgers fill from the end of the wait, a majority of one needs a read, ticks log and go on.

--- a/src/main/java/org/heathercourse/core/freshness/FreshnessRules.java
+++ b/src/main/java/org/heathercourse/core/freshness/FreshnessRules.java
@@ -138,7 +138,8 @@
     long majorityAgeNanos(long nowNanos) {
         int needed = majority() - 1;
         if (needed == 0) {
-            return 0;
+            // A daemon that starts knows only itself; a read shows that the list is complete.
+            return mStoreSeen ? 0 : Long.MAX_VALUE;
         }
         if (mPeers.size() < needed) {
             return Long.MAX_VALUE;
--- a/src/main/java/org/heathercourse/core/limits/HeldShare.java
+++ b/src/main/java/org/heathercourse/core/limits/HeldShare.java
@@ -70,6 +70,20 @@
      * @param nowNanos present reading of the ticker
      */
     public HeldShare(VmId vm, long incarnation, long nowNanos) {
+        this(vm, incarnation, 0, nowNanos);
+    }
+
+    /**
+     * Creates a holder that follows an earlier one of the same process.
+     *
+     * @param vm this daemon
+     * @param incarnation its incarnation
+     * @param afterNumber number that all requests of earlier holders of this process are below; the
+     *     grantor takes lower numbers for overtaken requests
+     * @param nowNanos present reading of the ticker
+     */
+    public HeldShare(VmId vm, long incarnation, long afterNumber, long nowNanos) {
+        mNumber = afterNumber;
         mVm = vm;
         mIncarnation = incarnation;
         mDemand = new DemandMeter(nowNanos);
--- a/src/main/java/org/heathercourse/core/limits/ShareLedger.java
+++ b/src/main/java/org/heathercourse/core/limits/ShareLedger.java
@@ -237,15 +237,15 @@
     }
 
     private void expire(long nowNanos) {
-        mCentral.fill(nowNanos);
-        boolean removed = mEntries.values().removeIf(entry -> expired(entry, nowNanos));
-        boolean settled = mSettling && nowNanos - mTakeoverNanos >= settleNanos();
-        if (settled) {
+        if (mSettling && nowNanos - mTakeoverNanos >= settleNanos()) {
             mSettling = false;
             mUnknownRate = 0;
             mUnknownBurst = 0;
+            // The bucket fills from the end of the wait, also if nobody asked since.
+            reshapeCentral(mTakeoverNanos + settleNanos());
         }
-        if (removed || settled) {
+        mCentral.fill(nowNanos);
+        if (mEntries.values().removeIf(entry -> expired(entry, nowNanos))) {
             reshapeCentral(nowNanos);
         }
     }
--- a/src/main/java/org/heathercourse/daemon/config/ConfigWatcher.java
+++ b/src/main/java/org/heathercourse/daemon/config/ConfigWatcher.java
@@ -64,6 +64,7 @@
     private final AtomicBoolean mPollSoon = new AtomicBoolean();
     private final Object mLock = new Object();
     private final FreshnessRules mRules;
+    private volatile ConfigPush mLastPush;
     private volatile Cached mCached = new Cached(false, 0);
 
     /** Collects the parts that a watcher works with. */
@@ -321,7 +322,7 @@
 
     private CompletableFuture<StatusReply> push(DaemonInfo peer, DeploymentConfig config) {
         long sent = mTicker.readNanos();
-        ConfigPush message = new ConfigPush(config.revision(), mCodec.write(config));
+        ConfigPush message = pushOf(config);
         return mNetwork.request(peer, message, StatusReply.class, PUSH_TIMEOUT_MILLIS)
                 .whenComplete(
                         (reply, failure) -> {
@@ -337,6 +338,16 @@
                         });
     }
 
+    /** Returns the message for a configuration, which is encoded once for all peers. */
+    private ConfigPush pushOf(DeploymentConfig config) {
+        ConfigPush last = mLastPush;
+        if (last == null || last.revision() != config.revision()) {
+            last = new ConfigPush(config.revision(), mCodec.write(config));
+            mLastPush = last;
+        }
+        return last;
+    }
+
     /**
      * Pushes a configuration to all peers and waits until a majority has applied it. Blocks.
      *
--- a/src/main/java/org/heathercourse/daemon/config/KeyAuthenticator.java
+++ b/src/main/java/org/heathercourse/daemon/config/KeyAuthenticator.java
@@ -106,6 +106,10 @@
         Map<String, Entry> keys = new HashMap<>();
         for (WorkspaceSpec workspace : config.workspaces()) {
             for (KeySpec key : workspace.keys()) {
+                if (!KeyDigest.isHex(key.sha256Hex())) {
+                    // Validation refuses such keys; one that got in must not disturb the others.
+                    continue;
+                }
                 byte[] digest = HexFormat.of().parseHex(key.sha256Hex());
                 keys.put(key.keyId(), new Entry(workspace.workspace(), digest, key.withdrawn()));
             }
--- a/src/main/java/org/heathercourse/daemon/limits/FleetRateLimiter.java
+++ b/src/main/java/org/heathercourse/daemon/limits/FleetRateLimiter.java
@@ -6,6 +6,7 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
 import org.heathercourse.core.config.DeploymentConfig;
 import org.heathercourse.core.error.ErrorKind;
 import org.heathercourse.core.error.HeathercourseException;
@@ -41,6 +42,9 @@
     private final ScheduledExecutorService mControl;
     private final Map<WorkspaceId, LocalShare> mShares = new ConcurrentHashMap<>();
 
+    /** Shares made so far; each has numbers of its own for its requests. */
+    private final AtomicLong mGenerations = new AtomicLong();
+
     /**
      * Creates the limiter.
      *
@@ -87,12 +91,16 @@
         if (admission.admitted()) {
             return Either.right(workspace);
         }
+        if (share.retired() && mShares.remove(workspace, share)) {
+            return acquire(workspace, maxWaitMillis);
+        }
         return Either.left(limited(workspace, admission));
     }
 
     private LocalShare newShare(WorkspaceId workspace) {
         DaemonInfo self = mShards.self();
-        return new LocalShare(self.vm(), self.incarnation(), mTicker);
+        long afterNumber = mGenerations.getAndIncrement() << 32;
+        return new LocalShare(self.vm(), self.incarnation(), afterNumber, mTicker);
     }
 
     private void askSoon(WorkspaceId workspace) {
@@ -101,13 +109,22 @@
 
     /** Makes the requests that are due and forgets shares that are not used. */
     void tick() {
-        DeploymentConfig config = mConfig.current();
-        mShares.entrySet()
-                .removeIf(
-                        entry ->
-                                config.workspace(entry.getKey()).isEmpty()
-                                        || entry.getValue().retireIfUnused());
-        mShares.keySet().forEach(this::askIfDue);
+        try {
+            DeploymentConfig config = mConfig.current();
+            for (Map.Entry<WorkspaceId, LocalShare> entry : mShares.entrySet()) {
+                if (config.workspace(entry.getKey()).isEmpty()) {
+                    entry.getValue().retire();
+                }
+                if (entry.getValue().retireIfUnused()) {
+                    mShares.remove(entry.getKey(), entry.getValue());
+                } else {
+                    askIfDue(entry.getKey());
+                }
+            }
+        } catch (RuntimeException e) {
+            // An exception would end the periodic execution.
+            LOG.error("share_tick_failed", e);
+        }
     }
 
     private void askIfDue(WorkspaceId workspace) {
--- a/src/main/java/org/heathercourse/daemon/limits/GrantorService.java
+++ b/src/main/java/org/heathercourse/daemon/limits/GrantorService.java
@@ -77,7 +77,16 @@
                 ShareRequest.class,
                 request -> CompletableFuture.supplyAsync(() -> handle(request), mControl));
         mControl.scheduleWithFixedDelay(
-                this::observe, 0, OBSERVE_PERIOD_MILLIS, TimeUnit.MILLISECONDS);
+                this::observeSafely, 0, OBSERVE_PERIOD_MILLIS, TimeUnit.MILLISECONDS);
+    }
+
+    private void observeSafely() {
+        try {
+            observe();
+        } catch (RuntimeException e) {
+            // An exception would end the periodic execution.
+            LOG.error("grantor_observe_failed", e);
+        }
     }
 
     /** Notes new fences and limits, so that the time since a takeover is known early. */
--- a/src/main/java/org/heathercourse/daemon/limits/LocalShare.java
+++ b/src/main/java/org/heathercourse/daemon/limits/LocalShare.java
@@ -23,15 +23,16 @@
     private final AtomicBoolean mAskPending = new AtomicBoolean();
     private final HeldShare mShare;
     private int mWaiting;
+    private boolean mRetired;
 
     /** Result of an attempt to take one request out of the share. */
     record Admission(boolean admitted, boolean holdsShare, long retryAfterMillis) {
         static final Admission ADMITTED = new Admission(true, true, 0);
     }
 
-    LocalShare(VmId vm, long incarnation, Ticker ticker) {
+    LocalShare(VmId vm, long incarnation, long afterNumber, Ticker ticker) {
         mTicker = ticker;
-        mShare = new HeldShare(vm, incarnation, ticker.readNanos());
+        mShare = new HeldShare(vm, incarnation, afterNumber, ticker.readNanos());
     }
 
     /**
@@ -91,7 +92,7 @@
         try {
             mAskPending.set(false);
             long now = mTicker.readNanos();
-            return mShare.askDue(now, mWaiting)
+            return !mRetired && mShare.askDue(now, mWaiting)
                     ? Optional.of(mShare.ask(now, mWaiting))
                     : Optional.empty();
         } finally {
@@ -106,7 +107,9 @@
     void onGrant(long number, ShareGrant grant) {
         mLock.lock();
         try {
-            mShare.onGrant(number, grant, mTicker.readNanos());
+            if (!mRetired) {
+                mShare.onGrant(number, grant, mTicker.readNanos());
+            }
             mArrived.signalAll();
         } finally {
             mLock.unlock();
@@ -122,10 +125,32 @@
         }
     }
 
+    /** Gives the share up if it is not in use; returns whether it did. */
     boolean retireIfUnused() {
         mLock.lock();
         try {
-            return mWaiting == 0 && mShare.droppedOut(mTicker.readNanos());
+            mRetired |= mWaiting == 0 && mShare.droppedOut(mTicker.readNanos());
+            return mRetired;
+        } finally {
+            mLock.unlock();
+        }
+    }
+
+    /** Gives the share up. Replies under way are not adopted, so their tokens stay central. */
+    void retire() {
+        mLock.lock();
+        try {
+            mRetired = true;
+        } finally {
+            mLock.unlock();
+        }
+    }
+
+    /** Returns whether the share has been given up; the limiter then makes a new one. */
+    boolean retired() {
+        mLock.lock();
+        try {
+            return mRetired;
         } finally {
             mLock.unlock();
         }
--- a/src/main/java/org/heathercourse/testing/bench/RateBench.java
+++ b/src/main/java/org/heathercourse/testing/bench/RateBench.java
@@ -75,6 +75,7 @@
         figures.put(
                 "ideal_refused_pct", percent(atRate.arrivals() - atRate.idealAdmitted(), atRate));
         figures.put("refused_pct", percent(atRate.arrivals() - atRate.admitted(), atRate));
+        figures.put("waited_pct", percent(atRate.waited(), atRate));
         figures.put("worst_excess", round(Math.max(atRate.worstExcess(), over.worstExcess())));
         figures.put(
                 "overload_used_of_ideal_pct",
--- a/src/main/java/org/heathercourse/testing/bench/RateRun.java
+++ b/src/main/java/org/heathercourse/testing/bench/RateRun.java
@@ -54,6 +54,7 @@
     private long mNaiveRefusedWithin;
     private long mIdealAdmitted;
     private long mMessages;
+    private long mWaited;
 
     /** Something that happens at a time; events of one time happen in the order of creation. */
     private record Event(long at, long order, Runnable action) implements Comparable<Event> {
@@ -73,7 +74,8 @@
             long naiveRefusedWithin,
             long over,
             double worstExcess,
-            long messages) {}
+            long messages,
+            long waited) {}
 
     RateRun(RateScenario scenario, String name, double load) {
         mScenario = scenario;
@@ -131,7 +133,8 @@
                 mNaiveRefusedWithin,
                 mCeiling.over(),
                 mCeiling.worstExcess(),
-                mMessages);
+                mMessages,
+                mWaited);
     }
 
     private void at(long time, Runnable action) {
@@ -163,6 +166,7 @@
     /** Waits for a token, as the daemon's limiter does. */
     private void park(int vm, boolean ideal) {
         long id = mOrder;
+        mWaited++;
         mWaiting.get(vm).add(id);
         at(
                 mNow + MAX_WAIT_NANOS,
