Give holders without fill a token ahead while the centre has plenty

Cause: at 8/s and burst 80 half of the requests waited for the grantor; a holder that met an empty grantor refused for up to 1 s.

Change: tokens ahead of requests from two central tokens per holder on; an empty grantor is asked again after 150 ms.

Conclusion: small rates are served from the holder's memory while there are tokens.

--- a/src/main/java/org/heathercourse/core/limits/HeldShare.java
+++ b/src/main/java/org/heathercourse/core/limits/HeldShare.java
@@ -39,6 +39,9 @@
     /** Requests that may wait for a first share. */
     private static final int MAX_WAITING = 64;
 
+    /** Time after which a grantor without tokens is asked again for a request that waits. */
+    private static final long DRY_NANOS = 150_000_000L;
+
     /** Demand that may wait for tokens of the grantor, in seconds: the time between requests. */
     private static final double WAITING_SECONDS = 0.1;
 
@@ -128,7 +131,8 @@
         if (filled >= 1 + waiting) {
             return true;
         }
-        return !mDry && waiting < 2 + mDemand.perSecond(nowNanos) * WAITING_SECONDS;
+        boolean dry = mDry && nowNanos - mAskedNanos < DRY_NANOS;
+        return !dry && waiting < 2 + mDemand.perSecond(nowNanos) * WAITING_SECONDS;
     }
 
     /**
--- a/src/main/java/org/heathercourse/core/limits/SharePolicy.java
+++ b/src/main/java/org/heathercourse/core/limits/SharePolicy.java
@@ -47,6 +47,12 @@
 
     private static final double LEAST_FILL = 1;
 
+    /**
+     * Central tokens for each holder without fill from which on it gets a token ahead of its next
+     * request, so that the request need not wait for the grantor.
+     */
+    private static final double SPARE_PER_HOLDER = 2;
+
     /** Fill beyond the demand that a holder gets when the rate is not used up. */
     private static final double SPARE_RATIO = 1.5;
 
@@ -103,7 +109,9 @@
         double fill = Math.min(part * rate, own * SPARE_RATIO + rate * SPARE_RATE);
         double room = burst * (HELD_BY_DEMAND * part + HELD_EQUALLY / all.size());
         if (room < LEAST_CAPACITY || fill < LEAST_FILL) {
-            return new Target(0, 0, Math.min(burst, entry.waiting), 1);
+            double spare = Math.floor(centralTokens / (SPARE_PER_HOLDER * all.size()));
+            double ahead = Math.min(spare, Math.ceil(own * TOP_UP_SECONDS));
+            return new Target(0, 0, Math.min(burst, entry.waiting + ahead), 1);
         }
         // The less a holder can accumulate, the more of its fill would overflow.
         fill *= 1 - 1 / (1 + room);
