Serve slow holders with little room by request

Cause: with a burst of one to two seconds of a small rate, holders' room left the central bucket too little capacity, so fill was lost.

Change: holders below 5/s with room for less than 4 tokens get tokens for requests; one central token per holder suffices for a token ahead.

--- a/src/main/java/org/heathercourse/core/limits/SharePolicy.java
+++ b/src/main/java/org/heathercourse/core/limits/SharePolicy.java
@@ -39,19 +39,24 @@
     private static final double ACCUMULATED_SECONDS = 0.4;
 
     /**
-     * A holder that may hold less than this many tokens, or is filled more slowly than this per
-     * second, gets no fill. It gets tokens for requests that wait; fractions of tokens spread over
-     * many holders would be of no use to any.
+     * A holder that is filled more slowly than this per second gets no fill. It gets tokens for
+     * requests that wait; fractions of tokens spread over many holders would be of no use to any.
      */
-    private static final double LEAST_CAPACITY = 1.5;
-
     private static final double LEAST_FILL = 1;
 
+    /** Likewise a holder that may hold less than this, if it can ask for most of its tokens. */
+    private static final double LEAST_ROOM_IF_SLOW = 4;
+
+    private static final double LEAST_ROOM = 1.5;
+
+    /** Fill per second from which on the spacing of requests makes asking for tokens too slow. */
+    private static final double SLOW_FILL = 5;
+
     /**
      * Central tokens for each holder without fill from which on it gets a token ahead of its next
      * request, so that the request need not wait for the grantor.
      */
-    private static final double SPARE_PER_HOLDER = 2;
+    private static final double SPARE_PER_HOLDER = 1;
 
     /** Fill beyond the demand that a holder gets when the rate is not used up. */
     private static final double SPARE_RATIO = 1.5;
@@ -108,7 +113,8 @@
         double part = own / (scarce ? rate : demands);
         double fill = Math.min(part * rate, own * SPARE_RATIO + rate * SPARE_RATE);
         double room = burst * (HELD_BY_DEMAND * part + HELD_EQUALLY / all.size());
-        if (room < LEAST_CAPACITY || fill < LEAST_FILL) {
+        double leastRoom = fill < SLOW_FILL ? LEAST_ROOM_IF_SLOW : LEAST_ROOM;
+        if (room < leastRoom || fill < LEAST_FILL) {
             double spare = Math.floor(centralTokens / (SPARE_PER_HOLDER * all.size()));
             double ahead = Math.min(spare, Math.ceil(own * TOP_UP_SECONDS));
             return new Target(0, 0, Math.min(burst, entry.waiting + ahead), 1);
