--- a/src/main/java/org/heathercourse/core/limits/HeldShare.java
+++ b/src/main/java/org/heathercourse/core/limits/HeldShare.java
@@ -28,7 +28,7 @@
     static final long IDLE_NANOS = 30_000_000_000L;
 
     /** Share of the demand of a second below which tokens count as low. */
-    private static final double LOW_TOKENS_SECONDS = 0.3;
+    private static final double LOW_TOKENS_SECONDS = 0.15;
 
     /** Change of demand that is reported early, relative to the smaller value. */
     private static final double MOVED_RATIO = 0.3;
@@ -39,6 +39,9 @@
     /** Requests that may wait for a first share. */
     private static final int MAX_WAITING = 64;
 
+    /** Time after which a grantor without tokens is asked again for a request that waits. */
+    private static final long DRY_NANOS = 150_000_000L;
+
     /** Demand that may wait for tokens of the grantor, in seconds: the time between requests. */
     private static final double WAITING_SECONDS = 0.1;
 
@@ -70,6 +73,20 @@
      * @param nowNanos present reading of the ticker
      */
     public HeldShare(VmId vm, long incarnation, long nowNanos) {
+        this(vm, incarnation, 0, nowNanos);
+    }
+
+    /**
+     * Creates a holder that follows an earlier one of the same process.
+     *
+     * @param vm this daemon
+     * @param incarnation its incarnation
+     * @param afterNumber number that all requests of earlier holders of this process are below; the
+     *     grantor takes lower numbers for overtaken requests
+     * @param nowNanos present reading of the ticker
+     */
+    public HeldShare(VmId vm, long incarnation, long afterNumber, long nowNanos) {
+        mNumber = afterNumber;
         mVm = vm;
         mIncarnation = incarnation;
         mDemand = new DemandMeter(nowNanos);
@@ -114,7 +131,8 @@
         if (filled >= 1 + waiting) {
             return true;
         }
-        return !mDry && waiting < 2 + mDemand.perSecond(nowNanos) * WAITING_SECONDS;
+        boolean dry = mDry && nowNanos - mAskedNanos < DRY_NANOS;
+        return !dry && waiting < 2 + mDemand.perSecond(nowNanos) * WAITING_SECONDS;
     }
 
     /**
