Run a repeat anew when its earlier attempt has just ended without a record

Change: an ended attempt counts by its record only, also when a parent's reservation is judged. The test now repeats 200 times. Also counts all requests in progress and tests takeovers in mid-stream and sub-agents.

--- a/src/main/java/org/heathercourse/daemon/call/AnswerBuffer.java
+++ b/src/main/java/org/heathercourse/daemon/call/AnswerBuffer.java
@@ -97,6 +97,16 @@
         }
     }
 
+    /** Returns whether the last message is there. */
+    boolean ended() {
+        mLock.lock();
+        try {
+            return mDone;
+        } finally {
+            mLock.unlock();
+        }
+    }
+
     boolean cancelled() {
         mLock.lock();
         try {
--- a/src/main/java/org/heathercourse/daemon/call/CallExecutor.java
+++ b/src/main/java/org/heathercourse/daemon/call/CallExecutor.java
@@ -115,7 +115,8 @@
     /** Returns whether a call of a program runs or waits here. */
     boolean busy(ProgramId program) {
         synchronized (mLock) {
-            return mLanes.containsKey(program);
+            Deque<Job> lane = mLanes.get(program);
+            return lane != null && lane.stream().anyMatch(job -> !job.answer().ended());
         }
     }
 
@@ -192,7 +193,8 @@
     private AnswerBuffer earlier(Job job) {
         CallRequest request = job.request();
         Job running = mJobs.get(job.key());
-        if (running != null) {
+        // An attempt that has ended but still tidies up counts by its record, if it left one.
+        if (running != null && !running.answer().ended()) {
             checkWorkspace(request, running.request().workspace());
             if (!running.digest().equals(job.digest())) {
                 throw CallErrors.identityConflict(request.request());
@@ -246,7 +248,7 @@
                 return;
             }
             mLanes.get(job.request().program()).remove(job);
-            mJobs.remove(job.key());
+            mJobs.remove(job.key(), job);
         }
         job.mUse.close();
         job.answer().fail(CallErrors.deadline(true));
@@ -380,7 +382,7 @@
         Job next;
         ProgramId program = job.request().program();
         synchronized (mLock) {
-            mJobs.remove(job.key());
+            mJobs.remove(job.key(), job);
             Deque<Job> lane = mLanes.get(program);
             lane.remove(job);
             next = lane.peek();
--- a/src/main/java/org/heathercourse/daemon/http/CallerHandlers.java
+++ b/src/main/java/org/heathercourse/daemon/http/CallerHandlers.java
@@ -12,7 +12,6 @@
 import java.nio.charset.StandardCharsets;
 import java.time.Clock;
 import java.util.HexFormat;
-import java.util.concurrent.atomic.AtomicInteger;
 import java.util.random.RandomGenerator;
 import javax.inject.Inject;
 import org.heathercourse.core.config.ModelSpec;
@@ -59,7 +58,6 @@
     private final Ticker mTicker;
     private final Clock mClock;
     private final RandomGenerator mRandom;
-    private final AtomicInteger mActive = new AtomicInteger();
 
     /** Creates the handlers. */
     @Inject
@@ -86,10 +84,6 @@
         mRandom = random;
     }
 
-    int active() {
-        return mActive.get();
-    }
-
     // Directory routes
 
     String address(Context context, boolean draining) throws IOException {
@@ -201,7 +195,7 @@
                         .deadlineMillis(
                                 CallerRequest.deadlineMillis(context.req(), RequestClass.BATCH))
                         .build();
-        return write(context, principal, call, mCalls.open(call, new byte[0]));
+        return write(context, principal, mCalls.open(call, new byte[0]));
     }
 
     String chat(Context context) throws IOException, InterruptedException {
@@ -211,7 +205,7 @@
         CallRequest call = common(context, CallRequest.Kind.MODEL, principal).build();
         Answer answer =
                 call.ephemeral() ? mCalls.openEphemeral(call, body, null) : mCalls.open(call, body);
-        return write(context, principal, call, answer);
+        return write(context, principal, answer);
     }
 
     String service(Context context) throws IOException, InterruptedException {
@@ -239,7 +233,7 @@
                         .path(query == null ? path : path + "?" + query)
                         .headers(PlainHeaders.fromCaller(CallerRequest.headers(request), key))
                         .build();
-        return write(context, principal, call, open(call, request));
+        return write(context, principal, open(call, request));
     }
 
     private Answer open(CallRequest call, HttpServletRequest request) throws IOException {
@@ -313,20 +307,15 @@
         return HexFormat.of().formatHex(bytes);
     }
 
-    private String write(Context context, Principal principal, CallRequest call, Answer answer)
+    private String write(Context context, Principal principal, Answer answer)
             throws IOException, InterruptedException {
-        mActive.incrementAndGet();
-        try {
-            return new AnswerWriter(
-                            context.req(),
-                            context.res(),
-                            answer,
-                            () -> principal == null || mAuthenticator.stillValid(principal),
-                            mTicker)
-                    .write();
-        } finally {
-            mActive.decrementAndGet();
-        }
+        return new AnswerWriter(
+                        context.req(),
+                        context.res(),
+                        answer,
+                        () -> principal == null || mAuthenticator.stillValid(principal),
+                        mTicker)
+                .write();
     }
 
     // Keys and rates
--- a/src/main/java/org/heathercourse/daemon/http/CallerServer.java
+++ b/src/main/java/org/heathercourse/daemon/http/CallerServer.java
@@ -7,6 +7,7 @@
 import io.javalin.http.HandlerType;
 import java.io.IOException;
 import java.util.List;
+import java.util.concurrent.atomic.AtomicInteger;
 import javax.inject.Inject;
 import org.heathercourse.core.error.ErrorKind;
 import org.heathercourse.core.error.HeathercourseException;
@@ -32,6 +33,7 @@
     private final HttpSettings mSettings;
     private final CallerHandlers mHandlers;
     private final Ticker mTicker;
+    private final AtomicInteger mActive = new AtomicInteger();
     private volatile boolean mDraining;
     private Javalin mServer;
 
@@ -110,6 +112,7 @@
     private Handler route(Route route) {
         return context -> {
             context.attribute("handled", true);
+            mActive.incrementAndGet();
             long start = mTicker.readMillis();
             if (mDraining) {
                 context.res().setHeader("Connection", "close");
@@ -131,6 +134,7 @@
                 }
                 HttpErrors.write(context.res(), e);
             } finally {
+                mActive.decrementAndGet();
                 access(context, kind, mTicker.readMillis() - start);
             }
         };
@@ -167,7 +171,7 @@
 
     /** Returns the number of requests in progress. */
     public int activeRequests() {
-        return mHandlers.active();
+        return mActive.get();
     }
 
     @Override
--- a/src/test/java/org/heathercourse/daemon/call/AtMostOnceTest.java
+++ b/src/test/java/org/heathercourse/daemon/call/AtMostOnceTest.java
@@ -155,6 +155,13 @@
         mFixture.targets.plain = (address, request) -> FakeTargets.ok("paid");
         assertThat(pay("r").body()).isEqualTo("paid");
         assertThat(mFixture.log.records(CallFailed.class).get(0).notRun()).isTrue();
+        for (int i = 0; i < 200; i++) {
+            targetFails(TargetFailure.Kind.NOT_SENT);
+            pay("again" + i);
+            mFixture.targets.plain = (address, request) -> FakeTargets.ok("paid");
+            Seen repeated = pay("again" + i);
+            assertThat(repeated.error()).as("repeat %s right after the failure", i).isNull();
+        }
     }
 
     /** Guards against an answer delivered as durable before its record is. */
--- a/src/test/java/org/heathercourse/daemon/call/CallRouterTest.java
+++ b/src/test/java/org/heathercourse/daemon/call/CallRouterTest.java
@@ -156,4 +156,42 @@
         assertThat(seen.error().notRun()).isFalse();
         assertThat(mOwner.targets.sent).hasSize(1);
     }
+
+    /** Guards against an answer put together from the attempts of two owners. */
+    @Test
+    void runsModelCallsAgainAtNewOwnersAndSkipsOnlyTheSamePart() throws Exception {
+        assertThat(takenOver("one").error()).isNull();
+        assertThat(takenOver("other").error().kind()).isEqualTo("target_failed");
+    }
+
+    /** Streams one piece, loses the owner, and reads the rest from a new owner. */
+    private Seen takenOver(String firstPiece) throws Exception {
+        FakeShards shards =
+                new FakeShards(FakeShards.daemon("vm-2", 1), FakeShards.daemon("vm-2", 1));
+        try (CallFixture dying = new CallFixture();
+                CallFixture next = new CallFixture(CallSettings.DEFAULT, shards, mTicker)) {
+            NettyPeerNetwork dyingNetwork = network(dying.shards.self(), 0);
+            new CallAcceptor(dying.executor, new ProgramOps(dying.executor)).register(dyingNetwork);
+            NettyPeerNetwork nextNetwork = network(next.shards.self(), 0);
+            new CallAcceptor(next.executor, new ProgramOps(next.executor)).register(nextNetwork);
+            dying.targets.engine = (request, listener) -> listener.onToken(0, firstPiece);
+            mFrontShards.owner = FakeShards.daemon("vm-1", dyingNetwork.start());
+            Answer answer = mRouter.open(model("r").build(), chat(true, "hello"));
+            StringBuilder seen = new StringBuilder();
+            while (!seen.toString().contains(firstPiece)) {
+                if (answer.next(10_000) instanceof PeerMessage.CallChunk c) {
+                    seen.append(new String(c.bytes()));
+                }
+            }
+            dyingNetwork.close();
+            mFrontShards.owner = FakeShards.daemon("vm-2", nextNetwork.start());
+            Seen rest = read(answer);
+            if (rest.error() == null) {
+                String whole = next.run(model("r"), chat(true, "hello")).body();
+                assertThat(seen + rest.body()).isEqualTo(whole);
+            }
+            nextNetwork.close();
+            return rest;
+        }
+    }
 }
--- a/src/test/java/org/heathercourse/daemon/http/CallerServerTest.java
+++ b/src/test/java/org/heathercourse/daemon/http/CallerServerTest.java
@@ -375,4 +375,17 @@
         HttpRequest request = HttpRequest.newBuilder(uri).build();
         assertThat(client.send(request, BodyHandlers.ofString()).statusCode()).isEqualTo(200);
     }
+
+    /** Guards against sub-agents that spend what their parent does not have. */
+    @Test
+    void startsSubAgentsFromTheBudgetOfTheirParent() throws Exception {
+        post("/v1/programs", "{\"program\":\"p-1\",\"budget_tokens\":100}");
+        String child = "{\"program\":\"c-1\",\"parent\":\"p-1\",\"budget_tokens\":70}";
+        assertThat(post("/v1/programs", child).body()).contains("\"budget_tokens\":70");
+        assertThat(post("/v1/programs", child).statusCode()).isEqualTo(201);
+        assertThat(get("/v1/programs/p-1").body()).contains("\"spent_tokens\":70");
+        HttpResponse<String> more = post("/v1/programs", child.replace("c-1", "c-2"));
+        assertThat(more.statusCode()).isEqualTo(402);
+        assertThat(get("/v1/programs/c-2").statusCode()).isEqualTo(404);
+    }
 }
