--- a/src/test/java/org/heathercourse/daemon/http/CallerServerTest.java
+++ b/src/test/java/org/heathercourse/daemon/http/CallerServerTest.java
@@ -339,7 +339,7 @@
             random.nextBytes(bytes);
             raw(new String(bytes, StandardCharsets.ISO_8859_1) + "\r\n\r\n");
         }
-        assertThat(get("/v1/models").body()).contains("\"weave\"");
+        assertThat(get("/v1/models").body()).as("seed 99").contains("\"weave\"");
     }
 
     /** Guards against callers that stay at, or are sent to, a daemon that is leaving. */
--- a/src/test/java/org/heathercourse/daemon/peer/NettyPeerNetworkTest.java
+++ b/src/test/java/org/heathercourse/daemon/peer/NettyPeerNetworkTest.java
@@ -249,7 +249,9 @@
             InputStream in = socket.getInputStream();
             assertThat(in.read()).isEqualTo(-1);
         }
-        assertThat(mA.request(mInfoB, OP, ProgramOpReply.class, 5000).join().json()).isEqualTo("p");
+        assertThat(mA.request(mInfoB, OP, ProgramOpReply.class, 5000).join().json())
+                .as("seed 4711")
+                .isEqualTo("p");
     }
 
     /** Guards against waiting without end for a peer that accepts and stays silent. */
