--- a/src/main/java/org/heathercourse/core/ownership/DaemonList.java
+++ b/src/main/java/org/heathercourse/core/ownership/DaemonList.java
@@ -15,9 +15,11 @@
  *
  * <p>A daemon is dead when its heartbeat has stayed unchanged for three of its periods of the
  * observer's own ticker. Time during which the observer could not read does not count, since nobody
- * may have been able to write either. Identities follow incarnations: a row with an incarnation
- * older than one already seen is ignored, and a VM retired at incarnation i is never listed with an
- * incarnation up to i.
+ * may have been able to write either, and after such a time a living daemon gets {@link
+ * LeaseRules#SETTLE_MILLIS} to write. What was counted before is kept, so that a store that fails
+ * again and again for short times does not put off every takeover. Identities follow incarnations:
+ * a row with an incarnation older than one already seen is ignored, and a VM retired at incarnation
+ * i is never listed with an incarnation up to i.
  *
  * <p>Not safe for use by several threads.
  */
@@ -26,9 +28,23 @@
     private final Map<VmId, Long> mNewestIncarnation = new HashMap<>();
     private final Map<VmId, Long> mRetired = new HashMap<>();
     private long mLastScanNanos;
+    private long mVisibleSinceNanos;
     private boolean mScanned;
 
-    private record Observed(DaemonInfo info, long changedNanos, long incarnationNanos) {}
+    /**
+     * A row as observed.
+     *
+     * @param info the row
+     * @param changedNanos when it last changed
+     * @param unchangedNanos time counted since then
+     * @param incarnationNanos when its incarnation was first seen
+     */
+    private record Observed(
+            DaemonInfo info, long changedNanos, long unchangedNanos, long incarnationNanos) {
+        Observed counting(long nanos) {
+            return new Observed(info, changedNanos, unchangedNanos + nanos, incarnationNanos);
+        }
+    }
 
     /**
      * Takes in the rows of one complete scan.
@@ -37,9 +53,11 @@
      * @param nowNanos ticker time at which the scan started
      */
     public void observe(Collection<DaemonInfo> rows, long nowNanos) {
-        long gapNanos = mScanned ? nowNanos - mLastScanNanos : 0;
-        if (gapNanos > LeaseRules.BLIND_MILLIS * 1_000_000L) {
-            restartObservation(nowNanos);
+        if (!mScanned || nowNanos - mLastScanNanos > LeaseRules.BLIND_MILLIS * 1_000_000L) {
+            mVisibleSinceNanos = nowNanos;
+        } else {
+            long sinceNanos = nowNanos - Math.max(mLastScanNanos, mVisibleSinceNanos);
+            mObserved.replaceAll((vm, o) -> o.counting(Math.max(0, sinceNanos)));
         }
         mLastScanNanos = nowNanos;
         mScanned = true;
@@ -64,17 +82,18 @@
                 new Observed(
                         row,
                         beaten ? nowNanos : before.changedNanos(),
+                        beaten ? 0 : before.unchangedNanos(),
                         sameProcess ? before.incarnationNanos() : nowNanos));
     }
 
     /**
-     * Counts unchanged heartbeats from now on. Called when this observer itself could not write or
-     * read for a while.
+     * Notes that this observer itself could not write or read until now, so that the time since the
+     * last scan does not count.
      *
      * @param nowNanos present ticker time
      */
     public void restartObservation(long nowNanos) {
-        mObserved.replaceAll((vm, o) -> new Observed(o.info(), nowNanos, nowNanos));
+        mVisibleSinceNanos = nowNanos;
     }
 
     /**
@@ -161,8 +180,13 @@
         return info.incarnation() <= mRetired.getOrDefault(info.vm(), Long.MIN_VALUE);
     }
 
-    private static boolean beating(Observed o, long nowNanos) {
-        long unchangedNanos = nowNanos - o.changedNanos();
-        return unchangedNanos < LeaseRules.deathMillis(o.info().periodMillis()) * 1_000_000L;
+    private boolean beating(Observed o, long nowNanos) {
+        long visibleNanos = nowNanos - mVisibleSinceNanos;
+        if (visibleNanos < LeaseRules.SETTLE_MILLIS * 1_000_000L) {
+            return true;
+        }
+        long sinceScanNanos = Math.max(0, nowNanos - Math.max(mLastScanNanos, mVisibleSinceNanos));
+        long countedNanos = o.unchangedNanos() + sinceScanNanos;
+        return countedNanos < LeaseRules.deathMillis(o.info().periodMillis()) * 1_000_000L;
     }
 }
--- a/src/main/java/org/heathercourse/core/ownership/LeaseRules.java
+++ b/src/main/java/org/heathercourse/core/ownership/LeaseRules.java
@@ -28,6 +28,12 @@
      */
     public static final long BLIND_MILLIS = 2_500;
 
+    /**
+     * Time for which the store must have been readable again before a daemon is declared dead: a
+     * heartbeat period and a second for the write, so that a living daemon has written by then.
+     */
+    public static final long SETTLE_MILLIS = HEARTBEAT_MILLIS + 1_000;
+
     /** Number of daemons up to which all of them beat every {@link #HEARTBEAT_MILLIS}. */
     private static final int FULL_RATE_DAEMONS = 100;
 
--- a/src/main/java/org/heathercourse/daemon/call/Job.java
+++ b/src/main/java/org/heathercourse/daemon/call/Job.java
@@ -86,7 +86,8 @@
         if (mShard == null) {
             return 0;
         }
-        OptionalLong fence = mServices.shards().fence(mShard);
+        // A non-idempotent call needs a durable intent besides, which proves the ownership.
+        OptionalLong fence = mServices.shards().repeatableFence(mShard);
         if (fence.isEmpty()) {
             throw CallErrors.ownershipLost(mShard, notRun);
         }
--- a/src/main/java/org/heathercourse/daemon/limits/GrantorService.java
+++ b/src/main/java/org/heathercourse/daemon/limits/GrantorService.java
@@ -118,7 +118,7 @@
     }
 
     private Optional<Tenure> tenure(ShardId shard) {
-        OptionalLong fence = mShards.fence(shard);
+        OptionalLong fence = mShards.repeatableFence(shard);
         if (fence.isEmpty()) {
             return Optional.empty();
         }
--- a/src/main/java/org/heathercourse/daemon/state/StateEngine.java
+++ b/src/main/java/org/heathercourse/daemon/state/StateEngine.java
@@ -140,8 +140,7 @@
     }
 
     /**
-     * Returns the fencing number under which this daemon may go on with idempotent work, also while
-     * the store is down.
+     * {@inheritDoc}
      *
      * <p>A shard changes its owner only by writes to the store. While the store is down for
      * everybody no other daemon can take the shard, so the last owner is the only one. A daemon
@@ -149,17 +148,18 @@
      * daemons. The evidence may be wrong for a minority that still reaches the store, so the result
      * covers only work that may run twice; non-idempotent work needs a durable intent, which needs
      * the store.
-     *
-     * @param shard the shard
-     * @return the number, or empty if another daemon may own the shard
      */
-    public OptionalLong ownsDuringOutage(ShardId shard) {
-        boolean outage = mHealth.down() && mEvidence.storeDownForMajority();
-        return mHeartbeat.leaseValid() || (outage && !mHeartbeat.replaced())
+    @Override
+    public OptionalLong repeatableFence(ShardId shard) {
+        return mHeartbeat.leaseValid() || (outage() && !mHeartbeat.replaced())
                 ? heldFence(shard)
                 : OptionalLong.empty();
     }
 
+    private boolean outage() {
+        return mHealth.down() && mEvidence.storeDownForMajority();
+    }
+
     private OptionalLong heldFence(ShardId shard) {
         OwnedShard owned = mShards.get(shard);
         boolean serves =
