Let begun programs go first while caches are short

Cause: after a zone loss the programs under way need more cache than is left; least attained service keeps starting new programs, which make each other compute prefixes again, and the calls above the limit are refused.

--- a/src/main/java/org/heathercourse/core/admission/AdaptiveLimit.java
+++ b/src/main/java/org/heathercourse/core/admission/AdaptiveLimit.java
@@ -16,7 +16,7 @@
      * A wait above this share of the call's deadline is long. Calls of low priority wait for some
      * seconds by design, so that a short fixed bound refused calls that would have run in time.
      */
-    private static final double LONG_WAIT_SHARE = 0.25;
+    private static final double LONG_WAIT_SHARE = 0.5;
 
     /** Waits of one congestion arrive together; only one of them within this time counts. */
     private static final long SHRINK_INTERVAL_MILLIS = 2_000;
--- a/src/main/java/org/heathercourse/core/ordering/PriorityRule.java
+++ b/src/main/java/org/heathercourse/core/ordering/PriorityRule.java
@@ -27,6 +27,19 @@
     /** Greatest allowance for a workspace's lead. */
     static final long MAX_LEAD_MILLIS = 40_000;
 
+    /**
+     * From this share of lost sessions on, programs that have begun go first. More programs than
+     * the caches hold make each other compute prefixes again, and least attained service alone
+     * keeps starting new ones.
+     */
+    private static final double FULL_PRESSURE_RATIO = 0.1;
+
+    /** Greatest allowance of a new program while caches are short. */
+    private static final double MAX_PRESSURE_MILLIS = 45_000;
+
+    /** Allowance that a program loses for each millisecond of service received. */
+    private static final double PRESSURE_SLOPE = 3;
+
     private static final long BATCH_MILLIS = 30_000;
 
     private PriorityRule() {}
@@ -37,6 +50,7 @@
      * @param requestClass how urgent the call is
      * @param attainedMillis service that the program has received, in milliseconds of an engine
      * @param leadMillis service of the workspace above its share, in milliseconds of an engine
+     * @param cacheLossRatio share of the target's calls after which a live session lost its cache
      * @param epochMillis wall-clock time of arrival
      * @param policy weights
      */
@@ -44,9 +58,12 @@
             RequestClass requestClass,
             double attainedMillis,
             double leadMillis,
+            double cacheLossRatio,
             long epochMillis,
             PolicySpec policy) {
-        double allowance = serviceMillis(attainedMillis, policy) + leadMillis(leadMillis, policy);
+        double allowance =
+                serviceMillis(attainedMillis, cacheLossRatio, policy)
+                        + leadMillis(leadMillis, policy);
         if (requestClass == RequestClass.URGENT) {
             allowance = leadMillis(leadMillis, policy) - URGENT_ADVANCE_MILLIS;
         } else if (requestClass == RequestClass.BATCH) {
@@ -59,9 +76,12 @@
                         Math.min(Integer.MAX_VALUE, Math.floorDiv(virtual, UNIT_MILLIS)));
     }
 
-    private static double serviceMillis(double attainedMillis, PolicySpec policy) {
-        double weight = 1 - policy.fairnessWeight();
-        return weight * Math.min(MAX_SERVICE_MILLIS, attainedMillis);
+    private static double serviceMillis(
+            double attainedMillis, double cacheLossRatio, PolicySpec policy) {
+        double pressure = Math.min(1, cacheLossRatio / FULL_PRESSURE_RATIO);
+        double least = (1 - policy.fairnessWeight()) * Math.min(MAX_SERVICE_MILLIS, attainedMillis);
+        double most = Math.max(0, MAX_PRESSURE_MILLIS - PRESSURE_SLOPE * attainedMillis);
+        return (1 - pressure) * least + pressure * most;
     }
 
     private static double leadMillis(double leadMillis, PolicySpec policy) {
--- a/src/main/java/org/heathercourse/core/placement/CacheDirectory.java
+++ b/src/main/java/org/heathercourse/core/placement/CacheDirectory.java
@@ -18,6 +18,7 @@
     /** Holders of one session; arrays keep an entry small, as there are many sessions. */
     static final class Holders {
         private int[] mTargets = {};
+        private boolean mOwn;
         private int[] mTokens = {};
         private long[] mSeenMillis = {};
 
@@ -110,15 +111,16 @@
 
     /** Records what an own call left at a target. */
     void onCall(String session, int target, long tokens, long nowMillis) {
-        mSessions
-                .computeIfAbsent(session, s -> new Holders())
-                .put(target, clamp(tokens), nowMillis, mMaxHolders);
+        Holders holders = mSessions.computeIfAbsent(session, s -> new Holders());
+        holders.mOwn = true;
+        holders.put(target, clamp(tokens), nowMillis, mMaxHolders);
     }
 
     /**
      * Records a cache event.
      *
-     * @return age in milliseconds of the entry that the event removed, or -1 if it removed none
+     * @return age in milliseconds of the entry if the event took a session of own calls from the
+     *     target that held most of it, else -1
      */
     long onEvent(String session, int target, long tokens, long nowMillis) {
         Holders holders = mSessions.get(session);
@@ -127,14 +129,20 @@
             return -1;
         }
         if (tokens > 0) {
-            onCall(session, target, tokens, nowMillis);
+            mSessions
+                    .computeIfAbsent(session, s -> new Holders())
+                    .put(target, clamp(tokens), nowMillis, mMaxHolders);
             return -1;
         }
         return i < 0 ? -1 : drop(session, holders, i, nowMillis);
     }
 
     private long drop(String session, Holders holders, int i, long nowMillis) {
-        long age = nowMillis - holders.seenMillis(i);
+        boolean loss = holders.mOwn;
+        for (int k = 0; k < holders.size(); k++) {
+            loss &= k == i || holders.tokens(k) < holders.tokens(i);
+        }
+        long age = loss ? nowMillis - holders.seenMillis(i) : -1;
         holders.remove(i);
         if (holders.size() == 0) {
             mSessions.remove(session);
--- a/src/main/java/org/heathercourse/core/placement/Scheduler.java
+++ b/src/main/java/org/heathercourse/core/placement/Scheduler.java
@@ -253,7 +253,7 @@
         double cached = ranked.migrate() ? candidate.sourceTokens() : candidate.cachedTokens();
         return new Pick(
                 view.spec().target(),
-                priority(request, nowMillis),
+                priority(request, view, nowMillis),
                 Math.round(ranked.estimate().latencyMillis()),
                 Math.min(request.promptTokens(), Math.round(cached)),
                 source);
@@ -293,11 +293,12 @@
         return new Candidate(view.snapshot(nowMillis, mDaemons), cached, best, link);
     }
 
-    private int priority(PickRequest request, long nowMillis) {
+    private int priority(PickRequest request, TargetView view, long nowMillis) {
         return PriorityRule.priority(
                 request.requestClass(),
                 mAttained.of(request.program()),
                 mCounters.lead(request.workspace(), nowMillis),
+                view.cacheLossRatio(),
                 request.epochMillis(),
                 mPolicy);
     }
--- a/src/main/java/org/heathercourse/core/placement/TargetView.java
+++ b/src/main/java/org/heathercourse/core/placement/TargetView.java
@@ -20,6 +20,7 @@
     private static final long REPEATED_EVENTS = 256;
 
     private static final double DEFAULT_PROMPT_TOKEN_MILLIS = 0.05;
+    private static final double LOSS_GAIN = 0.03;
     private static final double DEFAULT_CALL_MILLIS = 3_000;
 
     private final int mIndex;
@@ -36,6 +37,7 @@
     private double mOutputTokenMillis = 30;
     private double mCallMillis = DEFAULT_CALL_MILLIS;
     private double mResidenceMillis = 600_000;
+    private double mCacheLossRatio;
     private long mLastSequence;
     private long mGapMillis = Long.MIN_VALUE / 2;
     private long mCacheLostMillis = Long.MIN_VALUE / 2;
@@ -160,6 +162,7 @@
 
     void onEvicted(long ageMillis) {
         mResidenceMillis += 0.05 * (ageMillis - mResidenceMillis);
+        mCacheLossRatio += LOSS_GAIN * (1 - mCacheLossRatio);
     }
 
     // Own calls
@@ -197,6 +200,7 @@
     }
 
     void onSuccess() {
+        mCacheLossRatio -= LOSS_GAIN * mCacheLossRatio;
         mBreaker = mBreaker.afterSuccess();
     }
 
@@ -291,6 +295,11 @@
         return mCallMillis;
     }
 
+    /** Returns losses of live sessions as a share of own calls and losses. */
+    double cacheLossRatio() {
+        return mCacheLossRatio;
+    }
+
     double residenceMillis() {
         return mResidenceMillis;
     }
