--- a/src/main/java/org/heathercourse/core/burn/BurnLine.java
+++ b/src/main/java/org/heathercourse/core/burn/BurnLine.java
@@ -61,11 +61,11 @@
         double allowed = Math.max(1e-9, 1 - objective.goodRatio());
         long window = Math.max(1, objective.windowDays()) * DAY;
         BurnSeries.Sum all = series.sum(window, epochMillis);
-        double burn5m = series.sum(5 * MINUTE, epochMillis).badRatio() / allowed;
-        double burn1h = series.sum(HOUR, epochMillis).badRatio() / allowed;
-        double burn6h = series.sum(6 * HOUR, epochMillis).badRatio() / allowed;
-        double burn3d = series.sum(3 * DAY, epochMillis).badRatio() / allowed;
-        double left = 1 - all.badRatio() / allowed;
+        double burn5m = rounded(series.sum(5 * MINUTE, epochMillis).badRatio() / allowed);
+        double burn1h = rounded(series.sum(HOUR, epochMillis).badRatio() / allowed);
+        double burn6h = rounded(series.sum(6 * HOUR, epochMillis).badRatio() / allowed);
+        double burn3d = rounded(series.sum(3 * DAY, epochMillis).badRatio() / allowed);
+        double left = rounded(1 - all.badRatio() / allowed);
         return new BurnLine(
                 objective.service().value(),
                 ObjectiveKey.of(objective).workspaceName(),
@@ -82,6 +82,11 @@
                 state(burn5m, burn1h, burn6h, burn3d, left));
     }
 
+    /** Removes the error of ratios like 0.99, which binary fractions do not hold exactly. */
+    private static double rounded(double value) {
+        return Math.round(value * 1e9) / 1e9;
+    }
+
     private static long endsIn(double left, double burn, long window) {
         if (left <= 0) {
             return 0;
--- /dev/null
+++ b/src/test/java/org/heathercourse/core/ordering/OrderingTest.java
@@ -0,0 +1,128 @@
+package org.heathercourse.core.ordering;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.within;
+
+import java.util.HashMap;
+import java.util.Map;
+import java.util.SplittableRandom;
+import org.heathercourse.core.config.PolicySpec;
+import org.heathercourse.core.model.ProgramId;
+import org.heathercourse.core.model.RequestClass;
+import org.heathercourse.core.model.WorkspaceId;
+import org.junit.jupiter.api.Test;
+
+/** Order of calls across programs and workspaces. */
+class OrderingTest {
+    private static final long SEED = 11L;
+    private static final long NOW = 1_780_000_000_000L;
+
+    /** No allowance may exceed this time, whatever the program and workspace did. */
+    private static final long BOUND_MILLIS = 120_000;
+
+    /** Guards against starvation: a call must overtake all that arrive a bounded time later. */
+    @Test
+    void everyCallOvertakesMuchNewerOnes() {
+        System.out.println("seed=" + SEED);
+        SplittableRandom random = new SplittableRandom(SEED);
+        for (int i = 0; i < 10_000; i++) {
+            PolicySpec policy = new PolicySpec(random.nextDouble(), 1, 10, 0.1);
+            int old =
+                    PriorityRule.priority(
+                            RequestClass.BATCH,
+                            random.nextDouble(1e9),
+                            random.nextDouble(1e9),
+                            random.nextDouble(),
+                            NOW,
+                            policy);
+            int newer =
+                    PriorityRule.priority(
+                            RequestClass.INTERACTIVE, 0, 0, 0, NOW + BOUND_MILLIS, policy);
+            assertThat(old).isLessThan(newer);
+            int newerUrgent =
+                    PriorityRule.priority(
+                            RequestClass.URGENT, 0, 0, 0, NOW + 2 * BOUND_MILLIS, policy);
+            assertThat(old).isLessThan(newerUrgent);
+        }
+    }
+
+    /** Guards against programs of much service that go before those of little. */
+    @Test
+    void leastServedProgramsGoFirstUnlessCachesAreShort() {
+        PolicySpec policy = new PolicySpec(0.3, 1, 10, 0.1);
+        assertThat(interactive(500, 0, 0, policy)).isLessThan(interactive(9_000, 0, 0, policy));
+        assertThat(interactive(9_000, 0, 0.1, policy))
+                .as("begun programs first while caches are short")
+                .isLessThan(interactive(500, 0, 0.1, policy));
+    }
+
+    /** Guards against a workspace above its share that delays the others. */
+    @Test
+    void workspacesAboveTheirShareGoLater() {
+        PolicySpec policy = PolicySpec.DEFAULT;
+        assertThat(interactive(0, 0, 0, policy)).isLessThan(interactive(0, 30_000, 0, policy));
+        assertThat(interactive(0, -30_000, 0, policy)).isEqualTo(interactive(0, 0, 0, policy));
+    }
+
+    private static int interactive(double attained, double lead, double loss, PolicySpec policy) {
+        return PriorityRule.priority(RequestClass.INTERACTIVE, attained, lead, loss, NOW, policy);
+    }
+
+    /** Guards against counters that drift from the plain sum of decayed service. */
+    @Test
+    void countsLikePlainSumsOfDecayedService() {
+        System.out.println("seed=" + SEED);
+        SplittableRandom random = new SplittableRandom(SEED);
+        WorkspaceCounters counters = new WorkspaceCounters();
+        Map<WorkspaceId, Double> weights = new HashMap<>();
+        WorkspaceId[] ids = new WorkspaceId[5];
+        for (int i = 0; i < ids.length; i++) {
+            ids[i] = new WorkspaceId("w" + i);
+            weights.put(ids[i], 1.0 + i);
+        }
+        counters.setWeights(weights);
+        double[] plain = new double[ids.length];
+        long now = 0;
+        for (int step = 0; step < 20_000; step++) {
+            long elapsed = random.nextInt(60);
+            now += elapsed;
+            for (int i = 0; i < plain.length; i++) {
+                plain[i] *= Math.pow(0.5, elapsed / 20_000.0);
+            }
+            int w = random.nextInt(ids.length);
+            double service = 1 + random.nextInt(300);
+            plain[w] += service;
+            counters.add(ids[w], service, now);
+        }
+        double total = 0;
+        for (double p : plain) {
+            total += p;
+        }
+        for (int i = 0; i < ids.length; i++) {
+            double expected = plain[i] - total * (1 + i) / 15;
+            assertThat(counters.lead(ids[i], now)).isCloseTo(expected, within(0.05 * total));
+        }
+    }
+
+    /** Guards against a workspace that pays for service it had when nobody else wanted any. */
+    @Test
+    void workspaceAloneHasNoLead() {
+        WorkspaceCounters counters = new WorkspaceCounters();
+        WorkspaceId alone = new WorkspaceId("alone");
+        for (int i = 0; i < 1_000; i++) {
+            counters.add(alone, 500, i * 10L);
+        }
+        assertThat(counters.lead(alone, 10_000)).isCloseTo(0, within(1e-6));
+    }
+
+    /** Guards against memory that grows with programs that never end. */
+    @Test
+    void forgetsThePrograms() {
+        AttainedService attained = new AttainedService(10);
+        for (int i = 0; i < 1_000; i++) {
+            attained.add(new ProgramId("p" + i), 5);
+        }
+        assertThat(attained.size()).isEqualTo(10);
+        assertThat(attained.of(new ProgramId("p0"))).isZero();
+    }
+}
--- /dev/null
+++ b/src/test/java/org/heathercourse/core/placement/PlacementDifferentialTest.java
@@ -0,0 +1,107 @@
+package org.heathercourse.core.placement;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.within;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.SplittableRandom;
+import org.heathercourse.core.config.PolicySpec;
+import org.heathercourse.core.model.TargetId;
+import org.junit.jupiter.api.Test;
+
+/** Compares placement with a plain formula on random states. */
+class PlacementDifferentialTest {
+    private static final long SEED = 20_260_101L;
+
+    /** Guards against a ranking that does not put the target of least cost first. */
+    @Test
+    void ranksLikePlainScansOfAllCandidates() {
+        System.out.println("seed=" + SEED);
+        SplittableRandom random = new SplittableRandom(SEED);
+        for (int round = 0; round < 2_000; round++) {
+            PolicySpec policy =
+                    new PolicySpec(0.5, random.nextDouble(3), random.nextDouble(100), 0.1);
+            List<Candidate> candidates = new ArrayList<>();
+            for (int i = 0; i < 1 + random.nextInt(6); i++) {
+                candidates.add(candidate(i, random));
+            }
+            CallShape call =
+                    new CallShape(
+                            1 + random.nextInt(20_000), random.nextInt(500), random.nextBoolean());
+            List<Placement.Ranked> ranked = Placement.rank(candidates, call, policy);
+            double least = Double.POSITIVE_INFINITY;
+            for (Candidate candidate : candidates) {
+                least = Math.min(least, plainCost(candidate, call, policy));
+            }
+            assertThat(ranked).hasSameSizeAs(candidates);
+            assertThat(ranked.get(0).estimate().costMillis()).isCloseTo(least, within(1e-6));
+            assertThat(plainCost(candidates.get(ranked.get(0).index()), call, policy))
+                    .as("round " + round)
+                    .isCloseTo(least, within(1e-6));
+        }
+    }
+
+    private static Candidate candidate(int i, SplittableRandom random) {
+        TargetSnapshot snapshot =
+                new TargetSnapshot(
+                        new TargetId("t" + i),
+                        1 + random.nextInt(64),
+                        random.nextInt(128),
+                        random.nextInt(10_000),
+                        random.nextDouble(0.2),
+                        random.nextDouble(60),
+                        random.nextDouble(5_000),
+                        random.nextDouble(),
+                        link(random));
+        return new Candidate(
+                snapshot, random.nextInt(20_000), random.nextInt(20_000), link(random));
+    }
+
+    private static LinkCost link(SplittableRandom random) {
+        return new LinkCost(random.nextDouble(20), random.nextDouble(0.05), random.nextDouble(2));
+    }
+
+    private static double plainCost(Candidate c, CallShape call, PolicySpec policy) {
+        double plain = costWith(c, call, policy, c.cachedTokens());
+        double source = Math.min(c.sourceTokens(), call.promptTokens());
+        if (source <= c.cachedTokens()) {
+            return plain;
+        }
+        double copied =
+                costWith(c, call, policy, source)
+                        + 40
+                        + rtt(c.sourceLink())
+                        + source / 30
+                        + 2_000
+                        + policy.pricePenaltyMillisPerUnit()
+                                * c.sourceLink().pricePerGigabyte()
+                                * source
+                                * 1e-4;
+        return Math.min(plain, copied);
+    }
+
+    private static double costWith(Candidate c, CallShape call, PolicySpec policy, double cached) {
+        TargetSnapshot t = c.snapshot();
+        double prompt = Math.max(0, call.promptTokens() - cached) * t.promptTokenMillis();
+        double overflow = Math.max(0, t.inFlight() + 1 - t.slots());
+        double wait =
+                overflow / t.slots() * t.meanCallMillis()
+                        + t.backlogTokens() * t.promptTokenMillis();
+        double output =
+                call.expectedTokens()
+                        * t.outputTokenMillis()
+                        * (1 + 0.35 * Math.min(1, t.inFlight() / t.slots()));
+        double bytes = (call.promptTokens() + call.expectedTokens()) * 5.0;
+        return (call.urgent() ? 0.1 * wait : wait)
+                + prompt
+                + prompt * Math.min(t.inFlight(), t.slots())
+                + output
+                + policy.zonePenaltyMillisPerDelayMilli() * rtt(t.link())
+                + policy.pricePenaltyMillisPerUnit() * t.link().pricePerGigabyte() * bytes / 1e9;
+    }
+
+    private static double rtt(LinkCost link) {
+        return 2 * link.delayMillis() + 2 * link.lossRatio() * 200;
+    }
+}
--- /dev/null
+++ b/src/test/java/org/heathercourse/core/placement/SchedulerTest.java
@@ -0,0 +1,233 @@
+package org.heathercourse.core.placement;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.vavr.control.Either;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.SplittableRandom;
+import org.heathercourse.core.config.DeploymentConfig;
+import org.heathercourse.core.config.LifecycleState;
+import org.heathercourse.core.config.TargetSpec;
+import org.heathercourse.core.model.ProgramId;
+import org.heathercourse.core.model.RequestClass;
+import org.heathercourse.core.model.RetrySafety;
+import org.heathercourse.core.model.ServiceId;
+import org.heathercourse.core.model.TargetId;
+import org.heathercourse.core.model.Usage;
+import org.heathercourse.core.model.WorkspaceId;
+import org.heathercourse.core.model.Zone;
+import org.junit.jupiter.api.Test;
+
+/** What the scheduler does when its knowledge is old or wrong and when targets fail. */
+class SchedulerTest {
+    private static final ServiceId SERVICE = new ServiceId("s");
+    private static final int SLOTS = 8;
+
+    private final Scheduler mScheduler =
+            new Scheduler(new Zone("z"), SchedulerSettings.DEFAULT, new SplittableRandom(3));
+    private long mNow = 100_000;
+    private long mAttempts;
+
+    private static TargetSpec target(int i, LifecycleState state) {
+        return new TargetSpec(
+                id(i),
+                SERVICE,
+                new Zone("z"),
+                "http://127.0.0.1:9",
+                List.of("m"),
+                true,
+                SLOTS,
+                state,
+                "");
+    }
+
+    private static TargetId id(int i) {
+        return new TargetId("t" + i);
+    }
+
+    private void configure(int targets, int draining) {
+        List<TargetSpec> specs = new ArrayList<>();
+        for (int i = 0; i < targets; i++) {
+            specs.add(target(i, i == draining ? LifecycleState.DRAINING : LifecycleState.UP));
+        }
+        mScheduler.onConfig(DeploymentConfig.builder().targets(specs).build(), 1, mNow);
+    }
+
+    private void report(int target, int running, int queued) {
+        mScheduler.onLoadReport(
+                id(target), new LoadReport(running, queued, 0, 0, 100_000, List.of(), 0), mNow);
+    }
+
+    private static PickRequest request(String session, int prompt) {
+        return PickRequest.builder(new ProgramId("p-" + session), new WorkspaceId("w"), SERVICE)
+                .model("m")
+                .session(session)
+                .promptTokens(prompt)
+                .expectedTokens(50)
+                .build();
+    }
+
+    private TargetId call(String session, int prompt) {
+        PickRequest request = request(session, prompt);
+        Pick pick = mScheduler.pick(request, mNow).get();
+        long attempt = ++mAttempts;
+        mScheduler.onDispatched(attempt, request, pick, mNow);
+        mScheduler.onFirstToken(attempt, mNow + 50);
+        mScheduler.onFinished(attempt, new Usage(prompt, 50, pick.cachedTokens()), mNow + 100);
+        return pick.target();
+    }
+
+    /** Guards against sending all calls to one target while its load report is old. */
+    @Test
+    void spreadsCallsOnStaleReports() {
+        configure(3, -1);
+        report(0, 0, 0);
+        report(1, 4, 0);
+        report(2, 4, 0);
+        Set<TargetId> used = new HashSet<>();
+        for (int i = 0; i < 2 * SLOTS; i++) {
+            mNow += 20;
+            PickRequest request = request("n" + i, 2_000);
+            Pick pick = mScheduler.pick(request, mNow).get();
+            mScheduler.onDispatched(++mAttempts, request, pick, mNow);
+            used.add(pick.target());
+        }
+        assertThat(used).hasSize(3);
+    }
+
+    /** Guards against losing the prefix of a session when cache events have gaps. */
+    @Test
+    void staysWithTheHolderInSpiteOfGaps() {
+        configure(6, -1);
+        TargetId first = call("a", 5_000);
+        mScheduler.onCacheEvents(first, List.of(new CacheChange(1, "x", 10)), mNow);
+        mNow += 20_000;
+        mScheduler.onCacheEvents(first, List.of(new CacheChange(900, "y", 10)), mNow);
+        for (int i = 0; i < 20; i++) {
+            assertThat(call("a", 5_200)).isEqualTo(first);
+        }
+    }
+
+    /** Guards against trusting the cache of an engine that started again, as its numbers show. */
+    @Test
+    void expectsNothingCachedAfterRestart() {
+        configure(1, -1);
+        TargetId first = call("a", 5_000);
+        mScheduler.onCacheEvents(first, List.of(new CacheChange(5_000, "x", 10)), mNow);
+        mNow += 10_000;
+        mScheduler.onCacheEvents(first, List.of(new CacheChange(1, "y", 10)), mNow);
+        assertThat(mScheduler.pick(request("a", 5_100), mNow).get().cachedTokens()).isZero();
+    }
+
+    /** Guards against a lost engine that goes on getting calls because it holds a prefix. */
+    @Test
+    void leavesLostEngine() {
+        configure(4, -1);
+        TargetId first = call("a", 5_000);
+        for (int i = 0; i < 3; i++) {
+            PickRequest request = request("a", 5_000);
+            Pick pick = mScheduler.pick(request, mNow).get();
+            assertThat(pick.target()).isEqualTo(first);
+            mScheduler.onDispatched(++mAttempts, request, pick, mNow);
+            mScheduler.onFailed(mAttempts, true, mNow);
+        }
+        Pick after = mScheduler.pick(request("a", 5_000), mNow).get();
+        assertThat(after.target()).isNotEqualTo(first);
+        assertThat(after.migrateFrom()).as("a lost engine exports nothing").isEmpty();
+        mNow += 2_000;
+        assertThat(mScheduler.pick(request("a", 5_000), mNow).get().target()).isEqualTo(first);
+    }
+
+    /** Guards against new work on a draining target and against losing its cache. */
+    @Test
+    void copiesCacheAwayFromDrainingTarget() {
+        configure(1, -1);
+        call("a", 90_000);
+        configure(2, 0);
+        report(1, SLOTS - 2, 0);
+        Pick pick = mScheduler.pick(request("a", 90_000), mNow).get();
+        assertThat(pick.target()).isEqualTo(id(1));
+        assertThat(pick.migrateFrom()).contains(id(0));
+    }
+
+    /** Guards against refusals without a reason or time, and against endless queues. */
+    @Test
+    void refusesWithTimeWhenAllTargetsAreFull() {
+        configure(2, -1);
+        report(0, SLOTS, 3 * SLOTS);
+        report(1, SLOTS, 3 * SLOTS);
+        Either<Refusal, Pick> picked = mScheduler.pick(request("a", 100), mNow);
+        assertThat(picked.isLeft()).isTrue();
+        assertThat(picked.getLeft().retryAfterMillis()).isBetween(100L, 10_000L);
+        assertThat(picked.getLeft().kind().notRunByDefault()).isTrue();
+        configure(0, -1);
+        assertThat(mScheduler.pick(request("a", 100), mNow).isLeft()).isTrue();
+    }
+
+    /** Guards against trying the target again that has just failed the call. */
+    @Test
+    void avoidsExcludedTargets() {
+        configure(3, -1);
+        for (int i = 0; i < 50; i++) {
+            PickRequest request =
+                    PickRequest.builder(new ProgramId("p"), new WorkspaceId("w"), SERVICE)
+                            .model("m")
+                            .excluded(Set.of(id(0), id(2)))
+                            .build();
+            assertThat(mScheduler.pick(request, mNow).get().target()).isEqualTo(id(1));
+        }
+    }
+
+    /** Guards against repeating calls that may run once only, and against retry storms. */
+    @Test
+    void boundsRetries() {
+        configure(1, -1);
+        assertThat(mScheduler.tryRetry(RetrySafety.NON_IDEMPOTENT, false)).isFalse();
+        assertThat(mScheduler.tryRetry(RetrySafety.NON_IDEMPOTENT, true)).isTrue();
+        int retries = 0;
+        for (int i = 0; i < 100; i++) {
+            retries += mScheduler.tryRetry(RetrySafety.IDEMPOTENT, false) ? 1 : 0;
+        }
+        assertThat(retries).isLessThanOrEqualTo(10);
+    }
+
+    /** Guards against engine memory that stays held by ended programs. */
+    @Test
+    void namesTheHoldersOfEndedProgram() {
+        configure(4, -1);
+        TargetId holder = call("a", 1_000);
+        assertThat(mScheduler.onProgramEnded(new ProgramId("p-a"), List.of("a")))
+                .containsExactly(holder);
+        assertThat(mScheduler.onProgramEnded(new ProgramId("p-a"), List.of("a"))).isEmpty();
+    }
+
+    /** Guards against urgent calls that queue behind all others. */
+    @Test
+    void givesUrgentCallsTheSmallestPriority() {
+        configure(1, -1);
+        PickRequest.Builder builder =
+                PickRequest.builder(new ProgramId("p"), new WorkspaceId("w"), SERVICE)
+                        .model("m")
+                        .epochMillis(1_780_000_000_000L);
+        int urgent =
+                mScheduler
+                        .pick(builder.requestClass(RequestClass.URGENT).build(), mNow)
+                        .get()
+                        .priority();
+        int normal =
+                mScheduler
+                        .pick(builder.requestClass(RequestClass.INTERACTIVE).build(), mNow)
+                        .get()
+                        .priority();
+        int batch =
+                mScheduler
+                        .pick(builder.requestClass(RequestClass.BATCH).build(), mNow)
+                        .get()
+                        .priority();
+        assertThat(urgent).isLessThan(normal);
+        assertThat(normal).isLessThan(batch);
+    }
+}
