Let workspaces above their share start no programs while caches are short

Cause: a workspace at four times its usual rate is cut to its declared rate, twice the usual one; its extra programs then make all programs lose their caches, which no order of calls prevents. Chooser is split from Scheduler without a change of decisions.

--- a/src/main/java/org/heathercourse/core/ordering/WorkspaceCounters.java
+++ b/src/main/java/org/heathercourse/core/ordering/WorkspaceCounters.java
@@ -69,6 +69,17 @@
         return counter.mService - mTotal * counter.mWeight / mActiveWeight;
     }
 
+    /**
+     * Returns the service of a workspace over its share, as a ratio; 0 for less than its share.
+     *
+     * @param workspace the workspace
+     * @param nowMillis present time
+     */
+    public double excessRatio(WorkspaceId workspace, long nowMillis) {
+        double lead = lead(workspace, nowMillis);
+        return lead <= 0 ? 0 : lead / (mCounters.get(workspace).mService - lead);
+    }
+
     private double weightOf(WorkspaceId workspace) {
         double weight = mWeights.getOrDefault(workspace, 1.0);
         return weight > 0 ? weight : 1.0;
--- a/src/main/java/org/heathercourse/core/placement/Scheduler.java
+++ b/src/main/java/org/heathercourse/core/placement/Scheduler.java
@@ -1,28 +1,22 @@
 package org.heathercourse.core.placement;
 
 import io.vavr.control.Either;
-import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
-import java.util.Optional;
 import java.util.Set;
 import java.util.random.RandomGenerator;
-import org.heathercourse.core.admission.AdmissionRule;
 import org.heathercourse.core.config.DeploymentConfig;
 import org.heathercourse.core.config.PolicySpec;
 import org.heathercourse.core.config.WorkspaceSpec;
-import org.heathercourse.core.error.ErrorKind;
 import org.heathercourse.core.model.ProgramId;
-import org.heathercourse.core.model.RequestClass;
 import org.heathercourse.core.model.RetrySafety;
 import org.heathercourse.core.model.TargetId;
 import org.heathercourse.core.model.Usage;
 import org.heathercourse.core.model.WorkspaceId;
 import org.heathercourse.core.model.Zone;
 import org.heathercourse.core.ordering.AttainedService;
-import org.heathercourse.core.ordering.PriorityRule;
 import org.heathercourse.core.ordering.WorkspaceCounters;
 import org.heathercourse.core.placement.TargetView.Attempt;
 import org.heathercourse.core.retry.HedgeRule;
@@ -41,27 +35,16 @@
  * {@link #onFinished} and {@link #onFailed}. A call that is retried goes through all of it again.
  */
 public final class Scheduler {
-    /** Answers of workspaces without history are assumed to have this many tokens. */
-    private static final double DEFAULT_OUTPUT_TOKENS = 200;
-
-    /** Further targets that are looked at before a call is refused. */
-    private static final int EXTRA_SAMPLE = 4;
-
-    private static final long NO_TARGET_RETRY_MILLIS = 1_000;
-
     private final Object mLock = new Object();
     private final Zone mZone;
-    private final SchedulerSettings mSettings;
     private final TargetIndex mTargets;
     private final CacheDirectory mCache;
     private final AttainedService mAttained;
     private final WorkspaceCounters mCounters = new WorkspaceCounters();
-    private final Map<WorkspaceId, Double> mOutputTokens = new HashMap<>();
+    private final Chooser mChooser;
     private final Map<Long, Attempt> mAttempts = new HashMap<>();
     private PolicySpec mPolicy = PolicySpec.DEFAULT;
-    private LinkTable mLinks = new LinkTable(List.of());
     private RetryBudget mRetryBudget = RetryBudget.of(PolicySpec.DEFAULT.retryBudgetRatio());
-    private int mDaemons = 1;
 
     /**
      * Creates a scheduler without targets.
@@ -72,10 +55,10 @@
      */
     public Scheduler(Zone zone, SchedulerSettings settings, RandomGenerator random) {
         mZone = zone;
-        mSettings = settings;
         mTargets = new TargetIndex(random);
         mCache = new CacheDirectory(settings.maxSessions(), settings.maxHolders());
         mAttained = new AttainedService(settings.maxPrograms());
+        mChooser = new Chooser(settings, mTargets, mCache, mAttained, mCounters);
     }
 
     // Knowledge from outside
@@ -93,15 +76,14 @@
                 mRetryBudget = RetryBudget.of(config.policy().retryBudgetRatio());
             }
             mPolicy = config.policy();
-            mDaemons = Math.max(1, daemons);
-            mLinks = new LinkTable(config.links());
+            LinkTable links = new LinkTable(config.links());
             Map<WorkspaceId, Double> weights = new HashMap<>();
             for (WorkspaceSpec workspace : config.workspaces()) {
                 weights.put(workspace.workspace(), workspace.weight());
             }
             mCounters.setWeights(weights);
-            mOutputTokens.keySet().retainAll(weights.keySet());
-            mTargets.configure(config.targets(), spec -> mLinks.between(mZone, spec.zone()));
+            mChooser.configure(config.policy(), links, Math.max(1, daemons), weights.keySet());
+            mTargets.configure(config.targets(), spec -> links.between(mZone, spec.zone()));
         }
     }
 
@@ -156,151 +138,8 @@
      */
     public Either<Refusal, Pick> pick(PickRequest request, long nowMillis) {
         synchronized (mLock) {
-            TargetView[] eligible = mTargets.eligible(request.service(), request.model());
-            List<TargetView> views = new ArrayList<>(8);
-            CacheDirectory.Holders holders = mCache.holders(request.session());
-            for (int i = 0; i < holders.size(); i++) {
-                TargetView view = mTargets.at(holders.target(i));
-                if (usable(view, request, nowMillis) && view.offers(request.model())) {
-                    views.add(view);
-                }
-            }
-            int wanted = views.size() + mSettings.sampleSize();
-            mTargets.sample(eligible, views, wanted, v -> usable(v, request, nowMillis));
-            if (views.isEmpty()) {
-                return refuseWithoutTarget(request);
-            }
-            Either<Refusal, Pick> first = pickAmong(views, holders, request, nowMillis);
-            if (first.isRight()) {
-                return first;
-            }
-            List<TargetView> more = new ArrayList<>(views);
-            int extended = views.size() + EXTRA_SAMPLE;
-            mTargets.sample(eligible, more, extended, v -> usable(v, request, nowMillis));
-            more.removeAll(views);
-            return more.isEmpty() ? first : pickAmong(more, holders, request, nowMillis);
-        }
-    }
-
-    private static boolean usable(TargetView view, PickRequest request, long nowMillis) {
-        return view != null
-                && view.spec().service().equals(request.service())
-                && view.takesCalls(nowMillis)
-                && !request.excluded().contains(view.spec().target());
-    }
-
-    private Either<Refusal, Pick> refuseWithoutTarget(PickRequest request) {
-        return Either.left(
-                new Refusal(
-                        ErrorKind.OVERLOADED,
-                        "no target of service "
-                                + request.service()
-                                + " takes new work, expected at least one that is up and healthy",
-                        NO_TARGET_RETRY_MILLIS));
-    }
-
-    private Either<Refusal, Pick> pickAmong(
-            List<TargetView> views,
-            CacheDirectory.Holders holders,
-            PickRequest request,
-            long nowMillis) {
-        CallShape shape = shape(request);
-        List<Candidate> candidates = new ArrayList<>(views.size());
-        TargetView[] sources = new TargetView[views.size()];
-        for (int i = 0; i < views.size(); i++) {
-            candidates.add(candidate(views.get(i), holders, sources, i, nowMillis));
-        }
-        long retryMillis = Long.MAX_VALUE;
-        for (Placement.Ranked ranked : Placement.rank(candidates, shape, mPolicy)) {
-            TargetView view = views.get(ranked.index());
-            Candidate candidate = candidates.get(ranked.index());
-            double expected = ranked.estimate().latencyMillis();
-            long retryAfter =
-                    AdmissionRule.retryAfterMillis(
-                            request.requestClass(),
-                            candidate.snapshot().inFlight(),
-                            view.limit(),
-                            view.callMillis(),
-                            expected,
-                            request.deadlineMillis());
-            if (retryAfter == 0) {
-                return Either.right(toPick(request, ranked, candidate, view, sources, nowMillis));
-            }
-            retryMillis = Math.min(retryMillis, retryAfter);
-        }
-        return Either.left(
-                new Refusal(
-                        ErrorKind.OVERLOADED,
-                        "all targets of service "
-                                + request.service()
-                                + " that were considered are at their limit, expected room after "
-                                + retryMillis
-                                + " ms",
-                        retryMillis));
-    }
-
-    private Pick toPick(
-            PickRequest request,
-            Placement.Ranked ranked,
-            Candidate candidate,
-            TargetView view,
-            TargetView[] sources,
-            long nowMillis) {
-        Optional<TargetId> source =
-                ranked.migrate()
-                        ? Optional.of(sources[ranked.index()].spec().target())
-                        : Optional.empty();
-        double cached = ranked.migrate() ? candidate.sourceTokens() : candidate.cachedTokens();
-        return new Pick(
-                view.spec().target(),
-                priority(request, view, nowMillis),
-                Math.round(ranked.estimate().latencyMillis()),
-                Math.min(request.promptTokens(), Math.round(cached)),
-                source);
-    }
-
-    private CallShape shape(PickRequest request) {
-        double expected =
-                request.expectedTokens() > 0
-                        ? request.expectedTokens()
-                        : mOutputTokens.getOrDefault(request.workspace(), DEFAULT_OUTPUT_TOKENS);
-        boolean urgent = request.requestClass() == RequestClass.URGENT;
-        return new CallShape(request.promptTokens(), Math.round(expected), urgent);
-    }
-
-    private Candidate candidate(
-            TargetView view,
-            CacheDirectory.Holders holders,
-            TargetView[] sources,
-            int index,
-            long nowMillis) {
-        double cached = 0;
-        double best = 0;
-        for (int i = 0; i < holders.size(); i++) {
-            TargetView holder = mTargets.at(holders.target(i));
-            double tokens = holder.expectedCached(holders.tokens(i), holders.seenMillis(i));
-            if (holder == view) {
-                cached = tokens;
-            } else if (tokens > best && holder.canExport(nowMillis)) {
-                best = tokens;
-                sources[index] = holder;
-            }
+            return mChooser.pick(request, nowMillis);
         }
-        LinkCost link =
-                best > 0
-                        ? mLinks.between(sources[index].spec().zone(), view.spec().zone())
-                        : LinkCost.LOCAL;
-        return new Candidate(view.snapshot(nowMillis, mDaemons), cached, best, link);
-    }
-
-    private int priority(PickRequest request, TargetView view, long nowMillis) {
-        return PriorityRule.priority(
-                request.requestClass(),
-                mAttained.of(request.program()),
-                mCounters.lead(request.workspace(), nowMillis),
-                view.cacheLossRatio(),
-                request.epochMillis(),
-                mPolicy);
     }
 
     // Own calls
@@ -319,7 +158,7 @@
             if (view == null) {
                 return;
             }
-            CallShape shape = shape(request);
+            CallShape shape = mChooser.shape(request);
             double reserved =
                     view.serviceMillis(
                             Math.max(0, shape.promptTokens() - pick.cachedTokens()),
@@ -376,10 +215,7 @@
                             Math.max(0, usage.promptTokens() - usage.cachedTokens()),
                             usage.completionTokens());
             addService(request, used - record.reservedMillis(), nowMillis);
-            mOutputTokens.merge(
-                    request.workspace(),
-                    (double) usage.completionTokens(),
-                    (old, sample) -> old + 0.05 * (sample - old));
+            mChooser.onAnswer(request.workspace(), usage.completionTokens());
             if (!request.session().isEmpty()) {
                 mCache.onCall(request.session(), view.index(), usage.totalTokens(), nowMillis);
             }
--- a/src/test/java/org/heathercourse/core/admission/AdmissionTest.java
+++ b/src/test/java/org/heathercourse/core/admission/AdmissionTest.java
@@ -33,6 +33,16 @@
         }
     }
 
+    /** Guards against refusing begun programs, urgent calls or workspaces within their share. */
+    @Test
+    void onlyNewProgramsBeyondTheShareAreRefusedWhileCachesAreShort() {
+        assertThat(StartRule.refuses(RequestClass.INTERACTIVE, 0, 1, 0.5)).isTrue();
+        assertThat(StartRule.refuses(RequestClass.INTERACTIVE, 5, 1, 0.5)).isFalse();
+        assertThat(StartRule.refuses(RequestClass.URGENT, 0, 1, 0.5)).isFalse();
+        assertThat(StartRule.refuses(RequestClass.INTERACTIVE, 0, 0.1, 0.5)).isFalse();
+        assertThat(StartRule.refuses(RequestClass.INTERACTIVE, 0, 1, 0)).isFalse();
+    }
+
     /** Guards against a limit that leaves its bounds or collapses on one burst of long waits. */
     @Test
     void limitStaysWithinBoundsAndShrinksOncePerBurst() {
