Place calls of plain services by their usual time

Cause: calls without a model were given the expected tokens of model answers, six seconds, so that tight deadlines were refused before anything was known, and they counted as no service. Change: the usual time of a call stands in for its tokens; only the wait counts against the deadline; a call counts as its share of the target.

--- a/src/main/java/org/heathercourse/core/placement/Chooser.java
+++ b/src/main/java/org/heathercourse/core/placement/Chooser.java
@@ -127,7 +127,11 @@
         for (Placement.Ranked ranked : Placement.rank(candidates, shape, mPolicy)) {
             TargetView view = views.get(ranked.index());
             Candidate candidate = candidates.get(ranked.index());
-            double expected = ranked.estimate().latencyMillis();
+            // The time of a plain call varies too much to refuse it for more than its wait.
+            double expected =
+                    request.model().isEmpty()
+                            ? ranked.estimate().waitMillis()
+                            : ranked.estimate().latencyMillis();
             long retryAfter =
                     AdmissionRule.retryAfterMillis(
                             request.requestClass(),
@@ -195,10 +199,10 @@
     }
 
     CallShape shape(PickRequest request) {
-        double expected =
-                request.expectedTokens() > 0
-                        ? request.expectedTokens()
-                        : mOutputTokens.getOrDefault(request.workspace(), DEFAULT_OUTPUT_TOKENS);
+        double expected = request.expectedTokens();
+        if (expected == 0 && !request.model().isEmpty()) {
+            expected = mOutputTokens.getOrDefault(request.workspace(), DEFAULT_OUTPUT_TOKENS);
+        }
         boolean urgent = request.requestClass() == RequestClass.URGENT;
         return new CallShape(request.promptTokens(), Math.round(expected), urgent);
     }
--- a/src/main/java/org/heathercourse/core/placement/PlacementCost.java
+++ b/src/main/java/org/heathercourse/core/placement/PlacementCost.java
@@ -36,8 +36,12 @@
         double uncached = Math.max(0, call.promptTokens() - cachedTokens);
         double promptMillis = uncached * target.promptTokenMillis();
         double fill = Math.min(1, target.inFlight() / target.slots());
-        double outputMillis =
-                call.expectedTokens() * target.outputTokenMillis() * (1 + BATCH_SLOWDOWN * fill);
+        // Calls of plain services have no tokens; their usual time stands in for the answer's.
+        double aloneMillis =
+                call.expectedTokens() > 0
+                        ? call.expectedTokens() * target.outputTokenMillis()
+                        : target.meanCallMillis();
+        double outputMillis = aloneMillis * (1 + BATCH_SLOWDOWN * fill);
         double others = Math.min(target.inFlight(), target.slots());
         return new Estimate(
                 waitMillis(target, call),
--- a/src/main/java/org/heathercourse/core/placement/Scheduler.java
+++ b/src/main/java/org/heathercourse/core/placement/Scheduler.java
@@ -158,11 +158,7 @@
             if (view == null) {
                 return;
             }
-            CallShape shape = mChooser.shape(request);
-            double reserved =
-                    view.serviceMillis(
-                            Math.max(0, shape.promptTokens() - pick.cachedTokens()),
-                            shape.expectedTokens());
+            double reserved = reservedMillis(view, request, pick);
             Attempt record = new Attempt(view, request, pick, reserved, nowMillis);
             mAttempts.put(attempt, record);
             view.onDispatched(record);
@@ -173,6 +169,15 @@
         }
     }
 
+    private double reservedMillis(TargetView view, PickRequest request, Pick pick) {
+        if (request.model().isEmpty()) {
+            return view.plainServiceMillis();
+        }
+        CallShape shape = mChooser.shape(request);
+        return view.serviceMillis(
+                Math.max(0, shape.promptTokens() - pick.cachedTokens()), shape.expectedTokens());
+    }
+
     private void addService(PickRequest request, double millis, long nowMillis) {
         mAttained.add(request.program(), millis);
         mCounters.add(request.workspace(), millis, nowMillis);
@@ -210,12 +215,14 @@
             PickRequest request = record.request();
             view.onEnded(record, usage.completionTokens(), nowMillis);
             view.onSuccess();
-            double used =
-                    view.serviceMillis(
-                            Math.max(0, usage.promptTokens() - usage.cachedTokens()),
-                            usage.completionTokens());
-            addService(request, used - record.reservedMillis(), nowMillis);
-            mChooser.onAnswer(request.workspace(), usage.completionTokens());
+            if (!request.model().isEmpty()) {
+                double used =
+                        view.serviceMillis(
+                                Math.max(0, usage.promptTokens() - usage.cachedTokens()),
+                                usage.completionTokens());
+                addService(request, used - record.reservedMillis(), nowMillis);
+                mChooser.onAnswer(request.workspace(), usage.completionTokens());
+            }
             if (!request.session().isEmpty()) {
                 mCache.onCall(request.session(), view.index(), usage.totalTokens(), nowMillis);
             }
--- a/src/main/java/org/heathercourse/core/placement/TargetView.java
+++ b/src/main/java/org/heathercourse/core/placement/TargetView.java
@@ -178,11 +178,16 @@
         }
         attempt.mFirstTokenMillis = nowMillis;
         double waited = attempt.waitedMillis(nowMillis);
-        mPromptSpeed.observe(attempt.mUncachedTokens, waited);
+        boolean plain = attempt.mRequest.model().isEmpty();
+        if (!plain) {
+            mPromptSpeed.observe(attempt.mUncachedTokens, waited);
+        }
+        // The time to the first byte of a plain call is mostly work, no wait for a slot.
+        double work = plain ? mCallMillis : attempt.mWaitMillis;
         if (attempt.mRequest.requestClass() != RequestClass.URGENT) {
             mLimit =
                     mLimit.observe(
-                            waited - attempt.mWaitMillis,
+                            waited - work,
                             attempt.mRequest.deadlineMillis(),
                             inFlight(nowMillis, 1),
                             nowMillis);
@@ -192,7 +197,9 @@
     void onEnded(Attempt attempt, long completionTokens, long nowMillis) {
         mOwnInFlight--;
         mEndedSince.addLast(nowMillis);
-        if (attempt.firstTokenSeen() && completionTokens > 1) {
+        if (attempt.mRequest.model().isEmpty()) {
+            mCallMillis += 0.1 * (attempt.waitedMillis(nowMillis) - mCallMillis);
+        } else if (attempt.firstTokenSeen() && completionTokens > 1) {
             double millis = nowMillis - attempt.mFirstTokenMillis;
             mOutputTokenMillis += 0.1 * (millis / (completionTokens - 1) - mOutputTokenMillis);
             mCallMillis += 0.1 * (millis - mCallMillis);
@@ -258,6 +265,11 @@
         return uncachedTokens * promptTokenMillis() + outputTokens * mOutputTokenMillis / mSlots;
     }
 
+    /** Returns the usual share of the target that a call of a plain service takes. */
+    double plainServiceMillis() {
+        return mCallMillis / mSlots;
+    }
+
     boolean offers(String model) {
         return model.isEmpty()
                 || (mSpec.models().contains(model)
--- a/src/test/java/org/heathercourse/core/placement/SchedulerTest.java
+++ b/src/test/java/org/heathercourse/core/placement/SchedulerTest.java
@@ -230,4 +230,60 @@
         assertThat(urgent).isLessThan(normal);
         assertThat(normal).isLessThan(batch);
     }
+
+    private static PickRequest plain(String program, long deadline) {
+        return PickRequest.builder(new ProgramId(program), new WorkspaceId("w"), SERVICE)
+                .deadlineMillis(deadline)
+                .build();
+    }
+
+    /** Guards against token estimates that refuse or pile up calls of plain services. */
+    @Test
+    void balancesPlainCallsAndKeepsTightDeadlines() {
+        configure(3, -1);
+        int[] calls = new int[3];
+        for (int i = 0; i < 3 * (SLOTS - 2); i++) {
+            PickRequest request = plain("p" + i, 50);
+            Pick pick = mScheduler.pick(request, mNow).get();
+            mScheduler.onDispatched(++mAttempts, request, pick, mNow);
+            calls[Integer.parseInt(pick.target().value().substring(1))]++;
+        }
+        assertThat(calls).contains(SLOTS - 2).doesNotContain(0, SLOTS);
+    }
+
+    /** Guards against threads that corrupt or lose the count of calls in flight. */
+    @Test
+    void staysConsistentUnderSeveralThreads() throws InterruptedException {
+        configure(4, -1);
+        List<Thread> threads = new ArrayList<>();
+        for (int t = 0; t < 4; t++) {
+            int thread = t;
+            threads.add(
+                    new Thread(
+                            () -> {
+                                for (int i = 0; i < 2_000; i++) {
+                                    long attempt = thread * 10_000L + i + 1;
+                                    PickRequest request = plain("p" + thread, 5_000);
+                                    Pick pick = mScheduler.pick(request, mNow).get();
+                                    mScheduler.onDispatched(attempt, request, pick, mNow);
+                                    if (i % 2 == 0) {
+                                        mScheduler.onFinished(attempt, Usage.NONE, mNow);
+                                    } else {
+                                        mScheduler.onFailed(attempt, false, mNow);
+                                    }
+                                }
+                            }));
+        }
+        threads.forEach(Thread::start);
+        for (Thread thread : threads) {
+            thread.join();
+        }
+        // Were a call still counted, four targets would not take four full batches.
+        for (int i = 0; i < 4 * SLOTS; i++) {
+            PickRequest request = plain("q" + i, 5_000);
+            Pick pick = mScheduler.pick(request, mNow).get();
+            mScheduler.onDispatched(100_000 + i, request, pick, mNow);
+        }
+        assertThat(mScheduler.pick(plain("r", 5_000), mNow).isLeft()).isTrue();
+    }
 }
