Recognise every repeat of an accepted change

Cause: a repeated change was looked for among the latest eight revisions only, was checked against the present configuration first, and was called accepted without a majority. A repeat of AddKey returned a key that no configuration contains. Two attempts of one change at two daemons could leave two configurations under one revision, as the loser kept its own body.

Change: a row per change names the revision that it made. A repeat is answered before the checks, after a majority has confirmed it. An attempt that finds its change committed reads the committed body. Edits moved to ConfigEdits.

--- a/src/main/java/org/heathercourse/daemon/config/ConfigChanges.java
+++ b/src/main/java/org/heathercourse/daemon/config/ConfigChanges.java
@@ -1,9 +1,11 @@
 package org.heathercourse.daemon.config;
 
 import io.vavr.control.Either;
+import io.vavr.control.Option;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalLong;
 import org.heathercourse.core.config.DeploymentConfig;
 import org.heathercourse.core.error.HeathercourseException;
 import org.heathercourse.platform.TableStore;
@@ -11,14 +13,11 @@
 /**
  * Accepts changes of operators, each under an identity, and reads accepted revisions.
  *
- * <p>The identity of a change is the commit identity of its transaction, so that a repeat of a
- * change whose reply was lost returns the revision that the first attempt made. Calls block on the
- * store. Safe for use by several threads.
+ * <p>The identity of a change is the commit identity of its transaction and has a row of its own,
+ * so that a repeat of a change whose reply was lost returns the revision that the first attempt
+ * made. Calls block on the store. Safe for use by several threads.
  */
 public final class ConfigChanges {
-    /** Latest revisions among which a repeated change is looked for. */
-    private static final int REPEAT_WINDOW = 8;
-
     private final TableStore mTable;
     private final ConfigTable mRows;
     private final ConfigWatcher mWatcher;
@@ -46,25 +45,38 @@
      */
     public Either<HeathercourseException, DeploymentConfig> accept(
             DeploymentConfig proposed, long baseRevision, String changeId) {
-        try {
-            Optional<DeploymentConfig> earlier = acceptedAs(changeId);
-            if (earlier.isPresent()) {
-                return Either.right(earlier.get());
-            }
-        } catch (HeathercourseException e) {
-            return Either.left(e);
-        }
-        return new ConfigStore(mTable, mRows, mWatcher, () -> changeId)
-                .propose(baseRevision, proposed);
+        return repeated(changeId)
+                .getOrElse(
+                        () ->
+                                new ConfigStore(mTable, mRows, mWatcher, () -> changeId)
+                                        .propose(baseRevision, proposed));
     }
 
-    private Optional<DeploymentConfig> acceptedAs(String changeId) {
-        for (long revision : revisions(REPEAT_WINDOW)) {
-            if (mRows.commitIdOf(revision).filter(changeId::equals).isPresent()) {
-                return mRows.readRevision(revision);
+    /**
+     * Returns the result of a change that was committed before under the same identity. The first
+     * attempt may have ended before a majority had applied it, so a majority is asked to confirm
+     * it, or a later revision, now.
+     *
+     * @param changeId identity of the change
+     * @return none if no such change was committed; otherwise the configuration that it made, or an
+     *     error of kind {@code STORE_UNAVAILABLE}, or of kind {@code OUTCOME_UNKNOWN} if a majority
+     *     does not confirm
+     */
+    public Option<Either<HeathercourseException, DeploymentConfig>> repeated(String changeId) {
+        try {
+            OptionalLong revision = mRows.revisionOfChange(changeId);
+            if (revision.isEmpty()) {
+                return Option.none();
+            }
+            Optional<DeploymentConfig> made = mRows.readRevision(revision.getAsLong());
+            made.ifPresent(mWatcher::apply);
+            if (made.isEmpty() || !mWatcher.distribute(mWatcher.current())) {
+                return Option.some(Either.left(ConfigStore.unconfirmed(revision.getAsLong())));
             }
+            return Option.some(Either.right(made.get()));
+        } catch (HeathercourseException e) {
+            return Option.some(Either.left(e));
         }
-        return Optional.empty();
     }
 
     /** Returns the accepted configuration as the store has it. */
--- a/src/main/java/org/heathercourse/daemon/config/ConfigStore.java
+++ b/src/main/java/org/heathercourse/daemon/config/ConfigStore.java
@@ -2,7 +2,6 @@
 
 import io.vavr.control.Either;
 import java.util.List;
-import java.util.Optional;
 import java.util.UUID;
 import java.util.function.Supplier;
 import org.heathercourse.core.config.ConfigDiff;
@@ -35,6 +34,15 @@
     private final ConfigWatcher mWatcher;
     private final Supplier<String> mCommitIds;
 
+    /** What became of a transaction. */
+    private enum Outcome {
+        COMMITTED,
+        /** An earlier try of this or another daemon committed a change of the same identity. */
+        COMMITTED_BEFORE,
+        CONFLICT,
+        UNKNOWN
+    }
+
     /**
      * Creates the store.
      *
@@ -87,47 +95,48 @@
     private Either<HeathercourseException, DeploymentConfig> commit(
             ConfigTable.Head head, DeploymentConfig base, DeploymentConfig next) {
         Transaction transaction = mRows.prepare(head, next, mCommitIds.get());
-        Optional<Boolean> committed = commitOrResolve(transaction, next.revision());
-        if (committed.isEmpty()) {
+        Outcome outcome = commitOrResolve(transaction, next.revision());
+        if (outcome == Outcome.UNKNOWN) {
             return Either.left(
                     unknown("change to revision " + next.revision() + " may be committed"));
         }
-        if (!committed.get()) {
+        if (outcome == Outcome.CONFLICT) {
             return Either.left(conflict(base.revision(), mRows.readHead().revision(), base, next));
         }
-        LOG.info("config_committed", "revision", next.revision());
-        mWatcher.apply(next);
-        if (!mWatcher.distribute(next)) {
-            return Either.left(
-                    unknown(
-                            "revision "
-                                    + next.revision()
-                                    + " is committed but not confirmed by a majority"));
+        // Another attempt of the same change, at another daemon, may have committed another body.
+        DeploymentConfig made =
+                outcome == Outcome.COMMITTED
+                        ? next
+                        : mRows.readRevision(next.revision()).orElseThrow();
+        LOG.info("config_committed", "revision", made.revision());
+        mWatcher.apply(made);
+        if (!mWatcher.distribute(made)) {
+            return Either.left(unconfirmed(made.revision()));
         }
-        LOG.info("config_accepted", "revision", next.revision());
-        return Either.right(next);
+        LOG.info("config_accepted", "revision", made.revision());
+        return Either.right(made);
     }
 
     /**
      * Runs a transaction until its outcome is known. Repeating it is safe: its conditions hold at
      * most once.
      *
-     * @return whether it took effect; empty if that could not be found out
+     * @return what became of it
      */
-    private Optional<Boolean> commitOrResolve(Transaction transaction, long revision) {
+    private Outcome commitOrResolve(Transaction transaction, long revision) {
         StoreException lastFailure = null;
         boolean sent = false;
         for (int i = 0; i < MAX_ATTEMPTS; i++) {
             try {
                 CommitResult result = mTable.commit(transaction);
                 if (result.committed()) {
-                    return Optional.of(true);
+                    return Outcome.COMMITTED;
                 }
                 boolean ours =
                         mRows.commitIdOf(revision)
                                 .filter(transaction.commitId()::equals)
                                 .isPresent();
-                return Optional.of(ours);
+                return ours ? Outcome.COMMITTED_BEFORE : Outcome.CONFLICT;
             } catch (StoreException e) {
                 lastFailure = e;
                 sent |= e.outcomeUnknown();
@@ -137,7 +146,7 @@
         if (!sent) {
             throw lastFailure;
         }
-        return Optional.empty();
+        return Outcome.UNKNOWN;
     }
 
     private ConfigConflictException conflict(
@@ -157,6 +166,10 @@
                 "repeat the change at another daemon");
     }
 
+    static HeathercourseException unconfirmed(long revision) {
+        return unknown("revision " + revision + " is committed but not confirmed by a majority");
+    }
+
     private static HeathercourseException unknown(String message) {
         return HeathercourseException.builder(ErrorKind.OUTCOME_UNKNOWN)
                 .message(message)
--- a/src/main/java/org/heathercourse/daemon/config/ConfigTable.java
+++ b/src/main/java/org/heathercourse/daemon/config/ConfigTable.java
@@ -7,6 +7,8 @@
 import java.io.IOException;
 import java.io.UncheckedIOException;
 import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.UUID;
 import org.heathercourse.core.config.DeploymentConfig;
 import org.heathercourse.core.error.ErrorKind;
 import org.heathercourse.core.error.HeathercourseException;
@@ -20,8 +22,9 @@
  *
  * <p>Row {@code config/head} holds the latest revision only, so that the read that every daemon
  * makes each second stays small. Row {@code config/rev/<n>} holds the body of revision n, or the
- * name of an object for bodies above {@link #MAX_INLINE_BYTES}. One transaction writes both. Calls
- * block. Safe for use by several threads.
+ * name of an object for bodies above {@link #MAX_INLINE_BYTES}. Row {@code config/change/<id>}
+ * holds the revision that a change made, so that a repeat is recognised however late it comes. One
+ * transaction writes all three. Calls block. Safe for use by several threads.
  */
 public final class ConfigTable {
     /** Largest body that is kept in a row, in bytes. */
@@ -71,6 +74,19 @@
                 .map(row -> mCodec.readStored(body(row)).withRevision(revision));
     }
 
+    /**
+     * Returns the revision that a change made.
+     *
+     * @param changeId identity of the change
+     * @return the revision, or empty if no such change was committed
+     */
+    OptionalLong revisionOfChange(String changeId) {
+        Optional<Row> row = mTable.read(changeKey(changeId));
+        return row.isEmpty()
+                ? OptionalLong.empty()
+                : OptionalLong.of(parse(row.get()).path("revision").asLong());
+    }
+
     /** Returns the identity of the transaction that wrote a revision, or empty if none did. */
     Optional<String> commitIdOf(long revision) {
         return mTable.read(revisionKey(revision)).map(Row::commitId);
@@ -89,7 +105,9 @@
         if (body.length <= MAX_INLINE_BYTES) {
             row.set("config", tree(body));
         } else {
-            String name = "config/rev/" + config.revision() + "/" + commitId;
+            // Attempts of one change may differ in their body, so that each needs its own object.
+            UUID content = UUID.nameUUIDFromBytes(body);
+            String name = "config/rev/" + config.revision() + "/" + commitId + "/" + content;
             mObjects.put(name, body);
             row.put("object", name);
         }
@@ -97,6 +115,7 @@
         return Transaction.builder(commitId)
                 .put(HEAD, head.rowVersion(), bytes(headRow))
                 .put(revisionKey(config.revision()), Row.ABSENT, bytes(row))
+                .put(changeKey(commitId), Row.ABSENT, bytes(headRow))
                 .build();
     }
 
@@ -110,6 +129,10 @@
                 .orElseThrow(() -> damaged("object " + object + " is missing", null));
     }
 
+    private static String changeKey(String changeId) {
+        return "config/change/" + changeId;
+    }
+
     static String revisionKey(long revision) {
         return "config/rev/" + revision;
     }
--- a/src/main/java/org/heathercourse/ops/OperatorService.java
+++ b/src/main/java/org/heathercourse/ops/OperatorService.java
@@ -5,7 +5,6 @@
 import io.grpc.stub.ServerCallStreamObserver;
 import io.grpc.stub.StreamObserver;
 import io.vavr.control.Either;
-import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -17,11 +16,7 @@
 import org.heathercourse.core.config.ConfigProblem;
 import org.heathercourse.core.config.ConfigValidator;
 import org.heathercourse.core.config.DeploymentConfig;
-import org.heathercourse.core.config.KeySpec;
 import org.heathercourse.core.config.LifecycleState;
-import org.heathercourse.core.config.TargetSpec;
-import org.heathercourse.core.config.VmSpec;
-import org.heathercourse.core.config.WorkspaceSpec;
 import org.heathercourse.core.error.ErrorKind;
 import org.heathercourse.core.error.HeathercourseException;
 import org.heathercourse.core.ownership.DaemonInfo;
@@ -158,6 +153,11 @@
 
     private ApplyResponse accept(DeploymentConfig proposed, long baseRevision, String changeId) {
         requireChangeId(changeId);
+        // Before the checks, which the present configuration may no longer pass.
+        Optional<ApplyResponse> repeated = repeated(changeId);
+        if (repeated.isPresent()) {
+            return repeated.get();
+        }
         DeploymentConfig base = present();
         List<ConfigProblem> problems = ConfigValidator.validate(base, proposed);
         if (!problems.isEmpty()) {
@@ -177,6 +177,20 @@
                 .build();
     }
 
+    /** Returns what the first attempt of a change answered, or would have answered. */
+    private Optional<ApplyResponse> repeated(String changeId) {
+        return mChanges.repeated(changeId)
+                .map(result -> result.getOrElseThrow(e -> e))
+                .map(
+                        made ->
+                                ApplyResponse.newBuilder()
+                                        .setRevision(made.revision())
+                                        .addAllDifferences(
+                                                ConfigDiff.between(read(made.revision() - 1), made))
+                                        .build())
+                .toJavaOptional();
+    }
+
     // ---- keys and states: changes that the daemon makes on the present configuration ----
 
     @Override
@@ -189,10 +203,11 @@
                             change(
                                     request.getChangeId(),
                                     config ->
-                                            withWorkspace(
+                                            ConfigEdits.withWorkspace(
                                                     config,
                                                     request.getWorkspace(),
-                                                    w -> withKey(w, key.spec())));
+                                                    w -> ConfigEdits.withKey(w, key.spec())));
+                    requireStored(key, request.getWorkspace(), response.getRevision());
                     return AddKeyResponse.newBuilder()
                             .setRevision(response.getRevision())
                             .setKeyId(key.spec().keyId())
@@ -201,6 +216,29 @@
                 });
     }
 
+    /**
+     * Refuses to answer a repeat with a key that the first attempt did not store. Only the digest
+     * of that key is kept, so it cannot be returned.
+     */
+    private void requireStored(KeyGenerator.Generated key, String workspace, long revision) {
+        boolean stored =
+                read(revision).workspaces().stream()
+                        .flatMap(w -> w.keys().stream())
+                        .anyMatch(k -> k.keyId().equals(key.spec().keyId()));
+        if (!stored) {
+            throw new HeathercourseException(
+                    ErrorKind.CONFLICT,
+                    "this change was accepted before as revision "
+                            + revision
+                            + " and added a key to workspace "
+                            + workspace
+                            + ", of which only the digest is kept: "
+                            + ConfigDiff.between(read(revision - 1), read(revision)),
+                    "withdraw that key if it was not received, and add another with a new"
+                            + " change_id");
+        }
+    }
+
     @Override
     public void withdrawKey(WithdrawKeyRequest request, StreamObserver<ApplyResponse> out) {
         answer(
@@ -209,10 +247,12 @@
                         change(
                                 request.getChangeId(),
                                 config ->
-                                        withWorkspace(
+                                        ConfigEdits.withWorkspace(
                                                 config,
                                                 request.getWorkspace(),
-                                                w -> withoutKey(w, request.getKeyId()))));
+                                                w ->
+                                                        ConfigEdits.withoutKey(
+                                                                w, request.getKeyId()))));
     }
 
     @Override
@@ -225,9 +265,13 @@
                                 request.getChangeId(),
                                 config ->
                                         request.hasTarget()
-                                                ? withTargetState(
+                                                ? ConfigEdits.withTargetState(
                                                         config, request.getTarget(), state)
-                                                : withVmState(config, request.getVm(), state)));
+                                                : ConfigEdits.withVmState(
+                                                        config,
+                                                        request.getVm(),
+                                                        state,
+                                                        mObservations.daemons())));
     }
 
     private ApplyResponse change(String changeId, UnaryOperator<DeploymentConfig> edit) {
@@ -246,65 +290,6 @@
         throw last;
     }
 
-    private static DeploymentConfig withWorkspace(
-            DeploymentConfig config, String workspace, UnaryOperator<WorkspaceSpec> edit) {
-        List<WorkspaceSpec> edited = new ArrayList<>(config.workspaces());
-        for (int i = 0; i < edited.size(); i++) {
-            if (edited.get(i).workspace().value().equals(workspace)) {
-                edited.set(i, edit.apply(edited.get(i)));
-                return config.withWorkspaces(edited);
-            }
-        }
-        throw notDeclared("workspace", workspace);
-    }
-
-    private static WorkspaceSpec withKey(WorkspaceSpec workspace, KeySpec key) {
-        List<KeySpec> keys = new ArrayList<>(workspace.keys());
-        keys.add(key);
-        return workspace.withKeys(keys);
-    }
-
-    private static WorkspaceSpec withoutKey(WorkspaceSpec workspace, String keyId) {
-        List<KeySpec> keys = new ArrayList<>(workspace.keys());
-        for (int i = 0; i < keys.size(); i++) {
-            KeySpec key = keys.get(i);
-            if (key.keyId().equals(keyId)) {
-                keys.set(i, new KeySpec(key.keyId(), key.sha256Hex(), true));
-                return workspace.withKeys(keys);
-            }
-        }
-        throw notDeclared("key", keyId);
-    }
-
-    private static DeploymentConfig withTargetState(
-            DeploymentConfig config, String target, LifecycleState state) {
-        List<TargetSpec> targets = new ArrayList<>(config.targets());
-        for (int i = 0; i < targets.size(); i++) {
-            if (targets.get(i).target().value().equals(target)) {
-                targets.set(i, targets.get(i).withState(state));
-                return config.withTargets(targets);
-            }
-        }
-        throw notDeclared("target", target);
-    }
-
-    private DeploymentConfig withVmState(DeploymentConfig config, String vm, LifecycleState state) {
-        List<VmSpec> vms = new ArrayList<>(config.vms());
-        for (int i = 0; i < vms.size(); i++) {
-            if (vms.get(i).vm().value().equals(vm)) {
-                vms.set(i, vms.get(i).withState(state));
-                return config.toBuilder().vms(vms).build();
-            }
-        }
-        DaemonInfo daemon =
-                mObservations.daemons().stream()
-                        .filter(d -> d.vm().value().equals(vm))
-                        .findFirst()
-                        .orElseThrow(() -> notDeclared("VM", vm));
-        vms.add(new VmSpec(daemon.vm(), daemon.zone(), state, ""));
-        return config.toBuilder().vms(vms).build();
-    }
-
     // ---- reading ----
 
     @Override
@@ -407,7 +392,7 @@
 
     private DeploymentConfig read(long revision) {
         return mChanges.read(revision)
-                .orElseThrow(() -> notDeclared("revision", Long.toString(revision)));
+                .orElseThrow(() -> ConfigEdits.notDeclared("revision", Long.toString(revision)));
     }
 
     private static void requireChangeId(String changeId) {
@@ -419,13 +404,6 @@
         }
     }
 
-    private static HeathercourseException notDeclared(String what, String name) {
-        return new HeathercourseException(
-                ErrorKind.BAD_REQUEST,
-                what + " \"" + name + "\" is not declared",
-                "list what is declared with: heathercourse ctl get");
-    }
-
     private static HeathercourseException invalid(List<ConfigProblem> problems) {
         StringBuilder text = new StringBuilder();
         for (ConfigProblem problem : problems) {
