--- a/src/main/java/org/heathercourse/daemon/wiring/HttpModule.java
+++ b/src/main/java/org/heathercourse/daemon/wiring/HttpModule.java
@@ -52,6 +52,8 @@
         gauge(metrics, "store.pending_bytes", log::pendingBytes);
         gauge(metrics, "programs.held", () -> (long) log.held().size());
         gauge(metrics, "daemons.listed", () -> (long) shards.daemons().size());
+        Runtime runtime = Runtime.getRuntime();
+        gauge(metrics, "jvm.heap_used_bytes", () -> runtime.totalMemory() - runtime.freeMemory());
         return metrics;
     }
 
--- a/src/main/java/org/heathercourse/testing/deployment/LocalDeployment.java
+++ b/src/main/java/org/heathercourse/testing/deployment/LocalDeployment.java
@@ -328,6 +328,7 @@
         private int mDaemons = 3;
         private int mEngines = 4;
         private int mPlain = 2;
+        private int mShards;
         private boolean mProxies;
         private double mRatePerSecond = 1_000;
         private double mBurst = 1_000;
@@ -357,6 +358,12 @@
             return this;
         }
 
+        /** Sets the number of shards; 0 stands for the default. */
+        public Builder shards(int shards) {
+            mShards = shards;
+            return this;
+        }
+
         /** Sets whether links to peers and the store pass through proxies. */
         public Builder proxies(boolean proxies) {
             mProxies = proxies;
@@ -401,6 +408,7 @@
 
         private Configuration configuration(LocalDeployment deployment) {
             return TrialConfiguration.create(
+                    mShards,
                     mZones,
                     mWorkspaces,
                     deployment.mTargetPorts,
--- a/src/main/java/org/heathercourse/testing/deployment/TrialConfiguration.java
+++ b/src/main/java/org/heathercourse/testing/deployment/TrialConfiguration.java
@@ -21,13 +21,14 @@
     private TrialConfiguration() {}
 
     static Configuration create(
+            int shards,
             List<String> zones,
             List<String> workspaces,
             Map<String, Integer> targetPorts,
             double ratePerSecond,
             double burst,
             long budgetTokens) {
-        Configuration.Builder out = Configuration.newBuilder();
+        Configuration.Builder out = Configuration.newBuilder().setShards(shards);
         for (String zone : zones) {
             out.addZones(ZoneDeclaration.newBuilder().setZone(zone).setRegion("home"));
         }
--- a/src/main/java/org/heathercourse/testing/proxy/FaultProxy.java
+++ b/src/main/java/org/heathercourse/testing/proxy/FaultProxy.java
@@ -22,6 +22,7 @@
 import java.util.Deque;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicReference;
+import java.util.concurrent.atomic.LongAdder;
 import java.util.random.RandomGenerator;
 import org.heathercourse.core.time.Ticker;
 
@@ -39,6 +40,8 @@
     private final RandomGenerator mRandom;
     private final AtomicReference<ProxyFaults> mFaults = new AtomicReference<>(ProxyFaults.NONE);
     private final ChannelGroup mConnections = new DefaultChannelGroup(GlobalEventExecutor.INSTANCE);
+    private final LongAdder mBytesToTarget = new LongAdder();
+    private final LongAdder mBytesToClient = new LongAdder();
     private final Channel mListener;
 
     /**
@@ -85,6 +88,16 @@
         return ((InetSocketAddress) mListener.localAddress()).getPort();
     }
 
+    /** Returns the bytes that clients have sent so far. */
+    public long bytesToTarget() {
+        return mBytesToTarget.sum();
+    }
+
+    /** Returns the bytes that the target has sent so far. */
+    public long bytesToClient() {
+        return mBytesToClient.sum();
+    }
+
     /** Returns the present faults. */
     public ProxyFaults faults() {
         return mFaults.get();
@@ -179,6 +192,7 @@
         @Override
         public void channelRead(ChannelHandlerContext ctx, Object message) {
             ByteBuf bytes = (ByteBuf) message;
+            (mToTarget ? mBytesToTarget : mBytesToClient).add(bytes.readableBytes());
             ProxyFaults faults = mFaults.get();
             if (faults.halfOpen().swallows(mToTarget)) {
                 bytes.release();
--- a/src/main/java/org/heathercourse/testing/standin/StandIns.java
+++ b/src/main/java/org/heathercourse/testing/standin/StandIns.java
@@ -232,7 +232,13 @@
     ObjectNode proxies() {
         ObjectNode json = Exchange.JSON.createObjectNode();
         synchronized (mProxies) {
-            mProxies.forEach((name, proxy) -> json.putPOJO(name, proxy.faults()));
+            mProxies.forEach(
+                    (name, proxy) -> {
+                        ObjectNode shown = Exchange.JSON.valueToTree(proxy.faults());
+                        shown.put("bytes_to_target", proxy.bytesToTarget());
+                        shown.put("bytes_to_client", proxy.bytesToClient());
+                        json.set(name, shown);
+                    });
         }
         return json;
     }
