--- a/src/main/java/org/heathercourse/testing/deployment/DaemonProcess.java
+++ b/src/main/java/org/heathercourse/testing/deployment/DaemonProcess.java
@@ -43,6 +43,7 @@
     private final Place mPlace;
     private final Path mDirectory;
     private final List<String> mJavaOptions;
+    private final List<String> mFlags;
     private final Map<String, String> mEnvironment;
     private ChildProcess mProcess;
 
@@ -50,10 +51,12 @@
             Place place,
             Path directory,
             List<String> javaOptions,
+            List<String> flags,
             Map<String, String> environment) {
         mPlace = place;
         mDirectory = directory;
         mJavaOptions = javaOptions;
+        mFlags = flags;
         mEnvironment = environment;
     }
 
@@ -92,6 +95,7 @@
         add(arguments, "objects-url", "http://127.0.0.1:" + mPlace.objectsPort());
         add(arguments, "vm-list-url", "http://127.0.0.1:" + mPlace.vmListPort());
         add(arguments, "weights-url", "http://127.0.0.1:" + mPlace.weightsPort());
+        arguments.addAll(mFlags);
         mProcess =
                 ChildProcess.start(mPlace.vm(), mDirectory, mJavaOptions, arguments, mEnvironment);
     }
--- a/src/main/java/org/heathercourse/testing/deployment/LocalDeployment.java
+++ b/src/main/java/org/heathercourse/testing/deployment/LocalDeployment.java
@@ -12,6 +12,7 @@
 import java.util.Map;
 import java.util.UUID;
 import java.util.function.BooleanSupplier;
+import java.util.function.Function;
 import javax.net.ssl.SSLException;
 import okhttp3.OkHttpClient;
 import okhttp3.Request;
@@ -79,11 +80,11 @@
         List<String> operators =
                 mDaemons.stream().map(d -> "127.0.0.1:" + d.place().operatorPort()).toList();
         try {
-            mOperator = new OperatorConnection(operators, OPERATOR_TOKEN, "");
+            mOperator = new OperatorConnection(operators, OPERATOR_TOKEN, mOptions.mCertificate);
         } catch (SSLException e) {
             throw new UncheckedIOException(e);
         }
-        apply(mOptions.configuration(this));
+        apply(mOptions.mConfiguration.apply(this));
         for (String workspace : mOptions.mWorkspaces) {
             addKey(workspace);
         }
@@ -109,8 +110,9 @@
         for (int i = 1; i <= mOptions.mEngines; i++) {
             int port = ports.get(next++);
             String fencing = i % 2 == 0 ? "ignore" : "check";
-            mTargetPorts.put("engine-" + i, port);
-            flag(arguments, "engine", "engine-" + i + "=" + port + ":" + fencing);
+            String name = mOptions.mEnginePrefix + i;
+            mTargetPorts.put(name, port);
+            flag(arguments, "engine", name + "=" + port + ":" + fencing);
         }
         for (int i = 1; i <= mOptions.mPlain; i++) {
             int port = ports.get(next++);
@@ -140,7 +142,12 @@
                             vmList,
                             weights);
             mDaemons.add(
-                    new DaemonProcess(place, mDirectory, mOptions.mJavaOptions, environment()));
+                    new DaemonProcess(
+                            place,
+                            mDirectory,
+                            mOptions.mJavaOptions,
+                            mOptions.mDaemonFlags,
+                            environment()));
         }
         arguments.addAll(mOptions.mStandInFlags);
         mStandIns =
@@ -280,7 +287,9 @@
     public OperatorConnection operatorAt(DaemonProcess daemon) {
         try {
             return new OperatorConnection(
-                    List.of("127.0.0.1:" + daemon.place().operatorPort()), OPERATOR_TOKEN, "");
+                    List.of("127.0.0.1:" + daemon.place().operatorPort()),
+                    OPERATOR_TOKEN,
+                    mOptions.mCertificate);
         } catch (SSLException e) {
             throw new UncheckedIOException(e);
         }
@@ -308,6 +317,11 @@
         return mKeyIds.get(key);
     }
 
+    /** Returns the credential of operators. */
+    public String operatorToken() {
+        return OPERATOR_TOKEN;
+    }
+
     /** Returns the workspaces. */
     public List<String> workspaces() {
         return mOptions.mWorkspaces;
@@ -337,6 +351,10 @@
         private List<String> mWorkspaces = List.of("loom-hall", "harbour-mill", "dance-school");
         private List<String> mJavaOptions = List.of("-XX:+UseSerialGC", "-Xmx256m");
         private List<String> mStandInFlags = List.of();
+        private List<String> mDaemonFlags = List.of();
+        private String mCertificate = "";
+        private String mEnginePrefix = "engine-";
+        private Function<LocalDeployment, Configuration> mConfiguration = this::trial;
 
         private Builder() {}
 
@@ -401,12 +419,38 @@
             return this;
         }
 
+        /** Sets further flags of the daemons. */
+        public Builder daemonFlags(List<String> daemonFlags) {
+            mDaemonFlags = List.copyOf(daemonFlags);
+            return this;
+        }
+
+        /** Sets the files (PEM) with which daemons serve TLS to callers and operators. */
+        public Builder tls(Path certificate, Path key) {
+            mCertificate = certificate.toString();
+            return daemonFlags(
+                    List.of("--tls-certificate", mCertificate, "--tls-key", key.toString()));
+        }
+
         /** Creates the deployment; nothing is started yet. */
         public LocalDeployment build() {
             return new LocalDeployment(this);
         }
 
-        private Configuration configuration(LocalDeployment deployment) {
+        /**
+         * Sets the declared configuration in place of the trial configuration.
+         *
+         * @param enginePrefix what names of engines begin with; a number from 1 follows
+         * @param configuration makes the configuration once the ports of the targets are known
+         */
+        public Builder configuration(
+                String enginePrefix, Function<LocalDeployment, Configuration> configuration) {
+            mEnginePrefix = enginePrefix;
+            mConfiguration = configuration;
+            return this;
+        }
+
+        private Configuration trial(LocalDeployment deployment) {
             return TrialConfiguration.create(
                     mShards,
                     mZones,
--- a/src/main/java/org/heathercourse/testing/load/CallerClient.java
+++ b/src/main/java/org/heathercourse/testing/load/CallerClient.java
@@ -16,6 +16,7 @@
 import okhttp3.RequestBody;
 import okhttp3.Response;
 import okio.BufferedSource;
+import org.heathercourse.core.time.Ticker;
 
 /**
  * A caller: asks any daemon which address to use, keeps the answer, and asks another daemon when
@@ -31,7 +32,11 @@
     private final List<String> mEntries;
     private final AtomicInteger mNextEntry;
     private final OkHttpClient mHttp;
-    private volatile String mAddress;
+    private final Ticker mTicker = Ticker.system();
+    private volatile Advice mAddress;
+
+    /** An address and until when it may be used, in milliseconds of the ticker. */
+    private record Advice(String address, long untilMillis) {}
 
     /**
      * Creates a caller.
@@ -150,23 +155,31 @@
     }
 
     private String address() {
-        String known = mAddress;
+        Advice known = mAddress;
+        if (known != null && mTicker.readMillis() >= known.untilMillis()) {
+            known = null;
+        }
         for (int i = 0; known == null && i < mEntries.size(); i++) {
             int entry = Math.floorMod(mNextEntry.getAndIncrement(), mEntries.size());
             known = ask(mEntries.get(entry));
         }
         mAddress = known;
-        return known;
+        return known == null ? null : known.address();
     }
 
-    private String ask(String entry) {
+    private Advice ask(String entry) {
+        long askedMillis = mTicker.readMillis();
         Request request = new Request.Builder().url(entry + "/v1/address").build();
         try (Response response = mHttp.newCall(request).execute()) {
             if (!response.isSuccessful()) {
                 return null;
             }
-            String address = MAPPER.readTree(response.body().string()).path("address").asText();
-            return address.startsWith("http") ? address : "http://" + address;
+            JsonNode advice = MAPPER.readTree(response.body().string());
+            String address = advice.path("address").asText();
+            long keepMillis = TimeUnit.SECONDS.toMillis(advice.path("keep_seconds").asLong());
+            return new Advice(
+                    address.startsWith("http") ? address : "http://" + address,
+                    askedMillis + keepMillis);
         } catch (IOException e) {
             return null;
         }
--- a/src/main/java/org/heathercourse/testing/load/LoadCounters.java
+++ b/src/main/java/org/heathercourse/testing/load/LoadCounters.java
@@ -20,6 +20,7 @@
         UNKNOWN_OUTCOMES,
         REFUSED_NOT_RUN,
         PENDING_ANSWERS,
+        BROKEN_CONNECTIONS,
         FAILED_PROGRAMS
     }
 
--- a/src/main/java/org/heathercourse/testing/load/ProgramRunner.java
+++ b/src/main/java/org/heathercourse/testing/load/ProgramRunner.java
@@ -10,6 +10,7 @@
 import java.util.function.Function;
 import java.util.function.Supplier;
 import org.heathercourse.core.time.Ticker;
+import org.heathercourse.log.EventLog;
 import org.heathercourse.testing.load.LoadCounters.Counter;
 
 /**
@@ -19,6 +20,7 @@
  * <p>Safe for use by several threads.
  */
 public final class ProgramRunner {
+    private static final EventLog LOG = EventLog.of(ProgramRunner.class);
     private static final long FIRST_BACKOFF_MILLIS = 50;
     private static final long MAX_BACKOFF_MILLIS = 1_000;
 
@@ -254,6 +256,10 @@
         }
 
         private void count(CallFailure failure) {
+            if (failure.kind().equals("connection")) {
+                mCounters.add(Counter.BROKEN_CONNECTIONS);
+                LOG.info("connection_broken", "cause", failure.message());
+            }
             if (failure.kind().equals("outcome_unknown")) {
                 mCounters.add(Counter.UNKNOWN_OUTCOMES);
             }
--- /dev/null
+++ b/src/test/resources/features/hostile_input.feature
@@ -0,0 +1,13 @@
+Feature: Garbage on a port does no harm
+  Bytes that are no valid protocol must not end a daemon, nor disturb other callers.
+
+  Scenario Outline: Garbage on the <port> port
+    Given a running deployment
+    When 40 connections send garbage to the <port> port
+    Then the daemon still runs and serves callers, peers and operators
+
+    Examples:
+      | port     |
+      | caller   |
+      | peer     |
+      | operator |
