--- a/src/main/java/org/heathercourse/testing/bench/MoveBench.java
+++ b/src/main/java/org/heathercourse/testing/bench/MoveBench.java
@@ -265,11 +265,12 @@
             throws IOException {
         JsonNode stats = mDeployment.stats().read("/stats");
         long late = 0;
+        long all = 0;
         for (JsonNode arrival : mDeployment.stats().read("/arrivals?since=0").path("arrivals")) {
             if (arrival.path("target").asText().equals(TARGET)
-                    && arrival.path("path").asText().equals("/v1/chat/completions")
-                    && arrival.path("at_ms").asLong() > drainedAtMillis + LATE_MILLIS) {
-                late++;
+                    && arrival.path("path").asText().equals("/v1/chat/completions")) {
+                all++;
+                late += arrival.path("at_ms").asLong() > drainedAtMillis + LATE_MILLIS ? 1 : 0;
             }
         }
         out.put(
@@ -279,6 +280,7 @@
                         + counters.get(Counter.FAILED_PROGRAMS));
         out.put("run_twice", stats.path("duplicate_side_effects").asLong());
         out.put("late_dispatches", late);
+        out.put("arrivals_at_leaving_target", all);
         out.put("out_of_order", stats.path("out_of_order").asLong());
         out.put("lost_history", stats.path("lost_history").asLong());
     }
