--- a/src/main/java/org/heathercourse/core/limits/HeldShare.java
+++ b/src/main/java/org/heathercourse/core/limits/HeldShare.java
@@ -28,7 +28,22 @@
     static final long IDLE_NANOS = 30_000_000_000L;
 
     /** Share of the demand of a second below which tokens count as low. */
-    private static final double LOW_TOKENS_SECONDS = 0.3;
+    private static final double LOW_TOKENS_SECONDS = 0.15;
+
+    /** Change of demand that is reported early, relative to the smaller value. */
+    private static final double MOVED_RATIO = 0.3;
+
+    /** A decrease below this part of the former share is reported early. */
+    private static final double REPORT_RATIO = 0.9;
+
+    /** Requests that may wait for a first share. */
+    private static final int MAX_WAITING = 64;
+
+    /** Time after which a grantor without tokens is asked again for a request that waits. */
+    private static final long DRY_NANOS = 150_000_000L;
+
+    /** Demand that may wait for tokens of the grantor, in seconds: the time between requests. */
+    private static final double WAITING_SECONDS = 0.1;
 
     private final VmId mVm;
     private final long mIncarnation;
@@ -36,6 +51,8 @@
     private final TokenBucket mBucket;
     private long mSequence;
     private long mFence;
+    private long mSeenFence;
+    private boolean mReportNow;
     private double mReturned;
     private long mValidUntilNanos;
     private ShareGrant mUnreported;
@@ -43,6 +60,9 @@
     private boolean mAwaiting;
     private boolean mEverAsked;
     private long mAskedNanos;
+    private int mAskedWaiting;
+    private boolean mDry;
+    private double mReportedDemand;
     private long mLastDemandNanos;
 
     /**
@@ -53,6 +73,20 @@
      * @param nowNanos present reading of the ticker
      */
     public HeldShare(VmId vm, long incarnation, long nowNanos) {
+        this(vm, incarnation, 0, nowNanos);
+    }
+
+    /**
+     * Creates a holder that follows an earlier one of the same process.
+     *
+     * @param vm this daemon
+     * @param incarnation its incarnation
+     * @param afterNumber number that all requests of earlier holders of this process are below; the
+     *     grantor takes lower numbers for overtaken requests
+     * @param nowNanos present reading of the ticker
+     */
+    public HeldShare(VmId vm, long incarnation, long afterNumber, long nowNanos) {
+        mNumber = afterNumber;
         mVm = vm;
         mIncarnation = incarnation;
         mDemand = new DemandMeter(nowNanos);
@@ -78,9 +112,40 @@
         mLastDemandNanos = nowNanos;
     }
 
-    /** Returns whether a request to the grantor is due. */
-    public boolean askDue(long nowNanos) {
+    /**
+     * Returns whether a request that found no token should wait for one.
+     *
+     * @param nowNanos present reading of the ticker
+     * @param waiting requests that wait already
+     * @param maxWaitNanos longest time to wait
+     * @return true if there is no share yet, if the share's own fill suffices in time, or if the
+     *     grantor may have tokens and few requests wait
+     */
+    public boolean worthWaiting(long nowNanos, int waiting, long maxWaitNanos) {
+        expire(nowNanos);
+        if (mSequence == 0) {
+            return waiting < MAX_WAITING;
+        }
+        mBucket.fill(nowNanos);
+        double filled = mBucket.tokens() + mBucket.ratePerSecond() * maxWaitNanos / 1e9;
+        if (filled >= 1 + waiting) {
+            return true;
+        }
+        boolean dry = mDry && nowNanos - mAskedNanos < DRY_NANOS;
+        return !dry && waiting < 2 + mDemand.perSecond(nowNanos) * WAITING_SECONDS;
+    }
+
+    /**
+     * Returns whether a request to the grantor is due.
+     *
+     * @param nowNanos present reading of the ticker
+     * @param waiting requests that wait here for a token
+     */
+    public boolean askDue(long nowNanos, int waiting) {
         expire(nowNanos);
+        if (mReportNow) {
+            return true;
+        }
         long sinceAsk = nowNanos - mAskedNanos;
         if (mEverAsked && sinceAsk < (mAwaiting ? REPLY_TIMEOUT_NANOS : MIN_SPACING_NANOS)) {
             return false;
@@ -91,44 +156,74 @@
         if (!mEverAsked || mAwaiting || mSequence == 0) {
             return true;
         }
-        if (sinceAsk >= PERIOD_NANOS) {
+        double demand = mDemand.perSecond(nowNanos);
+        if (sinceAsk >= PERIOD_NANOS || demandMoved(demand) || owesReport()) {
+            return true;
+        }
+        if (waiting > 0) {
             return true;
         }
         mBucket.fill(nowNanos);
-        double demand = mDemand.perSecond(nowNanos);
-        return mBucket.tokens() < 1 + demand * LOW_TOKENS_SECONDS
+        return mBucket.ratePerSecond() > 0
+                && mBucket.tokens() < 1 + demand * LOW_TOKENS_SECONDS
                 && nowNanos - mLastDemandNanos < PERIOD_NANOS;
     }
 
+    /** Returns whether demand differs from the reported one by more than random variation. */
+    private boolean demandMoved(double demand) {
+        double least = Math.min(demand, mReportedDemand);
+        return Math.abs(demand - mReportedDemand) > 2 + least * MOVED_RATIO;
+    }
+
+    /** Returns whether the grantor waits for a report before it can give tokens or rate on. */
+    private boolean owesReport() {
+        if (mBucket.ratePerSecond() == 0 && mBucket.capacity() >= 1 && mBucket.tokens() < 1) {
+            // Without fill, the capacity of spent tokens is of use to others only.
+            return true;
+        }
+        return mUnreported != null
+                && (mUnreported.addedTokens() < 0
+                        || mUnreported.ratePerSecond() < mBucket.ratePerSecond() * REPORT_RATIO
+                        || mUnreported.capacity() < mBucket.capacity() * REPORT_RATIO);
+    }
+
     /**
      * Creates the next request and counts it as sent. A decrease that an earlier reply brought
      * takes effect here.
      *
      * @param nowNanos present reading of the ticker
+     * @param waiting requests that wait here for a token
      * @return the request
      */
-    public ShareAsk ask(long nowNanos) {
+    public ShareAsk ask(long nowNanos, int waiting) {
         expire(nowNanos);
-        if (idle(nowNanos)) {
+        boolean leaving = idle(nowNanos);
+        if (leaving) {
             drop(nowNanos);
         }
         settle(nowNanos);
         mNumber++;
-        mAwaiting = true;
+        // A holder that leaves does not adopt the reply to its last report.
+        mAwaiting = !leaving;
         mEverAsked = true;
+        mReportNow = false;
         mAskedNanos = nowNanos;
+        mAskedWaiting = waiting;
+        mReportedDemand = mDemand.perSecond(nowNanos);
         return new ShareAsk(
                 mVm,
                 mIncarnation,
                 mNumber,
-                mDemand.perSecond(nowNanos),
+                mReportedDemand,
                 mSequence,
                 mBucket.ratePerSecond(),
                 mBucket.capacity(),
                 mBucket.tokens(),
                 mReturned,
                 mSequence == 0 ? 0 : (mValidUntilNanos - nowNanos) / 1_000_000L,
-                mFence);
+                mFence,
+                mSeenFence,
+                waiting);
     }
 
     /** Applies the decrease that the request now being sent reports. */
@@ -158,10 +253,18 @@
             return false;
         }
         mAwaiting = false;
-        long validUntil = mAskedNanos + grant.validMillis() * 1_000_000L;
+        mSeenFence = grant.grantorFence();
+        if (grant.isReportCall()) {
+            mReportNow = true;
+            return false;
+        }
+        long validUntil = validFrom(mAskedNanos, nowNanos) + grant.validMillis() * 1_000_000L;
         if (validUntil - nowNanos <= 0) {
             return false;
         }
+        if (grant.grantorFence() != mFence && mSequence != 0) {
+            replaceEarlier(grant, nowNanos);
+        }
         double added = Math.max(0, grant.addedTokens());
         double capacity = Math.max(mBucket.capacity() + added, grant.capacity());
         mBucket.reshape(
@@ -172,12 +275,29 @@
         mReturned = 0;
         mValidUntilNanos = validUntil;
         mUnreported = grant;
+        mDry = mAskedWaiting > 0 && mBucket.tokens() < 1;
         return true;
     }
 
+    /**
+     * Cuts the share of an earlier grantor down to the new one at once. The new grantor may know of
+     * less than is held here if an old report reached it first, so the rest must not live on.
+     */
+    void replaceEarlier(ShareGrant grant, long nowNanos) {
+        mBucket.reshape(
+                Math.min(mBucket.ratePerSecond(), grant.ratePerSecond()),
+                Math.min(mBucket.capacity(), grant.capacity()),
+                nowNanos);
+    }
+
+    /** Returns the reading from which a share is valid: the sending of the request. */
+    long validFrom(long askedNanos, long receivedNanos) {
+        return askedNanos;
+    }
+
     /** Returns whether a reply answers the latest request and no older grantor sent it. */
     boolean accepts(long number, ShareGrant grant) {
-        return mAwaiting && number == mNumber && grant.grantorFence() >= mFence;
+        return mAwaiting && number == mNumber && grant.grantorFence() >= mSeenFence;
     }
 
     /** Notes that the latest request got no reply, so that the next may be sent. */
@@ -238,6 +358,12 @@
         return Math.min(mBucket.nanosUntil(1, nowNanos), PERIOD_NANOS);
     }
 
+    /** Returns the time until the share's own fill provides a token; MAX_VALUE if it does not. */
+    public long nanosUntilToken(long nowNanos) {
+        expire(nowNanos);
+        return mBucket.nanosUntil(1, nowNanos);
+    }
+
     /** Returns the fill rate in use. */
     public double ratePerSecond() {
         return mBucket.ratePerSecond();
--- a/src/main/java/org/heathercourse/core/ownership/LeaseRules.java
+++ b/src/main/java/org/heathercourse/core/ownership/LeaseRules.java
@@ -16,6 +16,9 @@
     /** Periods of an unchanged heartbeat after which an observer declares a daemon dead. */
     public static final int DEATH_PERIODS = 3;
 
+    /** Time for which a row that declares a daemon dead is kept, in milliseconds. */
+    public static final long DEAD_ROW_MILLIS = 600_000;
+
     /** Time between scans of the shard rows, in milliseconds. */
     public static final long SCAN_MILLIS = 1_000;
 
@@ -25,6 +28,12 @@
      */
     public static final long BLIND_MILLIS = 2_500;
 
+    /**
+     * Time for which the store must have been readable again before a daemon is declared dead: a
+     * heartbeat period and a second for the write, so that a living daemon has written by then.
+     */
+    public static final long SETTLE_MILLIS = HEARTBEAT_MILLIS + 1_000;
+
     /** Number of daemons up to which all of them beat every {@link #HEARTBEAT_MILLIS}. */
     private static final int FULL_RATE_DAEMONS = 100;
 
--- a/src/main/java/org/heathercourse/daemon/call/CallExecutor.java
+++ b/src/main/java/org/heathercourse/daemon/call/CallExecutor.java
@@ -35,7 +35,7 @@
  * <p>Safe for use by several threads. Life cycle: create, use, {@link #close}.
  */
 public final class CallExecutor implements AutoCloseable {
-    private static final EventLog sLog = EventLog.of(CallExecutor.class);
+    private static final EventLog LOG = EventLog.of(CallExecutor.class);
 
     private final CallServices mServices;
     private final Recorder mRecorder;
@@ -92,7 +92,7 @@
             mMaintenance.run();
             mSessions.retry();
         } catch (RuntimeException e) {
-            sLog.error("program_maintenance_failed", e);
+            LOG.error("program_maintenance_failed", e);
         }
     }
 
@@ -115,7 +115,8 @@
     /** Returns whether a call of a program runs or waits here. */
     boolean busy(ProgramId program) {
         synchronized (mLock) {
-            return mLanes.containsKey(program);
+            Deque<Job> lane = mLanes.get(program);
+            return lane != null && lane.stream().anyMatch(job -> !job.answer().ended());
         }
     }
 
@@ -192,7 +193,8 @@
     private AnswerBuffer earlier(Job job) {
         CallRequest request = job.request();
         Job running = mJobs.get(job.key());
-        if (running != null) {
+        // An attempt that has ended but still tidies up counts by its record, if it left one.
+        if (running != null && !running.answer().ended()) {
             checkWorkspace(request, running.request().workspace());
             if (!running.digest().equals(job.digest())) {
                 throw CallErrors.identityConflict(request.request());
@@ -246,7 +248,7 @@
                 return;
             }
             mLanes.get(job.request().program()).remove(job);
-            mJobs.remove(job.key());
+            mJobs.remove(job.key(), job);
         }
         job.mUse.close();
         job.answer().fail(CallErrors.deadline(true));
@@ -261,7 +263,7 @@
     private AnswerBuffer attach(CallRequest request) {
         Job.Key key = new Job.Key(request.program(), request.request());
         var shard = request.shard(mServices.config().current().shards());
-        if (mServices.shards().fence(shard).isEmpty()) {
+        if (mServices.shards().repeatableFence(shard).isEmpty()) {
             throw CallErrors.ownershipLost(shard, true);
         }
         synchronized (mLock) {
@@ -342,7 +344,7 @@
         } catch (HeathercourseException e) {
             job.answer().fail(e);
         } catch (RuntimeException | Error e) {
-            sLog.error(
+            LOG.error(
                     "call_failed",
                     e,
                     "program",
@@ -380,7 +382,7 @@
         Job next;
         ProgramId program = job.request().program();
         synchronized (mLock) {
-            mJobs.remove(job.key());
+            mJobs.remove(job.key(), job);
             Deque<Job> lane = mLanes.get(program);
             lane.remove(job);
             next = lane.peek();
--- a/src/main/java/org/heathercourse/daemon/call/ProgramMaintenance.java
+++ b/src/main/java/org/heathercourse/daemon/call/ProgramMaintenance.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.Executor;
+import java.util.concurrent.RejectedExecutionException;
 import java.util.function.Predicate;
 import org.heathercourse.core.config.TargetSpec;
 import org.heathercourse.core.error.HeathercourseException;
@@ -22,7 +23,7 @@
  * for use by several threads.
  */
 final class ProgramMaintenance {
-    private static final EventLog sLog = EventLog.of(ProgramMaintenance.class);
+    private static final EventLog LOG = EventLog.of(ProgramMaintenance.class);
     private static final long FIRST_BACKOFF_MILLIS = 1000;
     private static final long MAX_BACKOFF_MILLIS = 60_000;
 
@@ -85,7 +86,7 @@
         synchronized (mRecorder.lock(program)) {
             ProgramState state = mRecorder.find(program).orElse(null);
             if (state != null && !state.ended() && !mBusy.test(program)) {
-                sLog.info("program_idle_ended", "program", program);
+                LOG.info("program_idle_ended", "program", program);
                 mRecorder.append(program, List.of(new LogRecord.ProgramEnded(program, "idle")));
             }
         }
@@ -105,7 +106,11 @@
                 failures = progress.failures();
                 mReleases.put(release, new Progress(now, failures, true));
             }
-            mWorkers.execute(() -> attempt(release, failures));
+            try {
+                mWorkers.execute(() -> attempt(release, failures));
+            } catch (RejectedExecutionException e) {
+                later(release, failures);
+            }
         }
     }
 
@@ -126,7 +131,7 @@
             }
             confirm(release);
         } catch (HeathercourseException e) {
-            sLog.debug(
+            LOG.debug(
                     "cache_release_failed",
                     "program",
                     release.program(),
--- a/src/main/java/org/heathercourse/daemon/http/CallerHandlers.java
+++ b/src/main/java/org/heathercourse/daemon/http/CallerHandlers.java
@@ -9,9 +9,10 @@
 import jakarta.servlet.http.HttpServletRequest;
 import java.io.IOException;
 import java.io.InputStream;
+import java.nio.charset.StandardCharsets;
 import java.time.Clock;
 import java.util.HexFormat;
-import java.util.concurrent.atomic.AtomicInteger;
+import java.util.Optional;
 import java.util.random.RandomGenerator;
 import javax.inject.Inject;
 import org.heathercourse.core.config.ModelSpec;
@@ -41,7 +42,7 @@
 
 /** Answers the requests of callers. Safe for use by several threads. */
 public final class CallerHandlers {
-    private static final ObjectMapper sMapper = new ObjectMapper();
+    private static final ObjectMapper MAPPER = new ObjectMapper();
     private static final String SERVICES = "/v1/services/";
     // A new share arrives within one round trip to its grantor.
     private static final long SHARE_WAIT_MILLIS = 1500;
@@ -58,7 +59,6 @@
     private final Ticker mTicker;
     private final Clock mClock;
     private final RandomGenerator mRandom;
-    private final AtomicInteger mActive = new AtomicInteger();
 
     /** Creates the handlers. */
     @Inject
@@ -85,10 +85,6 @@
         mRandom = random;
     }
 
-    int active() {
-        return mActive.get();
-    }
-
     // Directory routes
 
     String address(Context context, boolean draining) throws IOException {
@@ -99,7 +95,7 @@
 
     String models(Context context) throws IOException {
         principal(context);
-        ObjectNode root = sMapper.createObjectNode().put("object", "list");
+        ObjectNode root = MAPPER.createObjectNode().put("object", "list");
         ArrayNode data = root.putArray("data");
         for (ServiceSpec service : mConfig.current().services()) {
             for (ModelSpec model : service.models()) {
@@ -115,9 +111,7 @@
     private static String json(Context context, int status, String json) throws IOException {
         context.res().setStatus(status);
         context.res().setContentType("application/json");
-        context.res()
-                .getOutputStream()
-                .write(json.getBytes(java.nio.charset.StandardCharsets.UTF_8));
+        context.res().getOutputStream().write(json.getBytes(StandardCharsets.UTF_8));
         return "ok";
     }
 
@@ -135,7 +129,7 @@
                     "budget_tokens is " + arguments.get("budget_tokens"), "send a number from 1");
         }
         String result = mPrograms.start(principal.workspace(), program, parent, budget);
-        context.res().setHeader("X-Program-Id", sMapper.readTree(result).path("program").asText());
+        context.res().setHeader("X-Program-Id", MAPPER.readTree(result).path("program").asText());
         return json(context, 201, result);
     }
 
@@ -147,10 +141,10 @@
 
     private static JsonNode object(byte[] body) throws IOException {
         if (body.length == 0) {
-            return sMapper.createObjectNode();
+            return MAPPER.createObjectNode();
         }
         try {
-            JsonNode root = sMapper.readTree(body);
+            JsonNode root = MAPPER.readTree(body);
             if (root.isObject()) {
                 return root;
             }
@@ -175,7 +169,7 @@
 
     String endProgram(Context context) throws IOException {
         Principal principal = principal(context);
-        String arguments = sMapper.createObjectNode().put("reason", "completed").toString();
+        String arguments = MAPPER.createObjectNode().put("reason", "completed").toString();
         return json(
                 context,
                 200,
@@ -202,7 +196,7 @@
                         .deadlineMillis(
                                 CallerRequest.deadlineMillis(context.req(), RequestClass.BATCH))
                         .build();
-        return write(context, principal, call, mCalls.open(call, new byte[0]));
+        return write(context, principal, mCalls.open(call, new byte[0]));
     }
 
     String chat(Context context) throws IOException, InterruptedException {
@@ -212,7 +206,7 @@
         CallRequest call = common(context, CallRequest.Kind.MODEL, principal).build();
         Answer answer =
                 call.ephemeral() ? mCalls.openEphemeral(call, body, null) : mCalls.open(call, body);
-        return write(context, principal, call, answer);
+        return write(context, principal, answer);
     }
 
     String service(Context context) throws IOException, InterruptedException {
@@ -240,7 +234,7 @@
                         .path(query == null ? path : path + "?" + query)
                         .headers(PlainHeaders.fromCaller(CallerRequest.headers(request), key))
                         .build();
-        return write(context, principal, call, open(call, request));
+        return write(context, principal, open(call, request));
     }
 
     private Answer open(CallRequest call, HttpServletRequest request) throws IOException {
@@ -314,20 +308,18 @@
         return HexFormat.of().formatHex(bytes);
     }
 
-    private String write(Context context, Principal principal, CallRequest call, Answer answer)
+    private String write(Context context, Principal principal, Answer answer)
             throws IOException, InterruptedException {
-        mActive.incrementAndGet();
-        try {
-            return new AnswerWriter(
-                            context.req(),
-                            context.res(),
-                            answer,
-                            () -> principal == null || mAuthenticator.stillValid(principal),
-                            mTicker)
-                    .write();
-        } finally {
-            mActive.decrementAndGet();
-        }
+        return new AnswerWriter(
+                        context.req(),
+                        context.res(),
+                        answer,
+                        () ->
+                                principal == null
+                                        ? Optional.empty()
+                                        : mAuthenticator.recheck(principal),
+                        mTicker)
+                .write();
     }
 
     // Keys and rates
--- a/src/main/java/org/heathercourse/daemon/http/CallerServer.java
+++ b/src/main/java/org/heathercourse/daemon/http/CallerServer.java
@@ -3,9 +3,11 @@
 import io.javalin.Javalin;
 import io.javalin.config.JavalinConfig;
 import io.javalin.http.Context;
+import io.javalin.http.Handler;
 import io.javalin.http.HandlerType;
 import java.io.IOException;
 import java.util.List;
+import java.util.concurrent.atomic.AtomicInteger;
 import javax.inject.Inject;
 import org.heathercourse.core.error.ErrorKind;
 import org.heathercourse.core.error.HeathercourseException;
@@ -17,8 +19,8 @@
  * #close}.
  */
 public final class CallerServer implements AutoCloseable {
-    private static final EventLog sLog = EventLog.of(CallerServer.class);
-    private static final List<HandlerType> sMethods =
+    private static final EventLog LOG = EventLog.of(CallerServer.class);
+    private static final List<HandlerType> METHODS =
             List.of(
                     HandlerType.GET,
                     HandlerType.POST,
@@ -31,6 +33,7 @@
     private final HttpSettings mSettings;
     private final CallerHandlers mHandlers;
     private final Ticker mTicker;
+    private final AtomicInteger mActive = new AtomicInteger();
     private volatile boolean mDraining;
     private Javalin mServer;
 
@@ -86,7 +89,7 @@
         config.routes.delete("/v1/programs/{id}", route(mHandlers::endProgram));
         config.routes.get("/v1/programs/{id}/requests/{request}", route(mHandlers::resume));
         config.routes.post("/v1/chat/completions", route(mHandlers::chat));
-        for (HandlerType method : sMethods) {
+        for (HandlerType method : METHODS) {
             config.routes.addHttpHandler(
                     method, "/v1/services/{service}/<path>", route(mHandlers::service));
             config.routes.addHttpHandler(
@@ -106,9 +109,10 @@
         }
     }
 
-    private io.javalin.http.Handler route(Route route) {
+    private Handler route(Route route) {
         return context -> {
             context.attribute("handled", true);
+            mActive.incrementAndGet();
             long start = mTicker.readMillis();
             if (mDraining) {
                 context.res().setHeader("Connection", "close");
@@ -120,7 +124,7 @@
                 kind = e.kind().wireName();
                 HttpErrors.write(context.res(), e);
             } catch (IOException e) {
-                sLog.debug("caller_went_away", "reason", e.getClass().getSimpleName());
+                LOG.debug("caller_went_away", "reason", e.getClass().getSimpleName());
             } catch (InterruptedException e) {
                 Thread.currentThread().interrupt();
             } catch (RuntimeException e) {
@@ -130,13 +134,14 @@
                 }
                 HttpErrors.write(context.res(), e);
             } finally {
+                mActive.decrementAndGet();
                 access(context, kind, mTicker.readMillis() - start);
             }
         };
     }
 
     private static void access(Context context, String kind, long durationMillis) {
-        sLog.info(
+        LOG.info(
                 "access",
                 "method",
                 context.method().name(),
@@ -166,7 +171,7 @@
 
     /** Returns the number of requests in progress. */
     public int activeRequests() {
-        return mHandlers.active();
+        return mActive.get();
     }
 
     @Override
--- a/src/main/java/org/heathercourse/daemon/limits/LocalShare.java
+++ b/src/main/java/org/heathercourse/daemon/limits/LocalShare.java
@@ -22,19 +22,21 @@
     private final Condition mArrived = mLock.newCondition();
     private final AtomicBoolean mAskPending = new AtomicBoolean();
     private final HeldShare mShare;
+    private int mWaiting;
+    private boolean mRetired;
 
     /** Result of an attempt to take one request out of the share. */
     record Admission(boolean admitted, boolean holdsShare, long retryAfterMillis) {
         static final Admission ADMITTED = new Admission(true, true, 0);
     }
 
-    LocalShare(VmId vm, long incarnation, Ticker ticker) {
+    LocalShare(VmId vm, long incarnation, long afterNumber, Ticker ticker) {
         mTicker = ticker;
-        mShare = new HeldShare(vm, incarnation, ticker.readNanos());
+        mShare = new HeldShare(vm, incarnation, afterNumber, ticker.readNanos());
     }
 
     /**
-     * Takes one request, waiting for a first share if none is held.
+     * Takes one request, waiting for a token if one is likely to arrive in time.
      *
      * @param maxWaitMillis longest time to wait
      * @param requestAsk run if a request to the grantor is due and none is scheduled yet
@@ -43,20 +45,39 @@
         mLock.lock();
         try {
             boolean admitted = mShare.tryAcquire(mTicker.readNanos());
-            if (mShare.askDue(mTicker.readNanos()) && mAskPending.compareAndSet(false, true)) {
+            long rest = TimeUnit.MILLISECONDS.toNanos(maxWaitMillis);
+            boolean wait =
+                    !admitted
+                            && rest > 0
+                            && mShare.worthWaiting(mTicker.readNanos(), mWaiting, rest);
+            mWaiting += wait ? 1 : 0;
+            if (mShare.askDue(mTicker.readNanos(), mWaiting)
+                    && mAskPending.compareAndSet(false, true)) {
                 requestAsk.run();
             }
-            long rest = TimeUnit.MILLISECONDS.toNanos(maxWaitMillis);
-            while (!admitted && rest > 0 && !mShare.holdsShare(mTicker.readNanos())) {
-                rest = mArrived.awaitNanos(rest);
-                admitted = mShare.retryAcquire(mTicker.readNanos());
+            return wait ? await(rest) : admitted ? Admission.ADMITTED : refusal();
+        } finally {
+            mLock.unlock();
+        }
+    }
+
+    private Admission await(long maxWaitNanos) {
+        long rest = maxWaitNanos;
+        try {
+            while (rest > 0) {
+                long now = mTicker.readNanos();
+                long step = Math.min(rest, Math.max(1_000, mShare.nanosUntilToken(now)));
+                rest -= step - Math.max(0, mArrived.awaitNanos(step));
+                if (mShare.retryAcquire(mTicker.readNanos())) {
+                    return Admission.ADMITTED;
+                }
             }
-            return admitted ? Admission.ADMITTED : refusal();
+            return refusal();
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
             return refusal();
         } finally {
-            mLock.unlock();
+            mWaiting--;
         }
     }
 
@@ -71,7 +92,9 @@
         try {
             mAskPending.set(false);
             long now = mTicker.readNanos();
-            return mShare.askDue(now) ? Optional.of(mShare.ask(now)) : Optional.empty();
+            return !mRetired && mShare.askDue(now, mWaiting)
+                    ? Optional.of(mShare.ask(now, mWaiting))
+                    : Optional.empty();
         } finally {
             mLock.unlock();
         }
@@ -84,7 +107,9 @@
     void onGrant(long number, ShareGrant grant) {
         mLock.lock();
         try {
-            mShare.onGrant(number, grant, mTicker.readNanos());
+            if (!mRetired) {
+                mShare.onGrant(number, grant, mTicker.readNanos());
+            }
             mArrived.signalAll();
         } finally {
             mLock.unlock();
@@ -100,10 +125,32 @@
         }
     }
 
+    /** Gives the share up if it is not in use; returns whether it did. */
     boolean retireIfUnused() {
         mLock.lock();
         try {
-            return mShare.droppedOut(mTicker.readNanos()) && !mLock.hasWaiters(mArrived);
+            mRetired |= mWaiting == 0 && mShare.droppedOut(mTicker.readNanos());
+            return mRetired;
+        } finally {
+            mLock.unlock();
+        }
+    }
+
+    /** Gives the share up. Replies under way are not adopted, so their tokens stay central. */
+    void retire() {
+        mLock.lock();
+        try {
+            mRetired = true;
+        } finally {
+            mLock.unlock();
+        }
+    }
+
+    /** Returns whether the share has been given up; the limiter then makes a new one. */
+    boolean retired() {
+        mLock.lock();
+        try {
+            return mRetired;
         } finally {
             mLock.unlock();
         }
--- a/src/main/java/org/heathercourse/daemon/state/ShardDirectory.java
+++ b/src/main/java/org/heathercourse/daemon/state/ShardDirectory.java
@@ -23,6 +23,19 @@
      */
     OptionalLong fence(ShardId shard);
 
+    /**
+     * Returns the fencing number under which this daemon may do work that may run twice.
+     *
+     * <p>The same as {@link #fence} while the store can be written. While a majority of the daemons
+     * cannot reach the store nobody can take the shard, so its last owner goes on.
+     *
+     * @param shard the shard
+     * @return the number, or empty if another daemon may own the shard
+     */
+    default OptionalLong repeatableFence(ShardId shard) {
+        return fence(shard);
+    }
+
     /**
      * Returns the best known owner of a shard.
      *
--- a/src/main/java/org/heathercourse/testing/bench/MoveBench.java
+++ b/src/main/java/org/heathercourse/testing/bench/MoveBench.java
@@ -275,7 +275,7 @@
         }
         out.put(
                 "cut_off",
-                counters.get(Counter.BROKEN_CONNECTIONS)
+                counters.get(Counter.BROKEN_REQUESTS)
                         + counters.get(Counter.TRUNCATED_ANSWERS)
                         + counters.get(Counter.FAILED_PROGRAMS));
         out.put("run_twice", stats.path("duplicate_side_effects").asLong());
--- a/src/main/java/org/heathercourse/testing/bench/RateBench.java
+++ b/src/main/java/org/heathercourse/testing/bench/RateBench.java
@@ -38,6 +38,9 @@
                         .withRequiredArg()
                         .ofType(Double.class)
                         .defaultsTo(2.0);
+        var part =
+                parser.accepts("moved-part").withRequiredArg().ofType(Double.class).defaultsTo(0.3);
+        var deaths = parser.accepts("deaths").withRequiredArg().ofType(Integer.class).defaultsTo(2);
         OptionSet options = parser.parse(args);
         RateScenario scenario =
                 new RateScenario(
@@ -48,7 +51,9 @@
                         options.valueOf(rate),
                         options.valueOf(burst),
                         options.valueOf(load),
-                        options.valueOf(move));
+                        options.valueOf(move),
+                        options.valueOf(part),
+                        options.valueOf(deaths));
         System.out.println(new ObjectMapper().writeValueAsString(measure(scenario)));
     }
 
@@ -72,6 +77,7 @@
         figures.put(
                 "ideal_refused_pct", percent(atRate.arrivals() - atRate.idealAdmitted(), atRate));
         figures.put("refused_pct", percent(atRate.arrivals() - atRate.admitted(), atRate));
+        figures.put("waited_pct", percent(atRate.waited(), atRate));
         figures.put("worst_excess", round(Math.max(atRate.worstExcess(), over.worstExcess())));
         figures.put(
                 "overload_used_of_ideal_pct",
--- a/src/main/java/org/heathercourse/testing/deployment/LocalDeployment.java
+++ b/src/main/java/org/heathercourse/testing/deployment/LocalDeployment.java
@@ -161,10 +161,11 @@
         mStats = new StandInStats("http://127.0.0.1:" + control);
     }
 
-    private static Map<String, String> environment() {
-        return Map.of(
-                "HEATHERCOURSE_PEER_SECRET", PEER_SECRET,
-                "HEATHERCOURSE_OPERATOR_TOKEN", OPERATOR_TOKEN);
+    private Map<String, String> environment() {
+        Map<String, String> environment = new HashMap<>(mOptions.mEnvironment);
+        environment.put("HEATHERCOURSE_PEER_SECRET", PEER_SECRET);
+        environment.put("HEATHERCOURSE_OPERATOR_TOKEN", OPERATOR_TOKEN);
+        return environment;
     }
 
     private static void flag(List<String> arguments, String name, Object value) {
@@ -302,6 +303,11 @@
         return mDaemons;
     }
 
+    /** Returns where the logs of all processes are. */
+    public Path directory() {
+        return mDirectory;
+    }
+
     /** Returns the base URLs of all daemons for callers. */
     public List<String> entries() {
         return mDaemons.stream().map(DaemonProcess::callerUrl).toList();
@@ -355,6 +361,8 @@
         private String mCertificate = "";
         private String mEnginePrefix = "engine-";
         private Function<LocalDeployment, Configuration> mConfiguration = this::trial;
+        private Map<String, String> mEnvironment = Map.of();
+        private final Map<String, double[]> mRates = new HashMap<>();
 
         private Builder() {}
 
@@ -395,6 +403,18 @@
             return this;
         }
 
+        /** Sets the rate and burst of one workspace. */
+        public Builder rateOf(String workspace, double ratePerSecond, double burst) {
+            mRates.put(workspace, new double[] {ratePerSecond, burst});
+            return this;
+        }
+
+        /** Sets further environment variables of the daemons. */
+        public Builder environment(Map<String, String> environment) {
+            mEnvironment = Map.copyOf(environment);
+            return this;
+        }
+
         /** Sets the workspaces. */
         public Builder workspaces(List<String> workspaces) {
             mWorkspaces = List.copyOf(workspaces);
@@ -451,14 +471,26 @@
         }
 
         private Configuration trial(LocalDeployment deployment) {
-            return TrialConfiguration.create(
-                    mShards,
-                    mZones,
-                    mWorkspaces,
-                    deployment.mTargetPorts,
-                    mRatePerSecond,
-                    mBurst,
-                    mBudgetTokens);
+            Configuration.Builder configuration =
+                    TrialConfiguration.create(
+                            mShards,
+                            mZones,
+                            mWorkspaces,
+                            deployment.mTargetPorts,
+                            mRatePerSecond,
+                            mBurst,
+                            mBudgetTokens)
+                            .toBuilder();
+            configuration
+                    .getWorkspacesBuilderList()
+                    .forEach(
+                            w -> {
+                                double[] rate = mRates.get(w.getWorkspace());
+                                if (rate != null) {
+                                    w.setRatePerSecond(rate[0]).setBurst(rate[1]);
+                                }
+                            });
+            return configuration.build();
         }
     }
 }
--- a/src/main/java/org/heathercourse/testing/load/CallerClient.java
+++ b/src/main/java/org/heathercourse/testing/load/CallerClient.java
@@ -33,10 +33,10 @@
     private final AtomicInteger mNextEntry;
     private final OkHttpClient mHttp;
     private final Ticker mTicker = Ticker.system();
-    private volatile Advice mAddress;
+    private volatile Kept mKept;
 
-    /** An address and until when it may be used, in milliseconds of the ticker. */
-    private record Advice(String address, long untilMillis) {}
+    /** An address with the time until which it is kept. */
+    private record Kept(String address, long untilMillis) {}
 
     /**
      * Creates a caller.
@@ -95,7 +95,7 @@
         try (Response response = mHttp.newCall(request.build()).execute()) {
             return read(response);
         } catch (IOException e) {
-            mAddress = null;
+            mKept = null;
             return Either.left(CallFailure.connection(e.toString()));
         }
     }
@@ -155,31 +155,30 @@
     }
 
     private String address() {
-        Advice known = mAddress;
-        if (known != null && mTicker.readMillis() >= known.untilMillis()) {
-            known = null;
+        Kept known = mKept;
+        if (known != null && mTicker.readMillis() < known.untilMillis()) {
+            return known.address();
         }
-        for (int i = 0; known == null && i < mEntries.size(); i++) {
+        Kept fresh = null;
+        for (int i = 0; fresh == null && i < mEntries.size(); i++) {
             int entry = Math.floorMod(mNextEntry.getAndIncrement(), mEntries.size());
-            known = ask(mEntries.get(entry));
+            fresh = ask(mEntries.get(entry));
         }
-        mAddress = known;
-        return known == null ? null : known.address();
+        mKept = fresh;
+        return fresh == null ? null : fresh.address();
     }
 
-    private Advice ask(String entry) {
-        long askedMillis = mTicker.readMillis();
+    private Kept ask(String entry) {
+        long now = mTicker.readMillis();
         Request request = new Request.Builder().url(entry + "/v1/address").build();
         try (Response response = mHttp.newCall(request).execute()) {
             if (!response.isSuccessful()) {
                 return null;
             }
-            JsonNode advice = MAPPER.readTree(response.body().string());
-            String address = advice.path("address").asText();
-            long keepMillis = TimeUnit.SECONDS.toMillis(advice.path("keep_seconds").asLong());
-            return new Advice(
-                    address.startsWith("http") ? address : "http://" + address,
-                    askedMillis + keepMillis);
+            JsonNode answer = MAPPER.readTree(response.body().string());
+            String address = answer.path("address").asText();
+            String url = address.startsWith("http") ? address : "http://" + address;
+            return new Kept(url, now + 1_000 * answer.path("keep_seconds").asLong(1));
         } catch (IOException e) {
             return null;
         }
@@ -187,7 +186,7 @@
 
     /** Forgets the address, so that the next request asks for one. */
     public void forgetAddress() {
-        mAddress = null;
+        mKept = null;
     }
 
     /** Returns an empty JSON object to be filled. */
--- a/src/main/java/org/heathercourse/testing/memory/StoreFaults.java
+++ b/src/main/java/org/heathercourse/testing/memory/StoreFaults.java
@@ -16,16 +16,25 @@
     private final Map<String, Boolean> mCutOff = new ConcurrentHashMap<>();
     private final Map<String, AtomicInteger> mLoseBefore = new ConcurrentHashMap<>();
     private final Map<String, AtomicInteger> mLoseAfter = new ConcurrentHashMap<>();
+    private final Map<String, Crash> mCrashes = new ConcurrentHashMap<>();
     private volatile boolean mOutage;
+    private volatile boolean mWriteOutage;
     private volatile long mDelayNanos;
 
-    private record Pause(CountDownLatch reached, CountDownLatch resume) {}
+    private record Crash(AtomicInteger writesLeft, boolean withEffect) {}
+
+    private record Pause(String prefix, CountDownLatch reached, CountDownLatch resume) {}
 
     /** Makes all calls of all callers fail. */
     public void outage(boolean on) {
         mOutage = on;
     }
 
+    /** Makes all writes of all callers fail while reads go on. */
+    public void writeOutage(boolean on) {
+        mWriteOutage = on;
+    }
+
     /** Makes all calls of one caller fail. */
     public void cutOff(String caller, boolean on) {
         mCutOff.put(caller, on);
@@ -41,6 +50,27 @@
         mLoseAfter.put(caller, new AtomicInteger(count));
     }
 
+    /**
+     * Cuts a caller off at one of its next writes, as if it had crashed there.
+     *
+     * @param caller the caller
+     * @param writes writes that succeed before
+     * @param withEffect whether the write at which it crashes takes effect
+     */
+    public void crashAtWrite(String caller, int writes, boolean withEffect) {
+        mCrashes.put(caller, new Crash(new AtomicInteger(writes), withEffect));
+    }
+
+    /** Ends all failures except pauses. */
+    public void heal() {
+        mOutage = false;
+        mWriteOutage = false;
+        mCutOff.clear();
+        mLoseBefore.clear();
+        mLoseAfter.clear();
+        mCrashes.clear();
+    }
+
     /** Delays every call. */
     public void delayNanos(long nanos) {
         mDelayNanos = nanos;
@@ -48,7 +78,12 @@
 
     /** Stops the caller at its next write, before the effect, until {@link #resume}. */
     public void pause(String caller) {
-        mPauses.put(caller, new Pause(new CountDownLatch(1), new CountDownLatch(1)));
+        pause(caller, "");
+    }
+
+    /** Stops the caller at its next write of a key or name with a prefix. */
+    public void pause(String caller, String prefix) {
+        mPauses.put(caller, new Pause(prefix, new CountDownLatch(1), new CountDownLatch(1)));
     }
 
     /** Waits until a paused caller has reached its write. */
@@ -69,25 +104,40 @@
         check(caller);
     }
 
-    void beforeWrite(String caller) {
+    void beforeWrite(String caller, String key) {
         Pause pause = mPauses.get(caller);
-        if (pause != null) {
+        if (pause != null && key.startsWith(pause.prefix())) {
             pause.reached().countDown();
             await(pause.resume());
         }
         delay();
         check(caller);
+        if (mWriteOutage) {
+            throw StoreException.unavailable("writes refused", null);
+        }
+        crash(caller, false);
         if (take(mLoseBefore, caller)) {
             throw StoreException.outcomeUnknown("request lost", null);
         }
     }
 
     void afterWrite(String caller) {
+        crash(caller, true);
         if (take(mLoseAfter, caller)) {
             throw StoreException.outcomeUnknown("reply lost", null);
         }
     }
 
+    private void crash(String caller, boolean afterEffect) {
+        Crash crash = mCrashes.get(caller);
+        if (crash != null
+                && crash.withEffect() == afterEffect
+                && crash.writesLeft().getAndDecrement() == 0) {
+            mCutOff.put(caller, true);
+            throw StoreException.outcomeUnknown("caller crashed", null);
+        }
+    }
+
     private void check(String caller) {
         if (mOutage || mCutOff.getOrDefault(caller, false)) {
             throw StoreException.unavailable("connection refused", null);
--- a/src/test/java/org/heathercourse/features/HttpCaller.java
+++ b/src/test/java/org/heathercourse/features/HttpCaller.java
@@ -15,7 +15,7 @@
 final class HttpCaller {
     static final ObjectMapper JSON = new ObjectMapper();
     static final String CHAT = "/v1/chat/completions";
-    private static final AtomicLong sPrograms = new AtomicLong();
+    private static final AtomicLong PROGRAMS = new AtomicLong();
 
     private final OkHttpClient mHttp;
     private final String mUrl;
@@ -37,7 +37,7 @@
     }
 
     static String newProgram() {
-        return "feature-" + sPrograms.incrementAndGet();
+        return "feature-" + PROGRAMS.incrementAndGet();
     }
 
     /** Returns the body of a model call that makes the engine answer with a number of words. */
--- a/src/test/java/org/heathercourse/ops/RepeatedChangeTest.java
+++ b/src/test/java/org/heathercourse/ops/RepeatedChangeTest.java
@@ -155,6 +155,9 @@
                                     new Random(1),
                                     mThreads,
                                     Runnable::run));
+            mWatcher.start();
+            // Behind the first poll, before which a daemon accepts nothing.
+            CompletableFuture.runAsync(() -> {}, mThreads).join();
             mService =
                     new OperatorService(
                             mWatcher,
