--- a/src/main/java/org/heathercourse/daemon/call/CallExecutor.java
+++ b/src/main/java/org/heathercourse/daemon/call/CallExecutor.java
@@ -161,11 +161,7 @@
     // Acceptance
 
     private AnswerBuffer accept(Job job) {
-        job.mUse =
-                mServices
-                        .shards()
-                        .use(job.shard())
-                        .orElseThrow(() -> CallErrors.ownershipLost(job.shard(), true));
+        job.mUse = mServices.use(job.shard());
         boolean accepted = false;
         try {
             AnswerBuffer answer;
--- a/src/main/java/org/heathercourse/daemon/call/CallServices.java
+++ b/src/main/java/org/heathercourse/daemon/call/CallServices.java
@@ -2,6 +2,8 @@
 
 import java.util.random.RandomGenerator;
 import javax.inject.Inject;
+import org.heathercourse.core.error.HeathercourseException;
+import org.heathercourse.core.model.ShardId;
 import org.heathercourse.core.time.Ticker;
 import org.heathercourse.daemon.config.ConfigSource;
 import org.heathercourse.daemon.state.ProgramLog;
@@ -44,6 +46,22 @@
         mRandom = random;
     }
 
+    /**
+     * Registers a use of a shard.
+     *
+     * <p>A process that has no configuration yet would refuse calls for good that it merely does
+     * not know, so it answers like a daemon that does not own the shard: the sender tries again.
+     *
+     * @throws HeathercourseException of kind {@code OWNERSHIP_LOST}, not run, if the shard cannot
+     *     be used here at present
+     */
+    ShardDirectory.Use use(ShardId shard) {
+        if (mConfig.current().revision() == 0) {
+            throw CallErrors.ownershipLost(shard, true);
+        }
+        return mShards.use(shard).orElseThrow(() -> CallErrors.ownershipLost(shard, true));
+    }
+
     ProgramLog log() {
         return mLog;
     }
--- a/src/main/java/org/heathercourse/daemon/call/ProgramOps.java
+++ b/src/main/java/org/heathercourse/daemon/call/ProgramOps.java
@@ -63,11 +63,7 @@
         }
         ProgramId program = new ProgramId(op.program());
         ShardId shard = ShardId.of(program, mServices.config().current().shards());
-        ShardDirectory.Use use =
-                mServices
-                        .shards()
-                        .use(shard)
-                        .orElseThrow(() -> CallErrors.ownershipLost(shard, true));
+        ShardDirectory.Use use = mServices.use(shard);
         try {
             return switch (op.op()) {
                 case "start" -> start(program, workspace, arguments);
--- a/src/main/java/org/heathercourse/testing/bench/faults/FaultsRun.java
+++ b/src/main/java/org/heathercourse/testing/bench/faults/FaultsRun.java
@@ -131,6 +131,10 @@
         JsonNode seen = mDeployment.stats().read("/stats");
         mViolations.add(Promise.ORDER, seen.path("out_of_order").asLong(), "turns out of order");
         mViolations.add(Promise.HISTORY, seen.path("lost_history").asLong(), "lost history");
+        mViolations.add(
+                Promise.HISTORY,
+                mCounters.get(Counter.LOST_PROGRAMS),
+                "programs not known any more");
         mViolations.add(Promise.HISTORY, seen.path("mixed_history").asLong(), "mixed history");
         mViolations.add(Promise.BUDGET, seen.path("over_budget").asLong(), "over budget");
         mViolations.add(Promise.KEY_SECRECY, seen.path("leaked_keys").asLong(), "leaked keys");
--- a/src/main/java/org/heathercourse/testing/load/LoadCounters.java
+++ b/src/main/java/org/heathercourse/testing/load/LoadCounters.java
@@ -22,6 +22,7 @@
         PENDING_ANSWERS,
         BROKEN_REQUESTS,
         RECOVERED_PROGRAMS,
+        LOST_PROGRAMS,
         FAILED_PROGRAMS
     }
 
--- a/src/main/java/org/heathercourse/testing/load/ProgramRunner.java
+++ b/src/main/java/org/heathercourse/testing/load/ProgramRunner.java
@@ -245,7 +245,14 @@
                 }
                 CallFailure failure = result.getLeft();
                 count(failure);
-                if (mTicker.readMillis() >= end || !(failure.temporary() || repeatable)) {
+                boolean gone =
+                        failure.kind().equals("unknown_program")
+                                || failure.kind().equals("program_ended");
+                if (gone) {
+                    mCounters.add(Counter.LOST_PROGRAMS);
+                }
+                boolean again = failure.temporary() || (repeatable && !gone);
+                if (mTicker.readMillis() >= end || !again) {
                     System.err.println(
                             "program " + mProgram.program() + " gave up " + id + ": " + failure);
                     return result;
