Copy records that wait for the store to other daemons before answers are delivered as pending

Cause: answers delivered as pending waited in the memory of one daemon; if it died during an outage of the store, acknowledged history was lost and unsettled spending was forgotten.

Change: appends are numbered per shard in the shard row. During an outage an owner copies its open appends to two other daemons before an answer is delivered as pending or a call goes on without a durable reservation. After a crash the new owner reads the copies of the last owner that served, appends those that follow the log and only then serves. Holders refuse records of earlier owners once a new owner has asked. Where nothing can be copied the answer waits for the store.

--- a/src/main/java/org/heathercourse/daemon/call/CallExecutor.java
+++ b/src/main/java/org/heathercourse/daemon/call/CallExecutor.java
@@ -22,6 +22,7 @@
 import org.heathercourse.core.error.HeathercourseException;
 import org.heathercourse.core.model.ProgramId;
 import org.heathercourse.core.model.RequestId;
+import org.heathercourse.core.model.ShardId;
 import org.heathercourse.core.model.WorkspaceId;
 import org.heathercourse.core.program.CallEntry;
 import org.heathercourse.core.program.CallState;
@@ -221,8 +222,8 @@
     }
 
     private boolean enqueue(Job job) {
-        mRecorder.checkBacklog();
         ProgramId program = job.request().program();
+        mRecorder.checkBacklog(program);
         Deque<Job> lane = mLanes.computeIfAbsent(program, p -> new ArrayDeque<>());
         if (lane.size() > mServices.settings().queuedPerProgram()) {
             throw CallErrors.overloaded(
@@ -289,17 +290,10 @@
     private AnswerBuffer recorded(Job.Key key, CallEntry entry) {
         return switch (entry.state()) {
             case COMPLETED -> {
-                String durability = mRecorder.durability(key);
                 AnswerBuffer answer = AnswerBuffer.retained();
-                answer.head(
-                        entry.status(),
-                        Map.of(
-                                "Content-Type",
-                                List.of(entry.contentType()),
-                                "X-Durability",
-                                List.of(durability)));
-                answer.append(entry.answer());
-                answer.end(durability);
+                mRecorder
+                        .deliverable(key)
+                        .whenComplete((durability, e) -> deliver(key, entry, answer, durability));
                 yield answer;
             }
             case FAILED ->
@@ -318,6 +312,24 @@
         };
     }
 
+    /** Delivers a recorded answer; without a durability the shard was lost before its record. */
+    private void deliver(Job.Key key, CallEntry entry, AnswerBuffer answer, String durability) {
+        if (durability == null) {
+            int shards = mServices.config().current().shards();
+            answer.fail(CallErrors.ownershipLost(ShardId.of(key.program(), shards), false));
+            return;
+        }
+        answer.head(
+                entry.status(),
+                Map.of(
+                        "Content-Type",
+                        List.of(entry.contentType()),
+                        "X-Durability",
+                        List.of(durability)));
+        answer.append(entry.answer());
+        answer.end(durability);
+    }
+
     // Execution
 
     private void execute(Job job) {
--- a/src/main/java/org/heathercourse/daemon/call/ModelPlan.java
+++ b/src/main/java/org/heathercourse/daemon/call/ModelPlan.java
@@ -92,7 +92,7 @@
             }
         }
         if (reserved != null) {
-            recorder.awaitReservation(reserved);
+            recorder.awaitReservation(request.program(), reserved);
         }
         return plan;
     }
--- a/src/main/java/org/heathercourse/daemon/call/ModelRun.java
+++ b/src/main/java/org/heathercourse/daemon/call/ModelRun.java
@@ -221,7 +221,9 @@
         mBytes.writeBytes(last);
         String durability = "none";
         if (!mJob.request().ephemeral()) {
-            durability = mRecorder.awaitDelivery(record(choice, outcome, type, text));
+            durability =
+                    mRecorder.awaitDelivery(
+                            mJob.request().program(), record(choice, outcome, type, text));
         }
         if (!mChat.stream()) {
             answer.head(
--- a/src/main/java/org/heathercourse/daemon/call/PlainOutcomes.java
+++ b/src/main/java/org/heathercourse/daemon/call/PlainOutcomes.java
@@ -110,7 +110,7 @@
             durable = mRecorder.appendOutcome(mJob.key(), List.of(record));
         }
         if (mayHaveRun) {
-            mRecorder.awaitDelivery(durable);
+            mRecorder.awaitDelivery(mRequest.program(), durable);
         }
     }
 
@@ -169,7 +169,7 @@
 
         @Override
         public void end() {
-            String durability = mRecorder.awaitDelivery(record());
+            String durability = mRecorder.awaitDelivery(mRequest.program(), record());
             if (!mHeadSent) {
                 Map<String, List<String>> headers = new TreeMap<>(mHeaders);
                 headers.put("X-Durability", List.of(durability));
--- a/src/main/java/org/heathercourse/daemon/call/ProgramOps.java
+++ b/src/main/java/org/heathercourse/daemon/call/ProgramOps.java
@@ -103,7 +103,7 @@
     }
 
     private String start(ProgramId program, WorkspaceId workspace, JsonNode arguments) {
-        mRecorder.checkBacklog();
+        mRecorder.checkBacklog(program);
         CompletableFuture<Void> durable;
         synchronized (mRecorder.lock(program)) {
             ProgramState state = mRecorder.find(program).orElse(null);
@@ -130,7 +130,7 @@
                                             Math.min(budget, declared),
                                             0)));
         }
-        mRecorder.awaitReservation(durable);
+        mRecorder.awaitReservation(program, durable);
         mExecutor.maintenance().used(program);
         return show(known(program, workspace));
     }
@@ -162,7 +162,7 @@
             long reserved = Math.min(state.reservedTokens(), left - wanted);
             durable = mRecorder.append(parent, List.of(spent(state, child, answer, reserved)));
         }
-        mRecorder.awaitReservation(durable);
+        mRecorder.awaitReservation(parent, durable);
         return answer;
     }
 
@@ -199,7 +199,7 @@
                                 program, List.of(new LogRecord.ProgramEnded(program, reason)));
             }
         }
-        mRecorder.awaitDelivery(durable);
+        mRecorder.awaitDelivery(program, durable);
         mExecutor.maintenance().used(program);
         return show(mRecorder.find(program).orElse(seen));
     }
--- a/src/main/java/org/heathercourse/daemon/call/Recorder.java
+++ b/src/main/java/org/heathercourse/daemon/call/Recorder.java
@@ -27,6 +27,9 @@
     // A slow store that does not count as down delays an answer by at most this time.
     private static final long MAX_DELIVERY_WAIT_MILLIS = 5000;
 
+    /** Pause before records that could not be copied are tried again. */
+    private static final long COPY_RETRY_MILLIS = 500;
+
     private final CallServices mServices;
     private final Object[] mLocks = new Object[LOCKS];
     private final Map<Job.Key, CompletableFuture<Void>> mOutcomes = new ConcurrentHashMap<>();
@@ -58,42 +61,47 @@
         return durable;
     }
 
-    /** Returns the durability of a recorded outcome. */
-    String durability(Job.Key key) {
-        return mOutcomes.containsKey(key) ? PENDING : DURABLE;
-    }
-
-    /** Refuses new calls while too much waits for the store. */
-    void checkBacklog() {
+    /**
+     * Refuses new calls while too much waits for the store, or while records of the program can be
+     * neither written nor copied.
+     */
+    void checkBacklog(ProgramId program) {
         long pending = mServices.log().pendingBytes();
         if (pending > mServices.settings().maxPendingBytes()) {
             throw CallErrors.storeUnavailable(pending + " bytes wait for the store");
         }
+        if (mServices.log().storeDown()
+                && mServices.log().replicated(program).isCompletedExceptionally()) {
+            throw CallErrors.storeUnavailable("records can be neither written nor copied");
+        }
     }
 
     /**
      * Waits until a reservation is durable. While the store is down, calls that may be repeated go
-     * on without.
+     * on as soon as it is copied to other daemons; without a copy a crash of this daemon would
+     * forget what the call spends.
      */
-    void awaitReservation(CompletableFuture<Void> durable) {
+    void awaitReservation(ProgramId program, CompletableFuture<Void> durable) {
         long waited = 0;
         while (!await(durable, STEP_MILLIS, true)) {
             waited += STEP_MILLIS;
-            if (mServices.log().storeDown()) {
+            if (mServices.log().storeDown() && awaitCopies(program, durable, true)) {
                 return;
             }
             if (waited >= mServices.settings().intentWaitMillis()) {
-                throw CallErrors.storeUnavailable("the reservation was not durable in time");
+                throw CallErrors.storeUnavailable(
+                        "the reservation was not written or copied in time");
             }
         }
     }
 
     /**
-     * Waits until an answer may be delivered.
+     * Waits until an answer may be delivered: until it is durable, or copied to other daemons if
+     * the store does not answer. If neither is possible this waits for the store.
      *
      * @return its durability
      */
-    String awaitDelivery(CompletableFuture<Void> durable) {
+    String awaitDelivery(ProgramId program, CompletableFuture<Void> durable) {
         long first = mServices.settings().pendingAfterMillis();
         if (await(durable, first, false)) {
             return DURABLE;
@@ -105,9 +113,49 @@
             }
             waited += STEP_MILLIS;
         }
+        while (!awaitCopies(program, durable, false)) {
+            if (await(durable, COPY_RETRY_MILLIS, false)) {
+                return DURABLE;
+            }
+        }
         return durable.isDone() && !durable.isCompletedExceptionally() ? DURABLE : PENDING;
     }
 
+    /** Waits until the records of a program are copied or durable; false if it is impossible. */
+    private boolean awaitCopies(
+            ProgramId program, CompletableFuture<Void> durable, boolean notRun) {
+        CompletableFuture<Void> copied = mServices.log().replicated(program);
+        try {
+            CompletableFuture.anyOf(copied, durable).get();
+            return true;
+        } catch (InterruptedException e) {
+            throw CallErrors.interrupted(notRun);
+        } catch (ExecutionException e) {
+            return false;
+        }
+    }
+
+    /**
+     * Returns the durability with which a recorded outcome may be delivered again.
+     *
+     * @return completes once it may be delivered
+     */
+    CompletableFuture<String> deliverable(Job.Key key) {
+        CompletableFuture<Void> durable = mOutcomes.get(key);
+        if (durable == null) {
+            return CompletableFuture.completedFuture(DURABLE);
+        }
+        return mServices
+                .log()
+                .replicated(key.program())
+                .handle((v, e) -> e == null)
+                .thenCompose(
+                        copied ->
+                                copied
+                                        ? CompletableFuture.completedFuture(PENDING)
+                                        : durable.thenApply(v -> DURABLE));
+    }
+
     /**
      * Waits for records.
      *
--- a/src/main/java/org/heathercourse/daemon/peer/PeerMessage.java
+++ b/src/main/java/org/heathercourse/daemon/peer/PeerMessage.java
@@ -27,6 +27,11 @@
     @JsonSubTypes.Type(value = PeerMessage.CallChunk.class, name = "call_chunk"),
     @JsonSubTypes.Type(value = PeerMessage.CallEnd.class, name = "call_end"),
     @JsonSubTypes.Type(value = PeerMessage.ErrorReply.class, name = "error"),
+    @JsonSubTypes.Type(value = PeerMessage.ReplicaAppend.class, name = "replica_append"),
+    @JsonSubTypes.Type(value = PeerMessage.ReplicaReply.class, name = "replica_reply"),
+    @JsonSubTypes.Type(value = PeerMessage.ReplicaQuery.class, name = "replica_query"),
+    @JsonSubTypes.Type(value = PeerMessage.ReplicaRecords.class, name = "replica_records"),
+    @JsonSubTypes.Type(value = PeerMessage.ReplicaDrop.class, name = "replica_drop"),
 })
 public sealed interface PeerMessage {
     /**
@@ -189,4 +194,70 @@
     record ErrorReply(
             String kind, String message, String remedy, boolean notRun, long retryAfterMillis)
             implements PeerMessage {}
+
+    /**
+     * Records of a shard that are not durable yet, to be held in memory until they are. Answered
+     * with {@link ReplicaReply}; refused if the receiver has no room or has already answered a
+     * {@link ReplicaQuery} of a later owner.
+     *
+     * @param shard number of the shard
+     * @param owner VM of its owner
+     * @param incarnation incarnation of the owner
+     * @param fence fencing number of the owner
+     * @param firstNumber number of the first record that is not durable; earlier ones need not be
+     *     held any longer
+     * @param fromNumber number of the first record sent; the others follow without gaps
+     * @param records the frames of {@code LogCodec}, one for each append
+     */
+    record ReplicaAppend(
+            int shard,
+            VmId owner,
+            long incarnation,
+            long fence,
+            long firstNumber,
+            long fromNumber,
+            List<byte[]> records)
+            implements PeerMessage {}
+
+    /**
+     * Acknowledges records held.
+     *
+     * @param shard number of the shard
+     * @param upTo all records from the first one that is not durable up to this number are held;
+     *     one less than that first number if none is
+     */
+    record ReplicaReply(int shard, long upTo) implements PeerMessage {}
+
+    /**
+     * Asks for the held records of a shard that an earlier owner sent. The receiver takes no more
+     * records of earlier owners afterwards.
+     *
+     * @param shard number of the shard
+     * @param beforeFence fencing number of the asking owner
+     * @param fromNumber number of the first record wanted
+     */
+    record ReplicaQuery(int shard, long beforeFence, long fromNumber) implements PeerMessage {}
+
+    /**
+     * Records held of the newest fencing number below the one asked for.
+     *
+     * @param shard number of the shard
+     * @param fence fencing number of the owner that sent them; 0 if none are held
+     * @param fromNumber number of the first record
+     * @param records the frames of {@code LogCodec}
+     * @param more whether further records follow them
+     */
+    record ReplicaRecords(
+            int shard, long fence, long fromNumber, List<byte[]> records, boolean more)
+            implements PeerMessage {}
+
+    /**
+     * Says that records are durable and need not be held any longer. Records of smaller fencing
+     * numbers are dropped altogether. Answered with {@link ReplicaReply}.
+     *
+     * @param shard number of the shard
+     * @param fence fencing number of the owner
+     * @param upTo number of the last durable record
+     */
+    record ReplicaDrop(int shard, long fence, long upTo) implements PeerMessage {}
 }
--- a/src/main/java/org/heathercourse/daemon/state/Flight.java
+++ b/src/main/java/org/heathercourse/daemon/state/Flight.java
@@ -35,7 +35,7 @@
         ShardRow after() {
             ShardRow row = before;
             if (segment != null) {
-                row = row.withSeq(segment.seq());
+                row = row.withSegment(segment.seq(), work.batch().size());
             }
             if (work.cut() != null) {
                 row = row.withSnapshot(work.cut().upToSeq() + 1, work.cut().snapshot());
--- a/src/main/java/org/heathercourse/daemon/state/Holdings.java
+++ b/src/main/java/org/heathercourse/daemon/state/Holdings.java
@@ -15,6 +15,9 @@
     /** Some shards may have something to write. */
     void flushNeeded();
 
+    /** A takeover can go on. */
+    void scanNeeded();
+
     /** Removes programs that ended long ago. */
     void expire(long nowMillis);
 
--- a/src/main/java/org/heathercourse/daemon/state/OwnedShard.java
+++ b/src/main/java/org/heathercourse/daemon/state/OwnedShard.java
@@ -4,6 +4,7 @@
 import java.util.ArrayList;
 import java.util.Deque;
 import java.util.HashMap;
+import java.util.Iterator;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -34,9 +35,16 @@
         LOST
     }
 
-    /** Records of one append that are not durable yet. */
+    /** Records of one append that are not durable yet, with the number of the append. */
     record Pending(
-            ProgramId program, byte[] frame, ProgramState after, CompletableFuture<Void> done) {}
+            long number,
+            ProgramId program,
+            byte[] frame,
+            ProgramState after,
+            CompletableFuture<Void> done) {}
+
+    /** Appends that are not durable: the number of the first of all, and some of them in order. */
+    record Open(long firstNumber, List<Pending> appends) {}
 
     /** A durable log segment that is in no snapshot. */
     record Segment(long seq, byte[] content, String object) {}
@@ -60,6 +68,11 @@
     private final ShardState mState;
     private final Map<ProgramId, ProgramState> mDurable = new HashMap<>();
     private final Deque<Pending> mPending = new ArrayDeque<>();
+
+    /** Appends that are not durable, those handed to a flush included. */
+    private final Deque<Pending> mOpen = new ArrayDeque<>();
+
+    private long mLastNumber;
     private byte[] mMark;
     private Cut mCut;
     private boolean mCompacting;
@@ -93,6 +106,7 @@
         mId = id;
         mFence = row.fence();
         mRow = row;
+        mLastNumber = row.records();
         mVersion = version;
         mState = state;
         mTail = new ArrayList<>(tail);
@@ -147,9 +161,11 @@
         }
         check(program, records);
         ProgramState after = mState.apply(records, nowMillis).orElseThrow();
-        Pending pending = new Pending(program, frame, after, new CompletableFuture<>());
+        Pending pending =
+                new Pending(++mLastNumber, program, frame, after, new CompletableFuture<>());
         added.accept(pending);
         mPending.add(pending);
+        mOpen.add(pending);
         return pending;
     }
 
@@ -247,6 +263,9 @@
     synchronized void committed(Work work, ShardRow row, long version, Segment segment) {
         mRow = row;
         mVersion = version;
+        while (!mOpen.isEmpty() && mOpen.peek().number() <= row.records()) {
+            mOpen.poll();
+        }
         for (Pending pending : work.batch()) {
             if (mState.find(pending.program()).isPresent()) {
                 mDurable.put(pending.program(), pending.after());
@@ -303,6 +322,34 @@
         mState.expire(nowMillis).forEach(mDurable::remove);
     }
 
+    /** Returns the number of the last append of a program that is not durable; 0 if all are. */
+    synchronized long lastOpen(ProgramId program) {
+        Iterator<Pending> newestFirst = mOpen.descendingIterator();
+        while (newestFirst.hasNext()) {
+            Pending pending = newestFirst.next();
+            if (pending.program().equals(program)) {
+                return pending.number();
+            }
+        }
+        return 0;
+    }
+
+    /** Returns appends that are not durable, at least one if there is one with such a number. */
+    synchronized Open open(long fromNumber, long maxBytes) {
+        List<Pending> appends = new ArrayList<>();
+        long bytes = 0;
+        for (Pending pending : mOpen) {
+            if (pending.number() >= fromNumber) {
+                bytes += pending.frame().length;
+                if (!appends.isEmpty() && bytes > maxBytes) {
+                    break;
+                }
+                appends.add(pending);
+            }
+        }
+        return new Open(mRow.records() + 1, appends);
+    }
+
     synchronized ShardRow row() {
         return mRow;
     }
--- a/src/main/java/org/heathercourse/daemon/state/OwnershipLoop.java
+++ b/src/main/java/org/heathercourse/daemon/state/OwnershipLoop.java
@@ -1,6 +1,7 @@
 package org.heathercourse.daemon.state;
 
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -170,7 +171,7 @@
         Map<ShardId, VmId> plan = plan(candidates);
         if (leased && mHeartbeat.leaseValid()) {
             removeDead(alive.keySet(), wantedFrom(shardRows, plan), nowNanos);
-            takeShards(shardRows, plan, nowNanos);
+            takeShards(shardRows, plan, alive.values(), nowNanos);
             releaseShards(plan);
         }
         publish(shardRows, alive, plan.containsValue(self.vm()));
@@ -208,7 +209,11 @@
         return owners;
     }
 
-    private void takeShards(Map<ShardId, Seen> shardRows, Map<ShardId, VmId> plan, long nowNanos) {
+    private void takeShards(
+            Map<ShardId, Seen> shardRows,
+            Map<ShardId, VmId> plan,
+            Collection<DaemonInfo> live,
+            long nowNanos) {
         VmId self = mHeartbeat.self().vm();
         for (int index = 0; index < mShards && mHeartbeat.leaseValid(); index++) {
             ShardId shard = new ShardId(index);
@@ -221,15 +226,15 @@
                     content.owner().equals(self.value())
                             && content.incarnation() == mHeartbeat.self().incarnation();
             if (own || (self.equals(plan.get(shard)) && free(content, nowNanos))) {
-                take(shard, content, seen.version());
+                take(shard, content, seen.version(), live);
             }
         }
     }
 
     /** One shard that cannot be loaded must not keep the others from being taken. */
-    private void take(ShardId shard, ShardRow content, long version) {
+    private void take(ShardId shard, ShardRow content, long version, Collection<DaemonInfo> live) {
         try {
-            mTakeover.take(shard, content, version);
+            mTakeover.take(shard, content, version, live);
         } catch (StoreException e) {
             throw e;
         } catch (HeathercourseException e) {
--- a/src/main/java/org/heathercourse/daemon/state/ProgramLog.java
+++ b/src/main/java/org/heathercourse/daemon/state/ProgramLog.java
@@ -35,6 +35,16 @@
      */
     CompletableFuture<Void> append(ProgramId program, List<LogRecord> records);
 
+    /**
+     * Copies the records of a program that are not durable to the memory of other daemons.
+     *
+     * @param program the program
+     * @return completes when all records appended so far are durable or copied; fails with a {@link
+     *     org.heathercourse.core.error.HeathercourseException} if they cannot be copied, for
+     *     instance because this daemon is cut off alone
+     */
+    CompletableFuture<Void> replicated(ProgramId program);
+
     /** Returns whether the last attempts to write to the store have failed. */
     boolean storeDown();
 
--- a/src/main/java/org/heathercourse/daemon/state/ShardRow.java
+++ b/src/main/java/org/heathercourse/daemon/state/ShardRow.java
@@ -17,9 +17,23 @@
  * @param tailFrom number of the first log segment that is not in the snapshot
  * @param snapshot objects that hold the log before the tail, in order
  * @param hint VM that should take a released shard, empty if none
+ * @param records number of appends that the log holds since the shard exists; appends are numbered
+ *     consecutively from 1, so that copies in other daemons are not applied twice
+ * @param servedFence newest fence whose owner may have served; only copies sent under it continue
+ *     the log
  */
 @JsonFormat(shape = JsonFormat.Shape.ARRAY)
-@JsonPropertyOrder({"owner", "incarnation", "fence", "seq", "tailFrom", "snapshot", "hint"})
+@JsonPropertyOrder({
+    "owner",
+    "incarnation",
+    "fence",
+    "seq",
+    "tailFrom",
+    "snapshot",
+    "hint",
+    "records",
+    "servedFence"
+})
 record ShardRow(
         String owner,
         long incarnation,
@@ -27,9 +41,11 @@
         long seq,
         long tailFrom,
         List<SnapshotPart> snapshot,
-        String hint) {
+        String hint,
+        long records,
+        long servedFence) {
     /** The state of a shard that no daemon has ever owned. */
-    static final ShardRow NEW = new ShardRow("", 0, 0, 0, 1, List.of(), "");
+    static final ShardRow NEW = new ShardRow("", 0, 0, 0, 1, List.of(), "", 0, 0);
 
     ShardRow {
         snapshot = List.copyOf(snapshot);
@@ -50,19 +66,42 @@
         return !owner.isEmpty();
     }
 
+    /**
+     * Returns the row of a new owner. A released shard has no records outside its log, so its new
+     * owner may serve at once.
+     */
     ShardRow takenBy(String newOwner, long newIncarnation) {
-        return new ShardRow(newOwner, newIncarnation, fence + 1, seq, tailFrom, snapshot, "");
+        long served = owned() ? servedFence : fence + 1;
+        return new ShardRow(
+                newOwner, newIncarnation, fence + 1, seq, tailFrom, snapshot, "", records, served);
     }
 
     ShardRow released(String successor) {
-        return new ShardRow("", 0, fence, seq, tailFrom, snapshot, successor);
+        return new ShardRow("", 0, fence, seq, tailFrom, snapshot, successor, records, servedFence);
+    }
+
+    /** Returns the row after a log segment with further appends. */
+    ShardRow withSegment(long newSeq, int appends) {
+        return new ShardRow(
+                owner,
+                incarnation,
+                fence,
+                newSeq,
+                tailFrom,
+                snapshot,
+                hint,
+                records + appends,
+                servedFence);
     }
 
-    ShardRow withSeq(long newSeq) {
-        return new ShardRow(owner, incarnation, fence, newSeq, tailFrom, snapshot, hint);
+    /** Returns the row that allows its owner to serve. */
+    ShardRow served() {
+        return new ShardRow(
+                owner, incarnation, fence, seq, tailFrom, snapshot, hint, records, fence);
     }
 
     ShardRow withSnapshot(long newTailFrom, List<SnapshotPart> parts) {
-        return new ShardRow(owner, incarnation, fence, seq, newTailFrom, parts, hint);
+        return new ShardRow(
+                owner, incarnation, fence, seq, newTailFrom, parts, hint, records, servedFence);
     }
 }
--- a/src/main/java/org/heathercourse/daemon/state/StateEngine.java
+++ b/src/main/java/org/heathercourse/daemon/state/StateEngine.java
@@ -9,6 +9,7 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.Supplier;
 import org.heathercourse.core.error.HeathercourseException;
 import org.heathercourse.core.model.ProgramId;
 import org.heathercourse.core.model.ShardId;
@@ -17,6 +18,7 @@
 import org.heathercourse.core.program.LogRecord;
 import org.heathercourse.core.program.ProgramState;
 import org.heathercourse.core.time.Ticker;
+import org.heathercourse.daemon.peer.PeerNetwork;
 import org.heathercourse.log.EventLog;
 import org.heathercourse.platform.ObjectStore;
 import org.heathercourse.platform.StoreException;
@@ -45,8 +47,10 @@
     private final Heartbeat mHeartbeat;
     private final OwnershipLoop mOwnership;
     private final CommitLoop mCommit;
-    private final Compactor mCompactor;
-    private final ObjectStore mObjects;
+    private final ObjectChores mChores;
+    private final PendingReplicator mReplicator;
+    private final ReplicaStore mReplicas;
+    private final Supplier<PeerNetwork> mPeers;
     private final StateTimers mTimers;
     private final CompletableFuture<Void> mDrained = new CompletableFuture<>();
 
@@ -56,18 +60,28 @@
         mEvidence = b.evidence();
         mListener = b.listener();
         mTimers = new StateTimers(b.executors(), mTicker, b.random(), new Loops());
-        mObjects = objects;
+        mPeers = b.peers();
+        mReplicas = new ReplicaStore(mTicker);
+        mReplicator = new PendingReplicator(mPeers, mTicker, this::daemons);
+        mChores = new ObjectChores(objects, mTimers);
         mHeartbeat =
                 new Heartbeat(mSettings.self(), table, mTicker, mHealth, new HeartbeatContext());
-        mCompactor = new Compactor(mObjects);
-        mCommit = new CommitLoop(table, mObjects, mHealth, new CommitContext(), this::deleteLater);
-        Holdings holdings = new Held();
+        mCommit =
+                new CommitLoop(table, objects, mHealth, new CommitContext(), mChores::deleteLater);
+        Holdings holdings = new HeldShards(mShards, mTimers);
         Takeover takeover =
                 new Takeover(
                         mSettings,
                         table,
                         mTicker,
-                        new ShardLoader(table, mObjects),
+                        new ShardLoader(table, objects),
+                        new ReplicaRecovery(
+                                mSettings.self(),
+                                mReplicas,
+                                mPeers,
+                                table,
+                                objects,
+                                this::nextCommitId),
                         holdings,
                         this::nextCommitId);
         mOwnership = new OwnershipLoop(mSettings, table, mTicker, mHeartbeat, holdings, takeover);
@@ -84,9 +98,17 @@
      * @throws IllegalStateException if the engine was built without executors
      */
     public void start() {
+        listen();
         mTimers.start();
     }
 
+    /** Holds copies for other daemons from now on. */
+    void listen() {
+        if (mPeers != null) {
+            mReplicas.listen(mPeers.get());
+        }
+    }
+
     /** Stops the loops at once, as a crash would; see {@link #drain} for a planned stop. */
     @Override
     public void close() {
@@ -127,6 +149,11 @@
         mTimers.onControl(() -> mOwnership.retire(vm, incarnation));
     }
 
+    /** Returns the bytes of copies held for other daemons. */
+    long replicaBytes() {
+        return mReplicas.bytes();
+    }
+
     // ---- ShardDirectory
 
     @Override
@@ -248,6 +275,29 @@
         return pending.done();
     }
 
+    /**
+     * {@inheritDoc}
+     *
+     * <p>While the store is down, a daemon without the evidence of a majority may be cut off alone
+     * and its shards may have another owner, so it copies nothing.
+     */
+    @Override
+    public CompletableFuture<Void> replicated(ProgramId program) {
+        OwnedShard shard = mShards.get(shardOf(program));
+        if (shard == null) {
+            return CompletableFuture.failedFuture(CommitLoop.lost(program.value()));
+        }
+        long upTo = shard.lastOpen(program);
+        if (upTo == 0) {
+            return CompletableFuture.completedFuture(null);
+        }
+        boolean cutOff = mHealth.down() && !mEvidence.storeDownForMajority();
+        if (cutOff || repeatableFence(shard.id()).isEmpty()) {
+            return CompletableFuture.failedFuture(CommitLoop.lost(program.value()));
+        }
+        return mReplicator.replicate(shard, upTo);
+    }
+
     @Override
     public boolean storeDown() {
         return mHealth.down();
@@ -266,33 +316,6 @@
         return Heartbeat.commitPrefix(mSettings.self()) + mCommitNumber.incrementAndGet();
     }
 
-    private void deleteLater(List<String> names) {
-        mTimers.background(
-                () -> {
-                    try {
-                        names.forEach(mObjects::delete);
-                    } catch (StoreException e) {
-                        // The next owner of the shard deletes what is left.
-                        LOG.debug("objects_not_deleted", "cause", e.getMessage());
-                    }
-                });
-    }
-
-    private void compactLater(OwnedShard shard) {
-        Compactor.Capture capture = Compactor.capture(shard);
-        mTimers.background(
-                () -> {
-                    OwnedShard.Cut cut = null;
-                    try {
-                        cut = mCompactor.compact(shard, capture);
-                    } catch (HeathercourseException e) {
-                        LOG.warn("snapshot_failed", "shard", shard.id(), "cause", e.getMessage());
-                    }
-                    shard.endCompaction(cut);
-                    mTimers.flushSoon();
-                });
-    }
-
     // ---- Steps of the loops, called by the timers and by tests
 
     Heartbeat.Step heartbeatStep() {
@@ -391,6 +414,7 @@
             if (!mShards.remove(shard.id(), shard)) {
                 return;
             }
+            mReplicator.committed(shard, false);
             boolean released = release != null && release.release();
             LOG.info("shard_dropped", "shard", shard.id(), "released", released);
             if (released) {
@@ -409,40 +433,9 @@
         @Override
         public void flushed(OwnedShard shard) {
             if (shard.startCompaction(Compactor.TAIL_SEGMENTS, Compactor.TAIL_BYTES)) {
-                compactLater(shard);
+                mChores.compactLater(shard);
             }
-        }
-    }
-
-    private final class Held implements Holdings {
-        @Override
-        public boolean holds(ShardId shard) {
-            return mShards.containsKey(shard);
-        }
-
-        @Override
-        public List<OwnedShard> shards() {
-            return List.copyOf(mShards.values());
-        }
-
-        @Override
-        public void add(OwnedShard shard) {
-            mShards.put(shard.id(), shard);
-        }
-
-        @Override
-        public void flushNeeded() {
-            mTimers.flushSoon();
-        }
-
-        @Override
-        public void expire(long nowMillis) {
-            mShards.values().forEach(shard -> shard.expire(nowMillis));
-        }
-
-        @Override
-        public void background(Runnable task) {
-            mTimers.background(task);
+            mReplicator.committed(shard, true);
         }
     }
 }
--- a/src/main/java/org/heathercourse/daemon/state/StateEngineBuilder.java
+++ b/src/main/java/org/heathercourse/daemon/state/StateEngineBuilder.java
@@ -1,9 +1,11 @@
 package org.heathercourse.daemon.state;
 
+import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
 import org.heathercourse.core.error.ErrorKind;
 import org.heathercourse.core.error.HeathercourseException;
 import org.heathercourse.core.time.Ticker;
+import org.heathercourse.daemon.peer.PeerNetwork;
 import org.heathercourse.platform.ObjectStore;
 import org.heathercourse.platform.TableStore;
 
@@ -16,6 +18,7 @@
     private RandomGenerator mRandom;
     private StateExecutors mExecutors;
     private OutageEvidence mEvidence = OutageEvidence.NONE;
+    private Supplier<PeerNetwork> mPeers;
     private HandoverListener mListener = HandoverListener.NONE;
 
     StateEngineBuilder(StateSettings settings) {
@@ -53,6 +56,12 @@
         return this;
     }
 
+    /** Sets the links to other daemons; without them no records are copied. */
+    public StateEngineBuilder peers(Supplier<PeerNetwork> peers) {
+        mPeers = peers;
+        return this;
+    }
+
     /** Sets who learns of released shards. */
     public StateEngineBuilder listener(HandoverListener listener) {
         mListener = listener;
@@ -101,6 +110,10 @@
         return mEvidence;
     }
 
+    Supplier<PeerNetwork> peers() {
+        return mPeers;
+    }
+
     HandoverListener listener() {
         return mListener;
     }
--- a/src/main/java/org/heathercourse/daemon/state/Takeover.java
+++ b/src/main/java/org/heathercourse/daemon/state/Takeover.java
@@ -1,9 +1,11 @@
 package org.heathercourse.daemon.state;
 
+import java.util.Collection;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
 import java.util.function.Supplier;
 import org.heathercourse.core.model.ShardId;
 import org.heathercourse.core.model.VmId;
@@ -28,19 +30,28 @@
     private final TableStore mTable;
     private final Ticker mTicker;
     private final ShardLoader mLoader;
+    private final ReplicaRecovery mRecovery;
     private final Holdings mHoldings;
     private final Supplier<String> mCommitIds;
 
     /** Shards taken whose log could not be loaded yet. */
     private final Map<ShardId, Taken> mTaken = new HashMap<>();
 
-    private record Taken(ShardRow row, long version, boolean released) {}
+    /**
+     * A shard taken.
+     *
+     * @param copies records of a crashed owner that are being read from other daemons; null if
+     *     there are none to read
+     */
+    private record Taken(
+            ShardRow row, long version, boolean released, CompletableFuture<List<byte[]>> copies) {}
 
     Takeover(
             StateSettings settings,
             TableStore table,
             Ticker ticker,
             ShardLoader loader,
+            ReplicaRecovery recovery,
             Holdings holdings,
             Supplier<String> commitIds) {
         mVm = settings.self().vm();
@@ -48,6 +59,7 @@
         mTable = table;
         mTicker = ticker;
         mLoader = loader;
+        mRecovery = recovery;
         mHoldings = holdings;
         mCommitIds = commitIds;
     }
@@ -81,17 +93,24 @@
      * @param shard the shard
      * @param seen content of its row
      * @param version version of its row
+     * @param live live daemons, which may hold copies of records of the shard
      */
-    void take(ShardId shard, ShardRow seen, long version) {
+    void take(ShardId shard, ShardRow seen, long version, Collection<DaemonInfo> live) {
         Taken taken = mTaken.get(shard);
         if (taken == null || taken.version() != version) {
             mTaken.remove(shard);
-            taken = writeRow(shard, seen, version);
+            taken = writeRow(shard, seen, version, live);
         }
         if (taken == null) {
             return;
         }
         mTaken.put(shard, taken);
+        if (taken.copies() != null) {
+            taken = writeCopies(shard, taken, live);
+            if (taken == null) {
+                return;
+            }
+        }
         long nowMillis = mTicker.readMillis();
         OwnedShard owned =
                 mLoader.load(shard, taken.row(), taken.version(), taken.released(), nowMillis);
@@ -105,7 +124,30 @@
         }
     }
 
-    private Taken writeRow(ShardId shard, ShardRow seen, long version) {
+    /** Returns the shard with the copies in its log, or null if it cannot be served yet. */
+    private Taken writeCopies(ShardId shard, Taken taken, Collection<DaemonInfo> live) {
+        if (!taken.copies().isDone()) {
+            taken.copies().thenRun(mHoldings::scanNeeded);
+            return null;
+        }
+        Optional<ReplicaRecovery.Written> written =
+                mRecovery.append(
+                        shard,
+                        new ReplicaRecovery.Written(taken.row(), taken.version()),
+                        taken.copies().join());
+        if (written.isEmpty()) {
+            mTaken.remove(shard);
+            return null;
+        }
+        Taken whole =
+                new Taken(written.get().row(), written.get().version(), taken.released(), null);
+        mTaken.put(shard, whole);
+        mRecovery.drop(shard, whole.row(), live);
+        return whole;
+    }
+
+    private Taken writeRow(
+            ShardId shard, ShardRow seen, long version, Collection<DaemonInfo> live) {
         ShardRow row = seen.takenBy(mVm.value(), mIncarnation);
         String commitId = mCommitIds.get();
         String key = StoreRows.shardKey(shard);
@@ -115,7 +157,7 @@
         try {
             CommitResult result = mTable.commit(tx);
             return result.committed()
-                    ? new Taken(row, result.rows().get(0).version(), released)
+                    ? taken(shard, row, result.rows().get(0).version(), released, live)
                     : null;
         } catch (StoreException e) {
             if (!e.outcomeUnknown()) {
@@ -123,10 +165,20 @@
             }
             Optional<Row> now = mTable.read(key);
             boolean ours = now.isPresent() && now.get().commitId().equals(commitId);
-            return ours ? new Taken(row, now.get().version(), released) : null;
+            return ours ? taken(shard, row, now.get().version(), released, live) : null;
         }
     }
 
+    private Taken taken(
+            ShardId shard,
+            ShardRow row,
+            long version,
+            boolean released,
+            Collection<DaemonInfo> live) {
+        return new Taken(
+                row, version, released, released ? null : mRecovery.collect(shard, row, live));
+    }
+
     private void sweep(ShardId shard, ShardRow row, List<OwnedShard.Segment> tail) {
         try {
             mLoader.sweep(shard, row, tail);
--- a/src/main/java/org/heathercourse/daemon/wiring/StateModule.java
+++ b/src/main/java/org/heathercourse/daemon/wiring/StateModule.java
@@ -10,6 +10,7 @@
 import org.heathercourse.core.ownership.DaemonInfo;
 import org.heathercourse.core.time.Ticker;
 import org.heathercourse.daemon.config.ConfigWatcher;
+import org.heathercourse.daemon.peer.PeerNetwork;
 import org.heathercourse.daemon.state.ProgramLog;
 import org.heathercourse.daemon.state.ShardDirectory;
 import org.heathercourse.daemon.state.StateEngine;
@@ -46,13 +47,15 @@
             Ticker ticker,
             RandomGenerator random,
             StateExecutors executors,
-            Lazy<ConfigWatcher> watcher) {
+            Lazy<ConfigWatcher> watcher,
+            Lazy<PeerNetwork> peers) {
         return StateEngine.builder(StateSettings.of(self, StateSettings.DEFAULT_SHARDS))
                 .store(table, objects)
                 .ticker(ticker)
                 .random(random)
                 .executors(executors)
                 .evidence(() -> watcher.get().storeDownForMajority())
+                .peers(peers::get)
                 .build();
     }
 
--- a/src/test/java/org/heathercourse/daemon/call/FakeLog.java
+++ b/src/test/java/org/heathercourse/daemon/call/FakeLog.java
@@ -27,6 +27,7 @@
     private final List<CompletableFuture<Void>> mHeld = new ArrayList<>();
     public volatile Mode mode = Mode.DURABLE;
     public volatile boolean down;
+    public volatile boolean replicable = true;
     public volatile long pending;
 
     @Override
@@ -89,6 +90,15 @@
         return records().stream().filter(type::isInstance).map(type::cast).toList();
     }
 
+    @Override
+    public CompletableFuture<Void> replicated(ProgramId program) {
+        return replicable
+                ? CompletableFuture.completedFuture(null)
+                : CompletableFuture.failedFuture(
+                        new HeathercourseException(
+                                ErrorKind.STORE_UNAVAILABLE, "no peers", "none"));
+    }
+
     @Override
     public boolean storeDown() {
         return down;
--- a/src/test/java/org/heathercourse/daemon/state/Fleet.java
+++ b/src/test/java/org/heathercourse/daemon/state/Fleet.java
@@ -27,6 +27,7 @@
     public final StoreFaults faults = new StoreFaults();
     public final MemoryTableStore table = new MemoryTableStore(faults);
     public final MemoryObjectStore objects = new MemoryObjectStore(faults);
+    public final MemoryPeers peers = new MemoryPeers();
     public final ManualTicker ticker = new ManualTicker();
     public final Map<String, StateEngine> engines = new LinkedHashMap<>();
     public final int shards;
@@ -57,8 +58,10 @@
                         .store(table.as(vm), objects.as(vm))
                         .ticker(ticker)
                         .evidence(() -> evidence)
+                        .peers(() -> peers.as(vm))
                         .random(new Random(1))
                         .build();
+        engine.listen();
         engines.put(vm, engine);
         return engine;
     }
--- /dev/null
+++ b/src/test/java/org/heathercourse/daemon/state/ReplicationTest.java
@@ -0,0 +1,194 @@
+package org.heathercourse.daemon.state;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import org.heathercourse.core.error.HeathercourseException;
+import org.heathercourse.core.model.ProgramId;
+import org.heathercourse.core.model.ShardId;
+import org.heathercourse.core.model.VmId;
+import org.heathercourse.core.ownership.DaemonInfo;
+import org.heathercourse.core.program.ProgramState;
+import org.heathercourse.daemon.peer.PeerMessage;
+import org.heathercourse.testing.ManualTicker;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** Records copied to other daemons while the store is down. */
+class ReplicationTest {
+    private static final ProgramId P = new ProgramId("p1");
+    private static final ShardId SHARD = ShardId.of(P, 4);
+
+    private final Fleet mFleet = new Fleet(4);
+
+    private StateEngine start(int daemons) {
+        for (int i = 0; i < daemons; i++) {
+            mFleet.add("vm" + i, 1);
+        }
+        mFleet.seconds(4);
+        StateEngine owner = mFleet.owner(P);
+        owner.append(P, List.of(Fleet.started(P, 1_000, 10)));
+        Fleet.flush(owner);
+        return owner;
+    }
+
+    private void outage() {
+        mFleet.faults.outage(true);
+        mFleet.evidence = true;
+        mFleet.seconds(2);
+    }
+
+    private void storeReturns() {
+        mFleet.faults.heal();
+        mFleet.evidence = false;
+        mFleet.seconds(12);
+    }
+
+    private void crash(StateEngine daemon) {
+        mFleet.stop(daemon.self().vm().value());
+        mFleet.peers.unreachable.add(daemon.self().vm().value());
+    }
+
+    /** Makes two calls whose records cannot be written, and copies them. */
+    private void callsInOutage(StateEngine owner) {
+        owner.append(P, List.of(Fleet.completed(P, "r1", 1, 10)));
+        Fleet.flush(owner);
+        Fleet.flush(owner);
+        assertThat(owner.storeDown()).isTrue();
+        assertThat(owner.replicated(P)).isCompletedWithValue(null);
+        owner.append(P, List.of(Fleet.completed(P, "r2", 1, 10)));
+        assertThat(owner.replicated(P)).isCompletedWithValue(null);
+    }
+
+    private void assertBothCallsOnce(StateEngine owner) {
+        ProgramState state = owner.find(P).orElseThrow();
+        assertThat(state.history()).hasSize(2);
+        // Two calls of one token each, and the reservation that nobody settled.
+        assertThat(state.spentTokens()).isEqualTo(12);
+    }
+
+    private List<StateEngine> holders(StateEngine owner) {
+        List<StateEngine> holders = new ArrayList<>();
+        for (DaemonInfo holder :
+                ReplicaHolders.ranked(SHARD, owner.self(), owner.daemons()).subList(0, 2)) {
+            holders.add(mFleet.engines.get(holder.vm().value()));
+        }
+        return holders;
+    }
+
+    /** Guards against answers delivered in an outage that are lost with the owner. */
+    @Test
+    void successorHasWhatACrashedOwnerCopied() {
+        StateEngine owner = start(5);
+        outage();
+        callsInOutage(owner);
+        crash(owner);
+        storeReturns();
+        assertBothCallsOnce(mFleet.owner(P));
+        crash(mFleet.owner(P));
+        mFleet.seconds(12);
+        assertBothCallsOnce(mFleet.owner(P));
+    }
+
+    /** Guards against records applied twice when they were copied and their commit took effect. */
+    @Test
+    void copiesOfACommitWithALostReplyAreNotAppliedAgain() {
+        StateEngine owner = start(5);
+        mFleet.faults.loseReply(owner.self().vm().value(), 1);
+        owner.append(P, List.of(Fleet.completed(P, "r1", 1, 10)));
+        owner.flushStep();
+        outage();
+        callsInOutageAfterFirst(owner);
+        crash(owner);
+        storeReturns();
+        assertBothCallsOnce(mFleet.owner(P));
+    }
+
+    private void callsInOutageAfterFirst(StateEngine owner) {
+        owner.append(P, List.of(Fleet.completed(P, "r2", 1, 10)));
+        Fleet.flush(owner);
+        assertThat(owner.replicated(P)).isCompletedWithValue(null);
+    }
+
+    /** Guards against an answer that is lost with the owner and one holder. */
+    @ParameterizedTest
+    @ValueSource(ints = {0, 1})
+    void oneOfTwoHoldersMayDieWithTheOwner(int dying) {
+        StateEngine owner = start(5);
+        outage();
+        List<StateEngine> holders = holders(owner);
+        callsInOutage(owner);
+        crash(owner);
+        crash(holders.get(dying));
+        storeReturns();
+        assertBothCallsOnce(mFleet.owner(P));
+    }
+
+    /** Guards against pending answers of a daemon that may have lost its shards. */
+    @Test
+    void daemonCutOffAloneCopiesNothing() {
+        StateEngine owner = start(5);
+        mFleet.faults.cutOff(owner.self().vm().value(), true);
+        owner.append(P, List.of(Fleet.completed(P, "r1", 1, 10)));
+        Fleet.flush(owner);
+        Fleet.flush(owner);
+        assertThat(owner.storeDown()).isTrue();
+        assertThat(owner.replicated(P)).isCompletedExceptionally();
+    }
+
+    /** Guards against pending answers that only one daemon knows. */
+    @ParameterizedTest
+    @ValueSource(ints = {1, 5})
+    void withoutReachablePeersNothingCountsAsCopied(int daemons) {
+        StateEngine owner = start(daemons);
+        mFleet.peers.unreachable.add(owner.self().vm().value());
+        outage();
+        owner.append(P, List.of(Fleet.completed(P, "r1", 1, 10)));
+        Fleet.flush(owner);
+        assertThat(Fleet.failure(owner.replicated(P))).isEqualTo("store_unavailable");
+        storeReturns();
+        assertThat(owner.replicated(P)).isCompletedWithValue(null);
+    }
+
+    /** Guards against copies of a shard that stay in memory after the commit. */
+    @Test
+    void holdersDropWhatIsDurable() {
+        StateEngine owner = start(5);
+        outage();
+        List<StateEngine> holders = holders(owner);
+        callsInOutage(owner);
+        assertThat(holders).allMatch(holder -> holder.replicaBytes() > 0);
+        storeReturns();
+        assertThat(holders).allMatch(holder -> holder.replicaBytes() == 0);
+    }
+
+    /** Guards against holders that serve a former owner, run full or keep old copies. */
+    @Test
+    void holderBoundsWhatItKeeps() {
+        ManualTicker ticker = new ManualTicker();
+        ReplicaStore store = new ReplicaStore(ticker);
+        store.append(append(1, 5, 5, new byte[10], new byte[20]));
+        assertThat(store.append(append(1, 5, 9, new byte[1])).upTo()).isEqualTo(4);
+        assertThat(store.append(append(1, 6, 6, new byte[20])).upTo()).isEqualTo(6);
+        assertThat(store.bytes()).isEqualTo(20);
+        byte[] large = new byte[(int) ReplicaStore.LIMIT_BYTES];
+        assertThatThrownBy(() -> store.append(append(1, 6, 7, large)))
+                .isInstanceOf(HeathercourseException.class);
+        store.query(new PeerMessage.ReplicaQuery(0, 3, 1));
+        assertThatThrownBy(() -> store.append(append(2, 6, 6, new byte[1])))
+                .isInstanceOf(HeathercourseException.class);
+        ticker.advanceMillis(TimeUnit.NANOSECONDS.toMillis(ReplicaStore.RETENTION_NANOS) + 1);
+        assertThat(store.query(new PeerMessage.ReplicaQuery(0, 3, 1)).records()).isEmpty();
+        assertThat(store.bytes()).isZero();
+    }
+
+    private static PeerMessage.ReplicaAppend append(
+            long fence, long first, long from, byte[]... records) {
+        return new PeerMessage.ReplicaAppend(
+                0, new VmId("a"), 1, fence, first, from, List.of(records));
+    }
+}
