Test that answers wait if they cannot be copied and that stale copies are not applied

Cause: the waiting of answers and reservations without a copy, and copies found after a later owner has served, were not covered.

Change: tests with the fake log and with copies that come back late.

--- a/src/test/java/org/heathercourse/daemon/call/CallExecutorTest.java
+++ b/src/test/java/org/heathercourse/daemon/call/CallExecutorTest.java
@@ -222,6 +222,36 @@
         assertThat(refused.error().notRun()).isTrue();
     }
 
+    /** Guards against an answer delivered as pending that only the memory of this daemon holds. */
+    @Test
+    void waitsForTheStoreIfAnAnswerCannotBeCopied() {
+        mFixture.targets.plain =
+                (address, request) -> {
+                    mFixture.log.mode = FakeLog.Mode.HELD;
+                    mFixture.log.down = true;
+                    mFixture.log.replicable = false;
+                    return FakeTargets.ok("paid");
+                };
+        AnswerBuffer answer = mFixture.executor.submit(plain("r", "/pay").build(), bytes("1"));
+        await().until(() -> mFixture.log.replications.get() > 1);
+        assertThat(answer.ended()).isFalse();
+        assertThat(answer.reader().poll()).isNull();
+        mFixture.log.release();
+        assertThat(read(answer).durability()).isEqualTo("durable");
+    }
+
+    /** Guards against a call whose spending is forgotten if this daemon dies in an outage. */
+    @Test
+    void doesNotDispatchIfTheReservationCanNeitherBeWrittenNorCopied() {
+        mFixture.log.mode = FakeLog.Mode.HELD;
+        mFixture.log.down = true;
+        mFixture.log.replicable = false;
+        Seen refused = mFixture.run(model("r"), chat(false, "a"));
+        assertThat(refused.error().kind()).isEqualTo("store_unavailable");
+        assertThat(refused.error().notRun()).isTrue();
+        assertThat(mFixture.targets.generated).isEmpty();
+    }
+
     /** Guards against engine memory held by programs that have ended. */
     @Test
     void releasesCacheUntilConfirmed() {
--- a/src/test/java/org/heathercourse/daemon/call/FakeLog.java
+++ b/src/test/java/org/heathercourse/daemon/call/FakeLog.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.atomic.AtomicInteger;
 import org.heathercourse.core.error.ErrorKind;
 import org.heathercourse.core.error.HeathercourseException;
 import org.heathercourse.core.model.ProgramId;
@@ -28,6 +29,7 @@
     public volatile Mode mode = Mode.DURABLE;
     public volatile boolean down;
     public volatile boolean replicable = true;
+    public final AtomicInteger replications = new AtomicInteger();
     public volatile long pending;
 
     @Override
@@ -92,6 +94,7 @@
 
     @Override
     public CompletableFuture<Void> replicated(ProgramId program) {
+        replications.incrementAndGet();
         return replicable
                 ? CompletableFuture.completedFuture(null)
                 : CompletableFuture.failedFuture(
--- a/src/test/java/org/heathercourse/daemon/state/ReplicationTest.java
+++ b/src/test/java/org/heathercourse/daemon/state/ReplicationTest.java
@@ -82,7 +82,7 @@
 
     /** Guards against answers delivered in an outage that are lost with the owner. */
     @Test
-    void successorHasWhatACrashedOwnerCopied() {
+    void successorHasWhatTheCrashedOwnerCopied() {
         StateEngine owner = start(5);
         outage();
         callsInOutage(owner);
@@ -96,7 +96,7 @@
 
     /** Guards against records applied twice when they were copied and their commit took effect. */
     @Test
-    void copiesOfACommitWithALostReplyAreNotAppliedAgain() {
+    void copiesAreNotAppliedAgainAfterLostReply() {
         StateEngine owner = start(5);
         mFleet.faults.loseReply(owner.self().vm().value(), 1);
         owner.append(P, List.of(Fleet.completed(P, "r1", 1, 10)));
@@ -128,6 +128,34 @@
         assertBothCallsOnce(mFleet.owner(P));
     }
 
+    /** Guards against old copies that are appended after records of a later owner. */
+    @Test
+    void copiesFoundTooLateAreNotApplied() {
+        StateEngine owner = start(6);
+        outage();
+        List<StateEngine> holders = holders(owner);
+        callsInOutage(owner);
+        crash(owner);
+        holders.forEach(this::crash);
+        storeReturns();
+        StateEngine successor = mFleet.owner(P);
+        assertThat(successor.find(P).orElseThrow().history()).isEmpty();
+        successor.append(P, List.of(Fleet.completed(P, "r3", 1, 10)));
+        Fleet.flush(successor);
+        for (StateEngine holder : holders) {
+            mFleet.peers.unreachable.remove(holder.self().vm().value());
+            mFleet.engines.put(holder.self().vm().value(), holder);
+        }
+        mFleet.seconds(12);
+        assertThat(holders).allMatch(holder -> holder.replicaBytes() > 0);
+        crash(mFleet.owner(P));
+        mFleet.seconds(12);
+        ProgramState state = mFleet.owner(P).find(P).orElseThrow();
+        assertThat(state.history())
+                .extracting(message -> message.content())
+                .containsOnly("text of r3");
+    }
+
     /** Guards against pending answers of a daemon that may have lost its shards. */
     @Test
     void daemonCutOffAloneCopiesNothing() {
