Keep one call executor in a daemon

Cause: CallExecutor had no scope, so that Dagger made one each for the caller port, for forwarded calls and for program operations. Calls of a program that came in directly and forwarded ones ran in different lanes (P1), a repeat did not find the running call, and the end of idle programs did not see calls that ran elsewhere. Conclusion: order and repeats hold for both ways in.

--- a/src/main/java/org/heathercourse/daemon/call/CallExecutor.java
+++ b/src/main/java/org/heathercourse/daemon/call/CallExecutor.java
@@ -18,6 +18,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
 import javax.inject.Inject;
+import javax.inject.Singleton;
 import org.heathercourse.core.error.ErrorKind;
 import org.heathercourse.core.error.HeathercourseException;
 import org.heathercourse.core.model.ProgramId;
@@ -32,8 +33,10 @@
  * The owner side of calls: runs the calls of each program one at a time in the order of their
  * arrival, and answers repeats from the running attempt or the record.
  *
- * <p>Safe for use by several threads. Life cycle: create, use, {@link #close}.
+ * <p>A daemon has exactly one, as only one set of lanes keeps the calls of a program in order. Safe
+ * for use by several threads. Life cycle: create, use, {@link #close}.
  */
+@Singleton
 public final class CallExecutor implements AutoCloseable {
     private static final EventLog LOG = EventLog.of(CallExecutor.class);
 
