Report service-level burn, metrics and decisions to operators

Cause: objectives were declared but nothing counted calls against them, /metrics had no call metrics, and nobody could see why a call of a program was placed, queued or refused. Change: each daemon counts ended calls against the objectives (GetBurn); ctl slo report asks all daemons and merges. PrometheusText writes labels. Conclusion: the counts are kept in memory; a restarted daemon starts with none.

--- a/src/main/java/org/heathercourse/core/burn/BurnCounters.java
+++ b/src/main/java/org/heathercourse/core/burn/BurnCounters.java
@@ -43,7 +43,7 @@
      * Counts a call.
      *
      * @param service service that was called
-     * @param workspace workspace that called
+     * @param workspace workspace that called; null if the call came without a key
      * @param latencyMillis latency of the call in milliseconds
      * @param succeeded whether the call succeeded; a failed one is bad whatever its latency
      * @param epochMillis wall-clock time of the end of the call in milliseconds
@@ -55,7 +55,9 @@
             boolean succeeded,
             long epochMillis) {
         synchronized (mLock) {
-            count(new ObjectiveKey(service, workspace), latencyMillis, succeeded, epochMillis);
+            if (workspace != null) {
+                count(new ObjectiveKey(service, workspace), latencyMillis, succeeded, epochMillis);
+            }
             count(new ObjectiveKey(service, null), latencyMillis, succeeded, epochMillis);
         }
     }
--- a/src/main/java/org/heathercourse/core/burn/BurnSeries.java
+++ b/src/main/java/org/heathercourse/core/burn/BurnSeries.java
@@ -1,6 +1,7 @@
 package org.heathercourse.core.burn;
 
 import java.util.Arrays;
+import java.util.List;
 
 /**
  * Good and bad calls in time buckets at three resolutions.
@@ -160,6 +161,29 @@
         return ratios;
     }
 
+    void addBuckets(ObjectiveKey key, List<BurnBucket> to) {
+        for (Ring ring : mRings) {
+            long width = ring.mTier.mBucketMillis;
+            for (long i = ring.mLatest - ring.mTier.mBuckets + 1; i <= ring.mLatest; i++) {
+                int slot = ring.slot(i);
+                if (ring.mGood[slot] != 0 || ring.mBad[slot] != 0) {
+                    to.add(
+                            new BurnBucket(
+                                    key, width, i * width, ring.mGood[slot], ring.mBad[slot]));
+                }
+            }
+        }
+    }
+
+    void add(BurnBucket bucket) {
+        for (Ring ring : mRings) {
+            if (ring.mTier.mBucketMillis == bucket.widthMillis()) {
+                long index = Math.floorDiv(bucket.startEpochMillis(), bucket.widthMillis());
+                ring.add(index, bucket.good(), bucket.bad());
+            }
+        }
+    }
+
     BurnSeries copy() {
         return new BurnSeries(Arrays.stream(mRings).map(Ring::copy).toArray(Ring[]::new));
     }
--- a/src/main/java/org/heathercourse/core/burn/BurnSnapshot.java
+++ b/src/main/java/org/heathercourse/core/burn/BurnSnapshot.java
@@ -1,6 +1,8 @@
 package org.heathercourse.core.burn;
 
+import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Set;
 
@@ -40,6 +42,27 @@
         return mSeries.keySet();
     }
 
+    /** Returns all buckets with calls, from which {@link #ofBuckets} makes an equal snapshot. */
+    public List<BurnBucket> buckets() {
+        List<BurnBucket> buckets = new ArrayList<>();
+        mSeries.forEach((key, series) -> series.addBuckets(key, buckets));
+        return buckets;
+    }
+
+    /**
+     * Creates a snapshot of one daemon from its buckets.
+     *
+     * @param buckets the buckets; those of unknown lengths, which a newer daemon may send, are left
+     *     out
+     */
+    public static BurnSnapshot ofBuckets(List<BurnBucket> buckets) {
+        Map<ObjectiveKey, BurnSeries> series = new HashMap<>();
+        for (BurnBucket bucket : buckets) {
+            series.computeIfAbsent(bucket.key(), k -> new BurnSeries()).add(bucket);
+        }
+        return new BurnSnapshot(series);
+    }
+
     /** Returns the counters of an objective; empty ones if no call was counted. */
     BurnSeries series(ObjectiveKey key) {
         BurnSeries series = mSeries.get(key);
--- a/src/main/java/org/heathercourse/daemon/call/CallExecutor.java
+++ b/src/main/java/org/heathercourse/daemon/call/CallExecutor.java
@@ -130,6 +130,16 @@
         }
     }
 
+    /** Returns the retries that were made so far. */
+    public long retries() {
+        return mRetryBudget.retries();
+    }
+
+    /** Returns the number of targets whose circuit breaker lets no call through. */
+    public int openBreakers() {
+        return mBreakers.blocked().size();
+    }
+
     /**
      * Accepts a call of a program, or finds the answer of an earlier one with the same identity.
      *
@@ -143,6 +153,7 @@
                     ? attach(request)
                     : accept(new Job(mServices, request, body, null));
         } catch (HeathercourseException e) {
+            mServices.decisions().refused(request, e);
             return AnswerBuffer.failed(e);
         }
     }
@@ -236,6 +247,7 @@
         boolean first = lane.size() == 1;
         job.mStarted = first;
         if (!first) {
+            mServices.decisions().queued(job.request(), lane.size() - 1);
             job.mQueueTimeout =
                     mTimer.schedule(
                             () -> expire(job),
@@ -254,7 +266,7 @@
             mJobs.remove(job.key(), job);
         }
         job.mUse.close();
-        job.answer().fail(CallErrors.deadline(true));
+        fail(job, CallErrors.deadline(true));
     }
 
     private void checkWorkspace(CallRequest request, WorkspaceId of) {
@@ -327,7 +339,7 @@
         try {
             mWorkers.execute(() -> run(job));
         } catch (RejectedExecutionException e) {
-            job.answer().fail(CallErrors.overloaded("this daemon runs as many calls as it may"));
+            fail(job, CallErrors.overloaded("this daemon runs as many calls as it may"));
             finish(job);
         }
     }
@@ -345,7 +357,7 @@
                 new PlainRun(mServices, mRecorder, mBreakers, mRetryBudget, job).run();
             }
         } catch (HeathercourseException e) {
-            job.answer().fail(e);
+            fail(job, e);
         } catch (RuntimeException | Error e) {
             LOG.error(
                     "call_failed",
@@ -354,17 +366,22 @@
                     job.request().program(),
                     "request",
                     job.request().request());
-            job.answer()
-                    .fail(
-                            new HeathercourseException(
-                                    ErrorKind.INTERNAL,
-                                    "internal error: " + e.getClass().getSimpleName(),
-                                    "report the log line of this daemon"));
+            fail(
+                    job,
+                    new HeathercourseException(
+                            ErrorKind.INTERNAL,
+                            "internal error: " + e.getClass().getSimpleName(),
+                            "report the log line of this daemon"));
         } finally {
             finish(job);
         }
     }
 
+    private void fail(Job job, HeathercourseException error) {
+        mServices.decisions().refused(job.request(), error);
+        job.answer().fail(error);
+    }
+
     private void checkNotEnded(Job job) {
         if (job.request().ephemeral()) {
             return;
--- a/src/main/java/org/heathercourse/daemon/call/CallServices.java
+++ b/src/main/java/org/heathercourse/daemon/call/CallServices.java
@@ -20,6 +20,7 @@
     private final CallSettings mSettings;
     private final Ticker mTicker;
     private final RandomGenerator mRandom;
+    private final DecisionLog mDecisions;
 
     /** Creates the set. */
     @Inject
@@ -32,7 +33,8 @@
             TargetSelector selector,
             CallSettings settings,
             Ticker ticker,
-            RandomGenerator random) {
+            RandomGenerator random,
+            DecisionLog decisions) {
         mLog = log;
         mShards = shards;
         mConfig = config;
@@ -42,6 +44,7 @@
         mSettings = settings;
         mTicker = ticker;
         mRandom = random;
+        mDecisions = decisions;
     }
 
     ProgramLog log() {
@@ -79,4 +82,8 @@
     RandomGenerator random() {
         return mRandom;
     }
+
+    DecisionLog decisions() {
+        return mDecisions;
+    }
 }
--- a/src/main/java/org/heathercourse/daemon/call/RetryBudget.java
+++ b/src/main/java/org/heathercourse/daemon/call/RetryBudget.java
@@ -13,6 +13,7 @@
     private final Ticker mTicker;
     private double mTokens = MAX_SAVED / 4;
     private long mReadNanos;
+    private long mRetries;
 
     RetryBudget(Ticker ticker) {
         mTicker = ticker;
@@ -33,6 +34,12 @@
             return false;
         }
         mTokens -= 1;
+        mRetries++;
         return true;
     }
+
+    /** Returns the retries taken so far. */
+    synchronized long retries() {
+        return mRetries;
+    }
 }
--- a/src/main/java/org/heathercourse/daemon/call/TargetSelector.java
+++ b/src/main/java/org/heathercourse/daemon/call/TargetSelector.java
@@ -58,8 +58,16 @@
      *
      * @param target the target
      * @param priority urgency at the engine; smaller is served earlier
+     * @param expectedMillis expected time until the answer is complete, in milliseconds; 0 if it is
+     *     not known
+     * @param cachedTokens prompt tokens that the target is believed to hold
      */
-    record Choice(TargetSpec target, int priority) {}
+    record Choice(TargetSpec target, int priority, long expectedMillis, long cachedTokens) {
+        /** Creates a choice by a selector without estimates. */
+        public Choice(TargetSpec target, int priority) {
+            this(target, priority, 0, 0);
+        }
+    }
 
     /**
      * Chooses a target.
--- a/src/main/java/org/heathercourse/daemon/http/CallerHandlers.java
+++ b/src/main/java/org/heathercourse/daemon/http/CallerHandlers.java
@@ -43,6 +43,13 @@
 /** Answers the requests of callers. Safe for use by several threads. */
 public final class CallerHandlers {
     private static final ObjectMapper MAPPER = new ObjectMapper();
+
+    /** Attributes of a request that {@link CallObserver} is told. */
+    static final String SERVICE = "service";
+
+    static final String WORKSPACE = "workspace";
+    static final String ADMITTED = "admitted";
+
     private static final String SERVICES = "/v1/services/";
     // A new share arrives within one round trip to its grantor.
     private static final long SHARE_WAIT_MILLIS = 1500;
@@ -202,7 +209,9 @@
     String chat(Context context) throws IOException, InterruptedException {
         Principal principal = admitted(context);
         byte[] body = CallerRequest.body(context.req(), mSettings.bodyLimitBytes());
-        ChatCall.parse(body);
+        mConfig.current()
+                .serviceOfModel(ChatCall.parse(body).model())
+                .ifPresent(s -> context.attribute(SERVICE, s.service()));
         CallRequest call = common(context, CallRequest.Kind.MODEL, principal).build();
         Answer answer =
                 call.ephemeral() ? mCalls.openEphemeral(call, body, null) : mCalls.open(call, body);
@@ -220,6 +229,7 @@
         }
         String path = ServicePaths.canonical(raw.substring(prefix.length()));
         RouteSpec route = route(service, context.method().name(), path);
+        context.attribute(SERVICE, service);
         Principal principal = route.openToAll() ? optional(context) : admitted(context);
         String key = CallerRequest.key(request);
         String query = request.getQueryString();
@@ -325,14 +335,18 @@
     // Keys and rates
 
     private Principal principal(Context context) {
-        return mAuthenticator
-                .authenticate(context.req().getHeader("Authorization"))
-                .getOrElseThrow(e -> e);
+        Principal principal =
+                mAuthenticator
+                        .authenticate(context.req().getHeader("Authorization"))
+                        .getOrElseThrow(e -> e);
+        context.attribute(WORKSPACE, principal.workspace());
+        return principal;
     }
 
     private Principal admitted(Context context) {
         Principal principal = principal(context);
         mLimiter.acquire(principal.workspace(), SHARE_WAIT_MILLIS).getOrElseThrow(e -> e);
+        context.attribute(ADMITTED, true);
         return principal;
     }
 
--- a/src/main/java/org/heathercourse/daemon/http/CallerServer.java
+++ b/src/main/java/org/heathercourse/daemon/http/CallerServer.java
@@ -33,6 +33,7 @@
     private final HttpSettings mSettings;
     private final CallerHandlers mHandlers;
     private final Ticker mTicker;
+    private final CallObserver mObserver;
     private final AtomicInteger mActive = new AtomicInteger();
     private volatile boolean mDraining;
     private Javalin mServer;
@@ -53,12 +54,15 @@
      * @param settings address, limits and TLS files
      * @param handlers what answers requests
      * @param ticker time source
+     * @param observer told about each request that has ended
      */
     @Inject
-    public CallerServer(HttpSettings settings, CallerHandlers handlers, Ticker ticker) {
+    public CallerServer(
+            HttpSettings settings, CallerHandlers handlers, Ticker ticker, CallObserver observer) {
         mSettings = settings;
         mHandlers = handlers;
         mTicker = ticker;
+        mObserver = observer;
     }
 
     /**
@@ -118,10 +122,12 @@
                 context.res().setHeader("Connection", "close");
             }
             String kind = "disconnected";
+            HeathercourseException refusal = null;
             try {
                 kind = route.handle(context);
             } catch (HeathercourseException e) {
                 kind = e.kind().wireName();
+                refusal = e;
                 HttpErrors.write(context.res(), e);
             } catch (IOException e) {
                 LOG.debug("caller_went_away", "reason", e.getClass().getSimpleName());
@@ -135,11 +141,28 @@
                 HttpErrors.write(context.res(), e);
             } finally {
                 mActive.decrementAndGet();
-                access(context, kind, mTicker.readMillis() - start);
+                long durationMillis = mTicker.readMillis() - start;
+                access(context, kind, durationMillis);
+                observe(context, kind, refusal, durationMillis);
             }
         };
     }
 
+    private void observe(
+            Context context, String kind, HeathercourseException refusal, long durationMillis) {
+        mObserver.ended(
+                new CallObserver.Ended(
+                        context.attribute(CallerHandlers.SERVICE),
+                        context.attribute(CallerHandlers.WORKSPACE),
+                        context.attribute(CallerHandlers.ADMITTED) != null,
+                        context.req().getHeader("X-Program-Id"),
+                        context.req().getHeader("Idempotency-Key"),
+                        kind,
+                        context.res().getStatus(),
+                        refusal,
+                        durationMillis));
+    }
+
     private static void access(Context context, String kind, long durationMillis) {
         LOG.info(
                 "access",
--- a/src/main/java/org/heathercourse/daemon/http/PrometheusText.java
+++ b/src/main/java/org/heathercourse/daemon/http/PrometheusText.java
@@ -20,22 +20,22 @@
         StringBuilder out = new StringBuilder();
         for (Map.Entry<String, Gauge> e : registry.getGauges().entrySet()) {
             if (e.getValue().getValue() instanceof Number value) {
-                single(out, e.getKey(), "gauge", value);
+                single(out, e.getKey(), "", "gauge", value);
             }
         }
         for (Map.Entry<String, Counter> e : registry.getCounters().entrySet()) {
-            single(out, e.getKey(), "gauge", e.getValue().getCount());
+            single(out, e.getKey(), "", "gauge", e.getValue().getCount());
         }
         for (Map.Entry<String, Meter> e : registry.getMeters().entrySet()) {
-            single(out, e.getKey() + "_total", "counter", e.getValue().getCount());
+            single(out, e.getKey(), "_total", "counter", e.getValue().getCount());
         }
         for (Map.Entry<String, Histogram> e : registry.getHistograms().entrySet()) {
-            summary(out, e.getKey(), e.getValue().getSnapshot(), e.getValue().getCount(), 1);
+            summary(out, e.getKey(), "", e.getValue().getSnapshot(), e.getValue().getCount(), 1);
         }
         for (Map.Entry<String, Timer> e : registry.getTimers().entrySet()) {
             Timer timer = e.getValue();
-            String name = e.getKey() + "_seconds";
-            summary(out, name, timer.getSnapshot(), timer.getCount(), NANOS_PER_SECOND);
+            Snapshot snapshot = timer.getSnapshot();
+            summary(out, e.getKey(), "_seconds", snapshot, timer.getCount(), NANOS_PER_SECOND);
         }
         return out.toString();
     }
@@ -45,20 +45,42 @@
         return Character.isDigit(clean.charAt(0)) ? "_" + clean : clean;
     }
 
-    private static void single(StringBuilder out, String name, String type, Number value) {
-        String clean = name(name);
-        out.append("# TYPE ").append(clean).append(' ').append(type).append('\n');
-        out.append(clean).append(' ').append(value).append('\n');
+    /** Returns the labels at the end of a name with their braces, or an empty string. */
+    private static String labels(String name) {
+        int brace = name.indexOf('{');
+        return brace < 0 ? "" : name.substring(brace);
+    }
+
+    /** Returns the name of the family of a metric; writes its type at its first metric. */
+    private static String family(StringBuilder out, String name, String suffix, String type) {
+        String clean = name(name.substring(0, name.length() - labels(name).length()) + suffix);
+        String line = "# TYPE " + clean + " " + type + "\n";
+        if (out.indexOf(line) < 0) {
+            out.append(line);
+        }
+        return clean;
+    }
+
+    private static void single(
+            StringBuilder out, String name, String suffix, String type, Number value) {
+        out.append(family(out, name, suffix, type)).append(labels(name));
+        out.append(' ').append(value).append('\n');
     }
 
     private static void summary(
-            StringBuilder out, String name, Snapshot snapshot, long count, double divisor) {
-        String clean = name(name);
-        out.append("# TYPE ").append(clean).append(" summary\n");
+            StringBuilder out,
+            String name,
+            String suffix,
+            Snapshot snapshot,
+            long count,
+            double divisor) {
+        String clean = family(out, name, suffix, "summary");
+        String labels = labels(name);
+        String more = labels.isEmpty() ? "{" : labels.substring(0, labels.length() - 1) + ",";
         for (double quantile : QUANTILES) {
-            out.append(clean).append("{quantile=\"").append(quantile).append("\"} ");
+            out.append(clean).append(more).append("quantile=\"").append(quantile).append("\"} ");
             out.append(snapshot.getValue(quantile) / divisor).append('\n');
         }
-        out.append(clean).append("_count ").append(count).append('\n');
+        out.append(clean).append("_count").append(labels).append(' ').append(count).append('\n');
     }
 }
--- a/src/main/java/org/heathercourse/daemon/operate/DaemonObservations.java
+++ b/src/main/java/org/heathercourse/daemon/operate/DaemonObservations.java
@@ -1,5 +1,6 @@
 package org.heathercourse.daemon.operate;
 
+import java.time.Clock;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -11,14 +12,20 @@
 import org.heathercourse.core.model.VmId;
 import org.heathercourse.core.ownership.DaemonInfo;
 import org.heathercourse.core.program.ProgramState;
+import org.heathercourse.daemon.call.Decision;
+import org.heathercourse.daemon.call.DecisionLog;
 import org.heathercourse.daemon.call.ProgramRouter;
 import org.heathercourse.daemon.config.ConfigSource;
 import org.heathercourse.daemon.schedule.SchedulerSelector;
 import org.heathercourse.daemon.state.ProgramLog;
 import org.heathercourse.daemon.state.ShardDirectory;
+import org.heathercourse.ops.BurnMapper;
 import org.heathercourse.ops.ConfigMapper;
 import org.heathercourse.ops.Observations;
 import org.heathercourse.ops.v1.DaemonStatus;
+import org.heathercourse.ops.v1.DecisionOutcome;
+import org.heathercourse.ops.v1.ExplainResponse;
+import org.heathercourse.ops.v1.GetBurnResponse;
 import org.heathercourse.ops.v1.GetStatusResponse;
 import org.heathercourse.ops.v1.ProgramStatus;
 import org.heathercourse.ops.v1.TargetStatus;
@@ -29,6 +36,10 @@
     private final ProgramLog mLog;
     private final ProgramRouter mPrograms;
     private final SchedulerSelector mSelector;
+    private final ConfigSource mConfig;
+    private final CallMetrics mMetrics;
+    private final DecisionLog mDecisions;
+    private final Clock mClock;
 
     /** Creates the view. */
     @Inject
@@ -36,11 +47,19 @@
             ShardDirectory shards,
             ProgramLog log,
             ProgramRouter programs,
-            SchedulerSelector selector) {
+            SchedulerSelector selector,
+            ConfigSource config,
+            CallMetrics metrics,
+            DecisionLog decisions,
+            Clock clock) {
         mShards = shards;
         mLog = log;
         mPrograms = programs;
         mSelector = selector;
+        mConfig = config;
+        mMetrics = metrics;
+        mDecisions = decisions;
+        mClock = clock;
     }
 
     @Override
@@ -70,6 +89,7 @@
                             .setZone(daemon.zone().value())
                             .setCallerAddress(daemon.host() + ":" + daemon.callerPort())
                             .setShards(owned.getOrDefault(daemon.vm(), 0))
+                            .setOperatorAddress(daemon.host() + ":" + daemon.operatorPort())
                             .setDraining(daemon.draining()));
         }
         for (TargetSpec target : current.targets()) {
@@ -101,6 +121,38 @@
                 .build();
     }
 
+    @Override
+    public GetBurnResponse burn() {
+        return GetBurnResponse.newBuilder()
+                .setVm(mShards.self().vm().value())
+                .setEpochMillis(mClock.millis())
+                .addAllCounts(BurnMapper.toSchema(mMetrics.burn()))
+                .build();
+    }
+
+    @Override
+    public ExplainResponse explain(String program, int limit) {
+        ExplainResponse.Builder response =
+                ExplainResponse.newBuilder().setVm(mShards.self().vm().value());
+        ShardId shard = ShardId.of(new ProgramId(program), mConfig.current().shards());
+        mShards.owner(shard).ifPresent(owner -> response.setOwnerVm(owner.vm().value()));
+        for (Decision d : mDecisions.of(program, limit)) {
+            response.addDecisionsBuilder()
+                    .setEpochMillis(d.epochMillis())
+                    .setProgram(d.program())
+                    .setRequest(d.request())
+                    .setWorkspace(d.workspace())
+                    .setOutcome(DecisionOutcome.valueOf(d.outcome().name()))
+                    .setTarget(d.target())
+                    .setPriority(d.priority())
+                    .setExpectedMillis(d.expectedMillis())
+                    .setCachedTokens(d.cachedTokens())
+                    .setErrorKind(d.errorKind())
+                    .setReason(d.reason());
+        }
+        return response.build();
+    }
+
     @Override
     public void cancel(String program) {
         mPrograms.run("end", null, new ProgramId(program), "{\"reason\":\"cancelled\"}");
--- a/src/main/java/org/heathercourse/daemon/schedule/SchedulerSelector.java
+++ b/src/main/java/org/heathercourse/daemon/schedule/SchedulerSelector.java
@@ -73,8 +73,14 @@
         if (target.isEmpty()) {
             return Either.left(leftMeanwhile(pick.get().target()));
         }
-        Choice choice = new Choice(target.get(), pick.get().priority());
-        mAttempts.put(choice, new Attempt(mNextAttempt.incrementAndGet(), pickRequest, pick.get()));
+        Pick picked = pick.get();
+        Choice choice =
+                new Choice(
+                        target.get(),
+                        picked.priority(),
+                        picked.expectedMillis(),
+                        picked.cachedTokens());
+        mAttempts.put(choice, new Attempt(mNextAttempt.incrementAndGet(), pickRequest, picked));
         return Either.right(choice);
     }
 
--- a/src/main/java/org/heathercourse/daemon/wiring/HttpModule.java
+++ b/src/main/java/org/heathercourse/daemon/wiring/HttpModule.java
@@ -5,11 +5,16 @@
 import dagger.Module;
 import dagger.Provides;
 import java.util.function.BooleanSupplier;
+import java.util.stream.IntStream;
 import javax.inject.Named;
 import javax.inject.Singleton;
+import org.heathercourse.core.model.ShardId;
+import org.heathercourse.daemon.call.CallExecutor;
 import org.heathercourse.daemon.config.ConfigSource;
 import org.heathercourse.daemon.http.AdminServer;
+import org.heathercourse.daemon.http.CallObserver;
 import org.heathercourse.daemon.http.HttpSettings;
+import org.heathercourse.daemon.operate.CallMetrics;
 import org.heathercourse.daemon.settings.Setting;
 import org.heathercourse.daemon.settings.Settings;
 import org.heathercourse.daemon.state.ProgramLog;
@@ -44,7 +49,8 @@
 
     @Provides
     @Singleton
-    static MetricRegistry metrics(ConfigSource config, ProgramLog log, ShardDirectory shards) {
+    static MetricRegistry metrics(
+            ConfigSource config, ProgramLog log, ShardDirectory shards, CallExecutor calls) {
         MetricRegistry metrics = new MetricRegistry();
         gauge(metrics, "config.revision", () -> config.current().revision());
         gauge(metrics, "config.fresh", () -> config.fresh() ? 1L : 0L);
@@ -52,6 +58,21 @@
         gauge(metrics, "store.pending_bytes", log::pendingBytes);
         gauge(metrics, "programs.held", () -> (long) log.held().size());
         gauge(metrics, "daemons.listed", () -> (long) shards.daemons().size());
+        gauge(metrics, "shards.owned", () -> owned(config, shards));
+        gauge(metrics, "calls.active", () -> (long) calls.active());
+        gauge(metrics, "calls.retries", calls::retries);
+        gauge(metrics, "breakers.open", () -> (long) calls.openBreakers());
+        return metrics;
+    }
+
+    private static long owned(ConfigSource config, ShardDirectory shards) {
+        return IntStream.range(0, config.current().shards())
+                .filter(i -> shards.fence(new ShardId(i)).isPresent())
+                .count();
+    }
+
+    @Provides
+    static CallObserver observer(CallMetrics metrics) {
         return metrics;
     }
 
--- a/src/main/java/org/heathercourse/ops/Observations.java
+++ b/src/main/java/org/heathercourse/ops/Observations.java
@@ -3,6 +3,8 @@
 import java.util.List;
 import org.heathercourse.core.ownership.DaemonInfo;
 import org.heathercourse.daemon.config.ConfigSource;
+import org.heathercourse.ops.v1.ExplainResponse;
+import org.heathercourse.ops.v1.GetBurnResponse;
 import org.heathercourse.ops.v1.GetStatusResponse;
 import org.heathercourse.ops.v1.ProgramStatus;
 
@@ -27,6 +29,18 @@
      */
     List<ProgramStatus> programs(int limit);
 
+    /** Returns the calls that this daemon counted against the objectives. */
+    GetBurnResponse burn();
+
+    /**
+     * Returns the last decisions of this daemon on the calls of a program.
+     *
+     * @param program identity of the program
+     * @param limit most decisions to return
+     * @return the decisions
+     */
+    ExplainResponse explain(String program, int limit);
+
     /**
      * Ends a program, at whichever daemon owns it.
      *
--- a/src/main/java/org/heathercourse/ops/OperatorService.java
+++ b/src/main/java/org/heathercourse/ops/OperatorService.java
@@ -36,6 +36,10 @@
 import org.heathercourse.ops.v1.ApplyResponse;
 import org.heathercourse.ops.v1.CancelProgramRequest;
 import org.heathercourse.ops.v1.CancelProgramResponse;
+import org.heathercourse.ops.v1.ExplainRequest;
+import org.heathercourse.ops.v1.ExplainResponse;
+import org.heathercourse.ops.v1.GetBurnRequest;
+import org.heathercourse.ops.v1.GetBurnResponse;
 import org.heathercourse.ops.v1.GetConfigurationRequest;
 import org.heathercourse.ops.v1.GetConfigurationResponse;
 import org.heathercourse.ops.v1.GetStatusRequest;
@@ -64,6 +68,7 @@
     private static final EventLog LOG = EventLog.of(OperatorService.class);
     private static final int DEFAULT_REVISIONS = 20;
     private static final int DEFAULT_PROGRAMS = 100;
+    private static final int DEFAULT_DECISIONS = 50;
     private static final long DEFAULT_WATCH_MILLIS = 30_000;
     private static final long WATCH_PERIOD_MILLIS = 200;
     // A read-modify-write by the daemon itself repeats a lost race this often before it gives up.
@@ -351,6 +356,17 @@
                                 .build());
     }
 
+    @Override
+    public void getBurn(GetBurnRequest request, StreamObserver<GetBurnResponse> out) {
+        answer(out, mObservations::burn);
+    }
+
+    @Override
+    public void explain(ExplainRequest request, StreamObserver<ExplainResponse> out) {
+        int limit = request.getLimit() <= 0 ? DEFAULT_DECISIONS : request.getLimit();
+        answer(out, () -> mObservations.explain(request.getProgram(), limit));
+    }
+
     @Override
     public void cancelProgram(
             CancelProgramRequest request, StreamObserver<CancelProgramResponse> out) {
--- a/src/main/java/org/heathercourse/ops/ctl/Ctl.java
+++ b/src/main/java/org/heathercourse/ops/ctl/Ctl.java
@@ -103,7 +103,9 @@
         parser.accepts(FILE, "declaration in YAML").withRequiredArg();
         parser.accepts(REVISION, "a revision").withRequiredArg();
         parser.accepts(WAIT, "wait until the change is in force everywhere");
-        parser.accepts(OUTPUT, "table or json").withRequiredArg().defaultsTo("table");
+        parser.accepts(OUTPUT, "table, json or (slo report) html")
+                .withRequiredArg()
+                .defaultsTo("table");
         parser.accepts(ADDRESS, "operator addresses").withRequiredArg();
         parser.accepts(TOKEN, "operator credential").withRequiredArg();
         parser.accepts(CA, "trusted certificates (PEM)").withRequiredArg();
@@ -124,7 +126,7 @@
         out.append(DEFAULT_ADDRESS).append(")\n");
         out.append("  --token TOKEN    operator credential (or ").append(TOKEN_VARIABLE);
         out.append(")\n  --ca FILE        trusted certificates (PEM); switches TLS on\n");
-        out.append("  --output FORM    table (default) or json\n");
+        out.append("  --output FORM    table (default), json, or html for slo report\n");
         out.append("\nexit codes:\n");
         for (ExitCode code : ExitCode.values()) {
             out.append("  ").append(code.code()).append("  ").append(code.meaning()).append('\n');
--- a/src/main/java/org/heathercourse/ops/ctl/CtlCommand.java
+++ b/src/main/java/org/heathercourse/ops/ctl/CtlCommand.java
@@ -101,6 +101,26 @@
                                 "programs " + verb + " is not known, expected list or cancel");
             };
         }
+    },
+    SLO(
+            "slo report [--output table|json|html]",
+            "show the burn of all objectives over the whole fleet, worst first") {
+        @Override
+        ExitCode run(CtlSession session, List<String> arguments) {
+            String verb = argument(arguments, 0, "report");
+            if (!verb.equals("report")) {
+                throw new UsageException("slo " + verb + " is not known, expected report");
+            }
+            return session.fleet().burn();
+        }
+    },
+    EXPLAIN(
+            "explain PROGRAM",
+            "show why the last calls of a program were placed, queued or refused") {
+        @Override
+        ExitCode run(CtlSession session, List<String> arguments) {
+            return session.fleet().explain(argument(arguments, 0, "a program"));
+        }
     };
 
     private final String mUsage;
--- a/src/main/java/org/heathercourse/ops/ctl/CtlSession.java
+++ b/src/main/java/org/heathercourse/ops/ctl/CtlSession.java
@@ -32,6 +32,10 @@
         return new ViewCommands(this);
     }
 
+    FleetCommands fleet() {
+        return new FleetCommands(this);
+    }
+
     OperatorConnection connection() {
         return mConnection;
     }
@@ -44,8 +48,12 @@
         return mProgress;
     }
 
+    String outputName() {
+        return String.valueOf(mOptions.valueOf(Ctl.OUTPUT));
+    }
+
     Output output() {
-        return switch (String.valueOf(mOptions.valueOf(Ctl.OUTPUT))) {
+        return switch (outputName()) {
             case "json" -> Output.JSON;
             case "table" -> Output.TABLE;
             default -> throw new UsageException("--output takes table or json");
--- a/src/main/java/org/heathercourse/ops/ctl/OperatorConnection.java
+++ b/src/main/java/org/heathercourse/ops/ctl/OperatorConnection.java
@@ -25,9 +25,13 @@
     private static final Metadata.Key<String> AUTHORIZATION =
             Metadata.Key.of("authorization", Metadata.ASCII_STRING_MARSHALLER);
     private static final long CALL_TIMEOUT_SECONDS = 15;
+    // Counts against 2,048 objectives in all their buckets take about 10 MB.
+    private static final int MAX_RESPONSE_BYTES = 32 << 20;
 
     private final List<ManagedChannel> mChannels = new ArrayList<>();
     private final ClientInterceptor mCredential;
+    private final String mToken;
+    private final String mCertificatePath;
     private int mPreferred;
 
     /**
@@ -40,11 +44,15 @@
      */
     public OperatorConnection(List<String> addresses, String token, String certificatePath)
             throws SSLException {
+        mToken = token;
+        mCertificatePath = certificatePath;
         Metadata headers = new Metadata();
         headers.put(AUTHORIZATION, "Bearer " + token);
         mCredential = MetadataUtils.newAttachHeadersInterceptor(headers);
         for (String address : addresses) {
-            NettyChannelBuilder builder = NettyChannelBuilder.forTarget(address);
+            NettyChannelBuilder builder =
+                    NettyChannelBuilder.forTarget(address)
+                            .maxInboundMessageSize(MAX_RESPONSE_BYTES);
             if (certificatePath.isEmpty()) {
                 builder.usePlaintext();
             } else {
@@ -84,6 +92,16 @@
         throw last;
     }
 
+    /**
+     * Prepares a connection to another daemon with the same credential.
+     *
+     * @param address operator address, {@code host:port}
+     * @throws SSLException if the certificates cannot be read
+     */
+    public OperatorConnection to(String address) throws SSLException {
+        return new OperatorConnection(List.of(address), mToken, mCertificatePath);
+    }
+
     /** Returns a stub of the preferred daemon for calls that stream. */
     public OperatorGrpc.OperatorBlockingStub streaming(long timeoutMillis) {
         return OperatorGrpc.newBlockingStub(mChannels.get(mPreferred))
--- a/src/test/java/org/heathercourse/core/burn/BurnTest.java
+++ b/src/test/java/org/heathercourse/core/burn/BurnTest.java
@@ -78,7 +78,8 @@
             counters.record(SERVICE, calm, i % 150 == 0 ? 500 : 50, true, at);
             counters.record(SERVICE, burning, 50, i % 4 != 0, at);
         }
-        BurnReport report = BurnReport.of(counters.snapshot(), objectives, START + 1_000_000L);
+        BurnSnapshot sent = BurnSnapshot.ofBuckets(counters.snapshot().buckets());
+        BurnReport report = BurnReport.of(sent, objectives, START + 1_000_000L);
         List<BurnLine> lines = report.lines();
         assertThat(lines).extracting(BurnLine::workspace).startsWith("burning");
         assertThat(lines.get(0).state()).isEqualTo(BurnLine.State.FAST_BURN);
--- a/src/test/java/org/heathercourse/daemon/call/CallExecutorTest.java
+++ b/src/test/java/org/heathercourse/daemon/call/CallExecutorTest.java
@@ -271,7 +271,8 @@
                         new StickySelector(mFixture.config, mFixture.shards),
                         CallSettings.DEFAULT,
                         ticker,
-                        new SplittableRandom(5));
+                        new SplittableRandom(5),
+                        mFixture.services.decisions());
         ProgramMaintenance successor =
                 new ProgramMaintenance(services, new Recorder(services), Runnable::run, p -> false);
         successor.run();
--- a/src/test/java/org/heathercourse/daemon/call/CallFixture.java
+++ b/src/test/java/org/heathercourse/daemon/call/CallFixture.java
@@ -1,6 +1,7 @@
 package org.heathercourse.daemon.call;
 
 import java.nio.charset.StandardCharsets;
+import java.time.Clock;
 import java.util.List;
 import java.util.SplittableRandom;
 import java.util.function.Consumer;
@@ -63,7 +64,8 @@
                         new StickySelector(config, shards),
                         settings,
                         ticker,
-                        new SplittableRandom(42));
+                        new SplittableRandom(42),
+                        new DecisionLog(Clock.systemUTC()));
         executor = new CallExecutor(services);
     }
 
--- a/src/test/java/org/heathercourse/daemon/http/AdminServerTest.java
+++ b/src/test/java/org/heathercourse/daemon/http/AdminServerTest.java
@@ -22,6 +22,7 @@
         MetricRegistry metrics = new MetricRegistry();
         metrics.meter("calls.started").mark(3);
         metrics.timer("call").update(2, TimeUnit.SECONDS);
+        metrics.timer("call{service=\"weave\"}").update(3, TimeUnit.SECONDS);
         AtomicBoolean ready = new AtomicBoolean();
         try (AdminServer server = new AdminServer("127.0.0.1", 0, metrics, ready::get)) {
             int port = server.start();
@@ -31,6 +32,9 @@
             assertThat(get(port, "/readyz").statusCode()).isEqualTo(200);
             assertThat(get(port, "/metrics").body())
                     .contains("calls_started_total 3\n")
+                    .containsOnlyOnce("# TYPE call_seconds summary\n")
+                    .contains("call_seconds{service=\"weave\",quantile=\"0.5\"} 3.0\n")
+                    .contains("call_seconds_count{service=\"weave\"} 1\n")
                     .contains("call_seconds{quantile=\"0.5\"} 2.0\n");
         }
     }
--- a/src/test/java/org/heathercourse/daemon/http/CallerServerTest.java
+++ b/src/test/java/org/heathercourse/daemon/http/CallerServerTest.java
@@ -24,7 +24,9 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Queue;
 import java.util.SplittableRandom;
+import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.stream.Collectors;
@@ -65,6 +67,8 @@
     private int mPort;
     private Runnable mRestart;
     private volatile boolean mValid = true;
+    private volatile boolean mLimited;
+    private final Queue<CallObserver.Ended> mEnded = new ConcurrentLinkedQueue<>();
 
     private final Authenticator mAuthenticator =
             new Authenticator() {
@@ -97,7 +101,11 @@
                 @Override
                 public Either<HeathercourseException, WorkspaceId> acquire(
                         WorkspaceId w, long maxWaitMillis) {
-                    return Either.right(w);
+                    return mLimited
+                            ? Either.left(
+                                    new HeathercourseException(
+                                            ErrorKind.RATE_LIMITED, "limited", "wait"))
+                            : Either.right(w);
                 }
             };
 
@@ -156,7 +164,7 @@
                         Ticker.system(),
                         Clock.systemUTC(),
                         random);
-        mServer = new CallerServer(settings, handlers, Ticker.system());
+        mServer = new CallerServer(settings, handlers, Ticker.system(), mEnded::add);
         mPort = mServer.start();
     }
 
@@ -167,6 +175,26 @@
         mFixture.close();
     }
 
+    /** Guards against calls that are counted for no service, twice, or with a wrong outcome. */
+    @Test
+    void tellsHowEachCallEnded() throws Exception {
+        post("/v1/chat/completions", CHAT);
+        mLimited = true;
+        post("/v1/services/orders/pay", "{}", "X-Program-Id", "p-1");
+        await().until(() -> mEnded.size() == 2);
+        CallObserver.Ended answered = mEnded.remove();
+        assertThat(answered.kind()).isEqualTo("ok");
+        assertThat(answered.admitted()).isTrue();
+        assertThat(answered.service()).isNotNull();
+        assertThat(answered.workspace()).isEqualTo(CallFixture.WORKSPACE);
+        CallObserver.Ended limited = mEnded.remove();
+        assertThat(limited.kind()).isEqualTo("rate_limited");
+        assertThat(limited.admitted()).isFalse();
+        assertThat(limited.service().value()).isEqualTo("orders");
+        assertThat(limited.program()).isEqualTo("p-1");
+        assertThat(limited.refusal()).isNotNull();
+    }
+
     private HttpRequest.Builder request(String path) {
         return HttpRequest.newBuilder(URI.create("http://127.0.0.1:" + mPort + path))
                 .header("Authorization", "Bearer " + KEY);
