--- a/src/main/java/org/heathercourse/daemon/operate/CallMetrics.java
+++ b/src/main/java/org/heathercourse/daemon/operate/CallMetrics.java
@@ -46,7 +46,7 @@
         } else if (limited) {
             mMetrics.meter("rate.refused").mark();
         }
-        if (call.refusal() != null) {
+        if (refused(call)) {
             mMetrics.meter("refusals{kind=\"" + call.kind() + "\"}").mark();
         }
         if (call.service() != null) {
@@ -61,6 +61,12 @@
         }
     }
 
+    private static boolean refused(Ended call) {
+        return !call.kind().equals("ok")
+                && !call.kind().equals("disconnected")
+                && ErrorKind.fromWireName(call.kind()).notRunByDefault();
+    }
+
     /**
      * Counts a call against the objectives. A caller that went away and a refusal for the caller's
      * own fault, such as its rate or its budget, say nothing about the service and do not count.
--- a/src/main/java/org/heathercourse/daemon/wiring/HttpModule.java
+++ b/src/main/java/org/heathercourse/daemon/wiring/HttpModule.java
@@ -15,6 +15,7 @@
 import org.heathercourse.daemon.http.CallObserver;
 import org.heathercourse.daemon.http.HttpSettings;
 import org.heathercourse.daemon.operate.CallMetrics;
+import org.heathercourse.daemon.operate.TimedTableStore;
 import org.heathercourse.daemon.settings.Setting;
 import org.heathercourse.daemon.settings.Settings;
 import org.heathercourse.daemon.state.ProgramLog;
@@ -50,7 +51,11 @@
     @Provides
     @Singleton
     static MetricRegistry metrics(
-            ConfigSource config, ProgramLog log, ShardDirectory shards, CallExecutor calls) {
+            ConfigSource config,
+            ProgramLog log,
+            ShardDirectory shards,
+            CallExecutor calls,
+            TimedTableStore table) {
         MetricRegistry metrics = new MetricRegistry();
         gauge(metrics, "config.revision", () -> config.current().revision());
         gauge(metrics, "config.fresh", () -> config.fresh() ? 1L : 0L);
@@ -58,6 +63,8 @@
         gauge(metrics, "store.pending_bytes", log::pendingBytes);
         gauge(metrics, "programs.held", () -> (long) log.held().size());
         gauge(metrics, "daemons.listed", () -> (long) shards.daemons().size());
+        metrics.register("store.commit", table.commits());
+        metrics.register("store.commit_failures", table.failures());
         gauge(metrics, "shards.owned", () -> owned(config, shards));
         gauge(metrics, "calls.active", () -> (long) calls.active());
         gauge(metrics, "calls.retries", calls::retries);
--- a/src/main/java/org/heathercourse/daemon/wiring/PlatformModule.java
+++ b/src/main/java/org/heathercourse/daemon/wiring/PlatformModule.java
@@ -3,6 +3,7 @@
 import dagger.Module;
 import dagger.Provides;
 import javax.inject.Singleton;
+import org.heathercourse.daemon.operate.TimedTableStore;
 import org.heathercourse.daemon.settings.Setting;
 import org.heathercourse.daemon.settings.Settings;
 import org.heathercourse.platform.EngineClient;
@@ -27,8 +28,14 @@
 
     @Provides
     @Singleton
-    static TableStore table(Settings settings) {
-        return new HttpTableStore(storeTransport(settings), settings.text(Setting.TABLE_URL));
+    static TimedTableStore timedTable(Settings settings) {
+        return new TimedTableStore(
+                new HttpTableStore(storeTransport(settings), settings.text(Setting.TABLE_URL)));
+    }
+
+    @Provides
+    static TableStore table(TimedTableStore table) {
+        return table;
     }
 
     @Provides
--- a/src/test/java/org/heathercourse/daemon/call/CallExecutorTest.java
+++ b/src/test/java/org/heathercourse/daemon/call/CallExecutorTest.java
@@ -22,6 +22,7 @@
 import org.heathercourse.daemon.call.CallFixture.Seen;
 import org.heathercourse.daemon.peer.PeerMessage;
 import org.heathercourse.platform.EngineClient;
+import org.heathercourse.platform.TargetFailure;
 import org.heathercourse.testing.ManualTicker;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
@@ -254,6 +255,28 @@
                 .hasMessageContaining("40 are left");
     }
 
+    /** Guards against an explanation that lacks where a call ran or why it was refused. */
+    @Test
+    void remembersDecisions() {
+        mFixture.run(model("r"), chat(false, "a"));
+        mFixture.targets.engine =
+                (request, listener) ->
+                        listener.onFailure(
+                                new TargetFailure(TargetFailure.Kind.REFUSED, 503, "full"));
+        mFixture.run(model("s"), chat(false, "b"));
+        List<Decision> decisions =
+                mFixture.services.decisions().of(CallFixture.PROGRAM.value(), 100);
+        Decision first = decisions.get(0);
+        assertThat(first.outcome()).isEqualTo(Decision.Outcome.PLACED);
+        assertThat(first.request()).isEqualTo("r");
+        assertThat(first.target()).isNotEmpty();
+        Decision last = decisions.get(decisions.size() - 1);
+        assertThat(last.outcome()).isEqualTo(Decision.Outcome.REFUSED);
+        assertThat(last.request()).isEqualTo("s");
+        assertThat(last.errorKind()).isNotEmpty();
+        assertThat(last.reason()).isNotEmpty();
+    }
+
     /** Guards against programs that are left behind, and releases forgotten by a dead owner. */
     @Test
     void endsIdleProgramsAndReleasesAfterTakeover() {
--- a/src/test/java/org/heathercourse/daemon/operate/CallMetricsTest.java
+++ b/src/test/java/org/heathercourse/daemon/operate/CallMetricsTest.java
@@ -83,6 +83,7 @@
                 .containsExactlyInAnyOrder(tuple("berzins", 2, 3), tuple("all", 3, 3));
         String calls = "calls{service=\"weave\",outcome=\"overloaded\"}";
         assertThat(mMetrics.meter(calls).getCount()).isEqualTo(1);
+        assertThat(mMetrics.meter("refusals{kind=\"overloaded\"}").getCount()).isEqualTo(1);
         assertThat(mMetrics.meter("rate.refused").getCount()).isEqualTo(1);
         assertThat(mMetrics.meter("rate.admitted").getCount()).isEqualTo(7);
     }
