--- a/src/main/java/org/heathercourse/daemon/call/CallExecutor.java
+++ b/src/main/java/org/heathercourse/daemon/call/CallExecutor.java
@@ -18,6 +18,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
 import javax.inject.Inject;
+import javax.inject.Singleton;
 import org.heathercourse.core.error.ErrorKind;
 import org.heathercourse.core.error.HeathercourseException;
 import org.heathercourse.core.model.ProgramId;
@@ -33,8 +34,10 @@
  * The owner side of calls: runs the calls of each program one at a time in the order of their
  * arrival, and answers repeats from the running attempt or the record.
  *
- * <p>Safe for use by several threads. Life cycle: create, use, {@link #close}.
+ * <p>A daemon has exactly one, as only one set of lanes keeps the calls of a program in order. Safe
+ * for use by several threads. Life cycle: create, use, {@link #close}.
  */
+@Singleton
 public final class CallExecutor implements AutoCloseable {
     private static final EventLog LOG = EventLog.of(CallExecutor.class);
 
@@ -128,6 +131,16 @@
         }
     }
 
+    /** Returns the retries that were made so far. */
+    public long retries() {
+        return mRetryBudget.retries();
+    }
+
+    /** Returns the number of targets whose circuit breaker lets no call through. */
+    public int openBreakers() {
+        return mBreakers.blocked().size();
+    }
+
     /**
      * Accepts a call of a program, or finds the answer of an earlier one with the same identity.
      *
@@ -141,6 +154,7 @@
                     ? attach(request)
                     : accept(new Job(mServices, request, body, null));
         } catch (HeathercourseException e) {
+            mServices.decisions().refused(request, e);
             return AnswerBuffer.failed(e);
         }
     }
@@ -230,6 +244,7 @@
         boolean first = lane.size() == 1;
         job.mStarted = first;
         if (!first) {
+            mServices.decisions().queued(job.request(), lane.size() - 1);
             job.mQueueTimeout =
                     mTimer.schedule(
                             () -> expire(job),
@@ -248,7 +263,7 @@
             mJobs.remove(job.key(), job);
         }
         job.mUse.close();
-        job.answer().fail(CallErrors.deadline(true));
+        fail(job, CallErrors.deadline(true));
     }
 
     private void checkWorkspace(CallRequest request, WorkspaceId of) {
@@ -332,7 +347,7 @@
         try {
             mWorkers.execute(() -> run(job));
         } catch (RejectedExecutionException e) {
-            job.answer().fail(CallErrors.overloaded("this daemon runs as many calls as it may"));
+            fail(job, CallErrors.overloaded("this daemon runs as many calls as it may"));
             finish(job);
         }
     }
@@ -350,7 +365,7 @@
                 new PlainRun(mServices, mRecorder, mBreakers, mRetryBudget, job).run();
             }
         } catch (HeathercourseException e) {
-            job.answer().fail(e);
+            fail(job, e);
         } catch (RuntimeException | Error e) {
             LOG.error(
                     "call_failed",
@@ -359,17 +374,22 @@
                     job.request().program(),
                     "request",
                     job.request().request());
-            job.answer()
-                    .fail(
-                            new HeathercourseException(
-                                    ErrorKind.INTERNAL,
-                                    "internal error: " + e.getClass().getSimpleName(),
-                                    "report the log line of this daemon"));
+            fail(
+                    job,
+                    new HeathercourseException(
+                            ErrorKind.INTERNAL,
+                            "internal error: " + e.getClass().getSimpleName(),
+                            "report the log line of this daemon"));
         } finally {
             finish(job);
         }
     }
 
+    private void fail(Job job, HeathercourseException error) {
+        mServices.decisions().refused(job.request(), error);
+        job.answer().fail(error);
+    }
+
     private void checkNotEnded(Job job) {
         if (job.request().ephemeral()) {
             return;
--- a/src/main/java/org/heathercourse/daemon/call/CallServices.java
+++ b/src/main/java/org/heathercourse/daemon/call/CallServices.java
@@ -22,6 +22,7 @@
     private final CallSettings mSettings;
     private final Ticker mTicker;
     private final RandomGenerator mRandom;
+    private final DecisionLog mDecisions;
 
     /** Creates the set. */
     @Inject
@@ -34,7 +35,8 @@
             TargetSelector selector,
             CallSettings settings,
             Ticker ticker,
-            RandomGenerator random) {
+            RandomGenerator random,
+            DecisionLog decisions) {
         mLog = log;
         mShards = shards;
         mConfig = config;
@@ -44,6 +46,7 @@
         mSettings = settings;
         mTicker = ticker;
         mRandom = random;
+        mDecisions = decisions;
     }
 
     /**
@@ -97,4 +100,8 @@
     RandomGenerator random() {
         return mRandom;
     }
+
+    DecisionLog decisions() {
+        return mDecisions;
+    }
 }
--- a/src/main/java/org/heathercourse/daemon/wiring/HttpModule.java
+++ b/src/main/java/org/heathercourse/daemon/wiring/HttpModule.java
@@ -5,11 +5,17 @@
 import dagger.Module;
 import dagger.Provides;
 import java.util.function.BooleanSupplier;
+import java.util.stream.IntStream;
 import javax.inject.Named;
 import javax.inject.Singleton;
+import org.heathercourse.core.model.ShardId;
+import org.heathercourse.daemon.call.CallExecutor;
 import org.heathercourse.daemon.config.ConfigSource;
 import org.heathercourse.daemon.http.AdminServer;
+import org.heathercourse.daemon.http.CallObserver;
 import org.heathercourse.daemon.http.HttpSettings;
+import org.heathercourse.daemon.operate.CallMetrics;
+import org.heathercourse.daemon.operate.TimedTableStore;
 import org.heathercourse.daemon.settings.Setting;
 import org.heathercourse.daemon.settings.Settings;
 import org.heathercourse.daemon.state.ProgramLog;
@@ -44,7 +50,12 @@
 
     @Provides
     @Singleton
-    static MetricRegistry metrics(ConfigSource config, ProgramLog log, ShardDirectory shards) {
+    static MetricRegistry metrics(
+            ConfigSource config,
+            ProgramLog log,
+            ShardDirectory shards,
+            CallExecutor calls,
+            TimedTableStore table) {
         MetricRegistry metrics = new MetricRegistry();
         gauge(metrics, "config.revision", () -> config.current().revision());
         gauge(metrics, "config.fresh", () -> config.fresh() ? 1L : 0L);
@@ -54,6 +65,23 @@
         gauge(metrics, "daemons.listed", () -> (long) shards.daemons().size());
         Runtime runtime = Runtime.getRuntime();
         gauge(metrics, "jvm.heap_used_bytes", () -> runtime.totalMemory() - runtime.freeMemory());
+        metrics.register("store.commit", table.commits());
+        metrics.register("store.commit_failures", table.failures());
+        gauge(metrics, "shards.owned", () -> owned(config, shards));
+        gauge(metrics, "calls.active", () -> (long) calls.active());
+        gauge(metrics, "calls.retries", calls::retries);
+        gauge(metrics, "breakers.open", () -> (long) calls.openBreakers());
+        return metrics;
+    }
+
+    private static long owned(ConfigSource config, ShardDirectory shards) {
+        return IntStream.range(0, config.current().shards())
+                .filter(i -> shards.fence(new ShardId(i)).isPresent())
+                .count();
+    }
+
+    @Provides
+    static CallObserver observer(CallMetrics metrics) {
         return metrics;
     }
 
--- a/src/main/java/org/heathercourse/testing/bench/faults/FaultInjector.java
+++ b/src/main/java/org/heathercourse/testing/bench/faults/FaultInjector.java
@@ -35,6 +35,7 @@
     private final Set<DaemonProcess> mTouched = new HashSet<>();
     private final Object mCalm = new Object();
     private int mUnderWay;
+    private boolean mMeasuring;
     final AtomicInteger mFaults = new AtomicInteger();
     final AtomicInteger mKills = new AtomicInteger();
     final AtomicInteger mPauses = new AtomicInteger();
@@ -88,10 +89,21 @@
 
     private void begin() {
         synchronized (mCalm) {
+            while (mMeasuring && !mStop.get()) {
+                awaitCalm();
+            }
             mUnderWay++;
         }
     }
 
+    private void awaitCalm() {
+        try {
+            mCalm.wait(500);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
     private void end() {
         synchronized (mCalm) {
             mUnderWay--;
@@ -120,16 +132,29 @@
         }
     }
 
-    void killAndRestart(DaemonProcess daemon, long downMillis) {
+    /**
+     * Kills a daemon and starts a new process in its place. If no other fault is under way, the
+     * takeover is measured and no other fault begins meanwhile: an outage of the store puts off a
+     * takeover by its own length.
+     */
+    void killAndRestart(DaemonProcess daemon, long downMillis) throws IOException {
         mKills.incrementAndGet();
         boolean alone;
         synchronized (mCalm) {
             alone = mUnderWay == 1;
+            mMeasuring = alone;
+        }
+        if (alone) {
+            clearFaults("table");
+            Pauses.pause(QUIET_MILLIS);
         }
         daemon.process().kill();
-        long killedMillis = mTicker.readMillis();
         if (alone) {
-            mTakeover.measure(daemon, killedMillis);
+            mTakeover.measure(daemon, mTicker.readMillis());
+            synchronized (mCalm) {
+                mMeasuring = false;
+                mCalm.notifyAll();
+            }
         }
         Pauses.pause(downMillis);
         daemon.start();
--- a/src/main/java/org/heathercourse/testing/bench/faults/FaultKind.java
+++ b/src/main/java/org/heathercourse/testing/bench/faults/FaultKind.java
@@ -10,7 +10,7 @@
     /** Kills a daemon and starts a new process in its place. */
     KILL(5) {
         @Override
-        void inject(FaultInjector injector, RandomGenerator random) {
+        void inject(FaultInjector injector, RandomGenerator random) throws IOException {
             DaemonProcess daemon = injector.anyDaemon(random);
             injector.killAndRestart(daemon, 500 + random.nextInt(4_000));
         }
--- a/src/main/java/org/heathercourse/testing/bench/faults/TakeoverProbe.java
+++ b/src/main/java/org/heathercourse/testing/bench/faults/TakeoverProbe.java
@@ -3,8 +3,9 @@
 import io.vavr.control.Either;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.ExecutionException;
 import java.util.concurrent.ExecutorService;
-import java.util.concurrent.atomic.AtomicLong;
+import java.util.concurrent.Future;
 import org.HdrHistogram.ConcurrentHistogram;
 import org.HdrHistogram.Histogram;
 import org.heathercourse.core.model.ProgramId;
@@ -30,7 +31,6 @@
     private final Ticker mTicker = Ticker.system();
     private final List<String> mPrograms = new ArrayList<>();
     private final Histogram mMillis = new ConcurrentHistogram(3);
-    private final AtomicLong mRunning = new AtomicLong();
 
     TakeoverProbe(LocalDeployment deployment, String key, ExecutorService threads) {
         mDeployment = deployment;
@@ -57,23 +57,26 @@
         }
     }
 
-    /** Measures, in the background, how long programs of the killed daemon are out of reach. */
+    /** Measures for how long programs are out of reach; returns when all are in reach again. */
     void measure(DaemonProcess killed, long killedMillis) {
         List<String> survivors =
                 mDeployment.daemons().stream()
                         .filter(d -> d != killed)
                         .map(DaemonProcess::callerUrl)
                         .toList();
-        mRunning.incrementAndGet();
-        mThreads.execute(
-                () -> {
-                    try {
-                        mPrograms.parallelStream()
-                                .forEach(p -> measure(p, survivors, killedMillis));
-                    } finally {
-                        mRunning.decrementAndGet();
-                    }
-                });
+        List<Future<?>> running = new ArrayList<>();
+        for (String program : mPrograms) {
+            running.add(mThreads.submit(() -> measure(program, survivors, killedMillis)));
+        }
+        for (Future<?> one : running) {
+            try {
+                one.get();
+            } catch (ExecutionException e) {
+                throw new IllegalStateException(e);
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            }
+        }
     }
 
     private void measure(String program, List<String> survivors, long killedMillis) {
@@ -91,11 +94,8 @@
         mMillis.recordValue(mTicker.readMillis() - killedMillis);
     }
 
-    /** Returns the 99th percentile over shards and kills, in milliseconds. */
+    /** Returns the 99th percentile over shards and kills, in milliseconds; 0 without any. */
     long p99Millis() {
-        while (mRunning.get() > 0) {
-            Pauses.pause(100);
-        }
         return mMillis.getTotalCount() == 0 ? 0 : mMillis.getValueAtPercentile(99);
     }
 }
--- a/src/main/java/org/heathercourse/testing/deployment/Ports.java
+++ b/src/main/java/org/heathercourse/testing/deployment/Ports.java
@@ -1,36 +1,51 @@
 package org.heathercourse.testing.deployment;
 
 import java.io.IOException;
-import java.io.UncheckedIOException;
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.util.ArrayList;
 import java.util.List;
 
-/** Finds free ports on loopback. */
+/**
+ * Finds free ports on loopback.
+ *
+ * <p>The ports lie below those that the system gives to outgoing connections, which could otherwise
+ * take a port between its choice here and its use by a process that is started later.
+ */
 final class Ports {
+    private static final int FIRST = 10_240;
+    private static final int COUNT = 20_000;
+
     private Ports() {}
 
     /**
-     * Returns ports that were free a moment ago, all different.
+     * Returns ports that were free a moment ago, all different. Deployments of different processes
+     * start at different places.
      *
      * @param count how many
+     * @throws IllegalStateException if there are too few free ports
      */
     static List<Integer> free(int count) {
-        List<ServerSocket> sockets = new ArrayList<>();
         List<Integer> ports = new ArrayList<>();
-        try {
-            for (int i = 0; i < count; i++) {
-                ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress());
-                sockets.add(socket);
-                ports.add(socket.getLocalPort());
-            }
-            for (ServerSocket socket : sockets) {
-                socket.close();
+        long start = ProcessHandle.current().pid() * 997L + Thread.currentThread().getId() * 89L;
+        for (int i = 0; i < COUNT && ports.size() < count; i++) {
+            int port = FIRST + (int) Math.floorMod(start + i, (long) COUNT);
+            if (isFree(port)) {
+                ports.add(port);
             }
-        } catch (IOException e) {
-            throw new UncheckedIOException(e);
+        }
+        if (ports.size() < count) {
+            throw new IllegalStateException(
+                    "found " + ports.size() + " free ports on loopback, expected " + count);
         }
         return ports;
     }
+
+    private static boolean isFree(int port) {
+        try (ServerSocket socket = new ServerSocket(port, 1, InetAddress.getLoopbackAddress())) {
+            return socket.isBound();
+        } catch (IOException e) {
+            return false;
+        }
+    }
 }
