--- a/src/main/java/org/heathercourse/testing/bench/MoveBench.java
+++ b/src/main/java/org/heathercourse/testing/bench/MoveBench.java
@@ -92,6 +92,11 @@
                         .withRequiredArg()
                         .ofType(Integer.class)
                         .defaultsTo(100);
+        var longWords =
+                parser.accepts("long-words", "words of the long answers")
+                        .withRequiredArg()
+                        .ofType(Integer.class)
+                        .defaultsTo(8_000);
         var before =
                 parser.accepts("before-seconds", "load before the move")
                         .withRequiredArg()
@@ -122,7 +127,11 @@
                         .start()) {
             MoveBench bench = new MoveBench(deployment, directory, deadline, clock);
             MoveLoad load =
-                    new MoveLoad(deployment, options.valueOf(seed), options.valueOf(period));
+                    new MoveLoad(
+                            deployment,
+                            options.valueOf(seed),
+                            options.valueOf(period),
+                            options.valueOf(longWords));
             ObjectNode out = MAPPER.createObjectNode().put("seed", options.valueOf(seed));
             bench.run(out, load, options.valueOf(before) * 1_000L);
             System.out.println(MAPPER.writeValueAsString(out));
--- a/src/main/java/org/heathercourse/testing/bench/MoveLoad.java
+++ b/src/main/java/org/heathercourse/testing/bench/MoveLoad.java
@@ -27,9 +27,13 @@
 final class MoveLoad {
     private static final long BUDGET_TOKENS = 50_000;
 
+    /** One program in this many is a single long answer, too few to decide the percentile. */
+    private static final int LONG_ONE_IN = 40;
+
     private final LocalDeployment mDeployment;
     private final SplittableRandom mRandom;
     private final long mPeriodMillis;
+    private final int mLongWords;
     private final Ticker mTicker = Ticker.system();
     private final LoadCounters mCounters = new LoadCounters();
     private final ExecutorService mThreads = Executors.newCachedThreadPool();
@@ -46,11 +50,13 @@
      * @param deployment the deployment
      * @param seed seed of the programs' shapes
      * @param periodMillis time between the starts of two programs, in milliseconds
+     * @param longWords words of the long answers, which run while a daemon leaves
      */
-    MoveLoad(LocalDeployment deployment, long seed, long periodMillis) {
+    MoveLoad(LocalDeployment deployment, long seed, long periodMillis, int longWords) {
         mDeployment = deployment;
         mRandom = new SplittableRandom(seed);
         mPeriodMillis = periodMillis;
+        mLongWords = longWords;
         for (int i = 0; i < deployment.workspaces().size(); i++) {
             mRunners.add(
                     ProgramRunner.builder()
@@ -72,7 +78,10 @@
         for (int i = 0; !mStop; i++) {
             int place = i % workspaces.size();
             String key = mDeployment.key(workspaces.get(place));
-            TraceProgram program = program("move-" + i, workspaces.get(place));
+            TraceProgram program =
+                    i % LONG_ONE_IN == 0
+                            ? longProgram("move-" + i, workspaces.get(place))
+                            : program("move-" + i, workspaces.get(place));
             mThreads.execute(
                     () -> {
                         long start = mTicker.readMillis();
@@ -83,6 +92,12 @@
         }
     }
 
+    private TraceProgram longProgram(String name, String workspace) {
+        TraceStep step = new TraceStep(new TraceStep.Chat(50, mLongWords), null, null, null);
+        return new TraceProgram(
+                name, workspace, "interactive", "full", BUDGET_TOKENS, List.of(step));
+    }
+
     private TraceProgram program(String name, String workspace) {
         boolean urgent = workspace.equals("beam-alerts");
         List<TraceStep> steps = new ArrayList<>();
