Refuse a number of shards other than the daemons own

Cause: StateModule creates the state engine with 64 shards whatever the configuration declares, while calls are routed by the declared number.

Change: the first configuration is refused unless it declares 64 shards or none. Later ones cannot change the number anyway.

--- a/src/main/java/org/heathercourse/ops/OperatorService.java
+++ b/src/main/java/org/heathercourse/ops/OperatorService.java
@@ -5,6 +5,7 @@
 import io.grpc.stub.ServerCallStreamObserver;
 import io.grpc.stub.StreamObserver;
 import io.vavr.control.Either;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -24,6 +25,7 @@
 import org.heathercourse.daemon.config.ConfigChanges;
 import org.heathercourse.daemon.config.ConfigSource;
 import org.heathercourse.daemon.config.KeyGenerator;
+import org.heathercourse.daemon.state.StateSettings;
 import org.heathercourse.log.EventLog;
 import org.heathercourse.ops.v1.AddKeyRequest;
 import org.heathercourse.ops.v1.AddKeyResponse;
@@ -114,7 +116,7 @@
                             PlanResponse.newBuilder()
                                     .setBaseRevision(base.revision())
                                     .addAllDifferences(ConfigDiff.between(base, proposed));
-                    for (ConfigProblem problem : ConfigValidator.validate(base, proposed)) {
+                    for (ConfigProblem problem : problems(base, proposed)) {
                         response.addProblems(
                                 Problem.newBuilder()
                                         .setPath(problem.path())
@@ -159,7 +161,7 @@
             return repeated.get();
         }
         DeploymentConfig base = present();
-        List<ConfigProblem> problems = ConfigValidator.validate(base, proposed);
+        List<ConfigProblem> problems = problems(base, proposed);
         if (!problems.isEmpty()) {
             throw invalid(problems);
         }
@@ -404,6 +406,20 @@
         }
     }
 
+    private static List<ConfigProblem> problems(DeploymentConfig base, DeploymentConfig proposed) {
+        List<ConfigProblem> problems = new ArrayList<>(ConfigValidator.validate(base, proposed));
+        // Daemons own this many shards whatever is declared; programs of others had no owner.
+        if (proposed.shards() != StateSettings.DEFAULT_SHARDS && base.revision() == 0) {
+            problems.add(
+                    new ConfigProblem(
+                            ConfigProblem.Kind.OUT_OF_RANGE,
+                            "shards",
+                            Integer.toString(proposed.shards()),
+                            Integer.toString(StateSettings.DEFAULT_SHARDS)));
+        }
+        return problems;
+    }
+
     private static HeathercourseException invalid(List<ConfigProblem> problems) {
         StringBuilder text = new StringBuilder();
         for (ConfigProblem problem : problems) {
--- a/src/main/java/org/heathercourse/testing/deployment/LocalDeployment.java
+++ b/src/main/java/org/heathercourse/testing/deployment/LocalDeployment.java
@@ -1,5 +1,6 @@
 package org.heathercourse.testing.deployment;
 
+import io.grpc.Status;
 import io.grpc.StatusRuntimeException;
 import java.io.IOException;
 import java.io.UncheckedIOException;
@@ -253,7 +254,8 @@
                                 .build();
                 return mOperator.call(stub -> stub.apply(request)).getRevision();
             } catch (StatusRuntimeException e) {
-                if (mTicker.readMillis() >= end) {
+                boolean invalid = e.getStatus().getCode() == Status.Code.INVALID_ARGUMENT;
+                if (invalid || mTicker.readMillis() >= end) {
                     throw new IllegalStateException("no change accepted\n" + logTails(), e);
                 }
                 Pauses.pause(100);
