--- a/src/main/java/org/heathercourse/core/placement/TargetView.java
+++ b/src/main/java/org/heathercourse/core/placement/TargetView.java
@@ -20,6 +20,7 @@
     private static final long REPEATED_EVENTS = 256;
 
     private static final double DEFAULT_PROMPT_TOKEN_MILLIS = 0.05;
+    private static final double LOSS_GAIN = 0.03;
     private static final double DEFAULT_CALL_MILLIS = 3_000;
 
     private final int mIndex;
@@ -36,6 +37,7 @@
     private double mOutputTokenMillis = 30;
     private double mCallMillis = DEFAULT_CALL_MILLIS;
     private double mResidenceMillis = 600_000;
+    private double mCacheLossRatio;
     private long mLastSequence;
     private long mGapMillis = Long.MIN_VALUE / 2;
     private long mCacheLostMillis = Long.MIN_VALUE / 2;
@@ -160,6 +162,7 @@
 
     void onEvicted(long ageMillis) {
         mResidenceMillis += 0.05 * (ageMillis - mResidenceMillis);
+        mCacheLossRatio += LOSS_GAIN * (1 - mCacheLossRatio);
     }
 
     // Own calls
@@ -175,11 +178,16 @@
         }
         attempt.mFirstTokenMillis = nowMillis;
         double waited = attempt.waitedMillis(nowMillis);
-        mPromptSpeed.observe(attempt.mUncachedTokens, waited);
+        boolean plain = attempt.mRequest.model().isEmpty();
+        if (!plain) {
+            mPromptSpeed.observe(attempt.mUncachedTokens, waited);
+        }
+        // The time to the first byte of a plain call is mostly work, no wait for a slot.
+        double work = plain ? mCallMillis : attempt.mWaitMillis;
         if (attempt.mRequest.requestClass() != RequestClass.URGENT) {
             mLimit =
                     mLimit.observe(
-                            waited - attempt.mWaitMillis,
+                            waited - work,
                             attempt.mRequest.deadlineMillis(),
                             inFlight(nowMillis, 1),
                             nowMillis);
@@ -189,7 +197,9 @@
     void onEnded(Attempt attempt, long completionTokens, long nowMillis) {
         mOwnInFlight--;
         mEndedSince.addLast(nowMillis);
-        if (attempt.firstTokenSeen() && completionTokens > 1) {
+        if (attempt.mRequest.model().isEmpty()) {
+            mCallMillis += 0.1 * (attempt.waitedMillis(nowMillis) - mCallMillis);
+        } else if (attempt.firstTokenSeen() && completionTokens > 1) {
             double millis = nowMillis - attempt.mFirstTokenMillis;
             mOutputTokenMillis += 0.1 * (millis / (completionTokens - 1) - mOutputTokenMillis);
             mCallMillis += 0.1 * (millis - mCallMillis);
@@ -197,6 +207,7 @@
     }
 
     void onSuccess() {
+        mCacheLossRatio -= LOSS_GAIN * mCacheLossRatio;
         mBreaker = mBreaker.afterSuccess();
     }
 
@@ -254,6 +265,11 @@
         return uncachedTokens * promptTokenMillis() + outputTokens * mOutputTokenMillis / mSlots;
     }
 
+    /** Returns the usual share of the target that a call of a plain service takes. */
+    double plainServiceMillis() {
+        return mCallMillis / mSlots;
+    }
+
     boolean offers(String model) {
         return model.isEmpty()
                 || (mSpec.models().contains(model)
@@ -291,6 +307,11 @@
         return mCallMillis;
     }
 
+    /** Returns losses of live sessions as a share of own calls and losses. */
+    double cacheLossRatio() {
+        return mCacheLossRatio;
+    }
+
     double residenceMillis() {
         return mResidenceMillis;
     }
