--- a/src/main/java/org/heathercourse/daemon/http/CallerHandlers.java
+++ b/src/main/java/org/heathercourse/daemon/http/CallerHandlers.java
@@ -42,6 +42,7 @@
 
 /** Answers the requests of callers. Safe for use by several threads. */
 public final class CallerHandlers {
+    private static final long STALE_RETRY_MILLIS = 1_000;
     private static final ObjectMapper MAPPER = new ObjectMapper();
 
     /** Attributes of a request that {@link CallObserver} is told. */
@@ -265,12 +266,22 @@
                 .service(service)
                 .filter(s -> s.kind() == ServiceKind.PLAIN)
                 .flatMap(s -> Routes.match(s, method, path))
-                .orElseThrow(
-                        () ->
-                                new HeathercourseException(
-                                        ErrorKind.UNKNOWN_SERVICE,
-                                        "no route of service " + service + " covers the path",
-                                        "ask the operator to declare it"));
+                .orElseThrow(() -> noRoute(service));
+    }
+
+    /** A daemon whose configuration may be old cannot tell that a service is not declared. */
+    private HeathercourseException noRoute(ServiceId service) {
+        if (!mConfig.fresh() || mConfig.current().revision() == 0) {
+            return HeathercourseException.builder(ErrorKind.STALE_CONFIGURATION)
+                    .message("service " + service + " is not known and the configuration is old")
+                    .remedy("repeat the request, at another daemon if you can")
+                    .retryAfterMillis(STALE_RETRY_MILLIS)
+                    .build();
+        }
+        return new HeathercourseException(
+                ErrorKind.UNKNOWN_SERVICE,
+                "no route of service " + service + " covers the path",
+                "ask the operator to declare it");
     }
 
     /** Reads what all calls have in common, and completes their identities. */
--- a/src/main/java/org/heathercourse/testing/bench/faults/FaultsRun.java
+++ b/src/main/java/org/heathercourse/testing/bench/faults/FaultsRun.java
@@ -10,6 +10,12 @@
 import java.util.concurrent.Executors;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
+import org.heathercourse.core.model.TargetId;
+import org.heathercourse.platform.EngineClient;
+import org.heathercourse.platform.TargetAddress;
+import org.heathercourse.platform.http.HttpEngineClient;
+import org.heathercourse.platform.http.HttpSettings;
+import org.heathercourse.platform.http.HttpTransport;
 import org.heathercourse.testing.deployment.LocalDeployment;
 import org.heathercourse.testing.load.CallerClient;
 import org.heathercourse.testing.load.LoadCounters;
@@ -126,7 +132,10 @@
             Pauses.pause(200);
             held = mDeployment.stats().heldCacheTokens();
         }
-        mViolations.add(Promise.MEMORY_RELEASED, held, "tokens held by programs that are gone");
+        mViolations.add(
+                Promise.MEMORY_RELEASED,
+                held,
+                "tokens held by programs that are gone" + sessions());
         refusals.judge();
         JsonNode seen = mDeployment.stats().read("/stats");
         mViolations.add(Promise.ORDER, seen.path("out_of_order").asLong(), "turns out of order");
@@ -151,6 +160,24 @@
         mViolations.add(Promise.RATE_CEILING, mCeiling.excess(), "requests above the ceiling");
     }
 
+    /** Returns the sessions that engines still hold. */
+    private String sessions() {
+        StringBuilder out = new StringBuilder();
+        EngineClient engines =
+                new HttpEngineClient(new HttpTransport(HttpSettings.builder().build()));
+        mDeployment
+                .targetPorts()
+                .forEach(
+                        (name, port) -> {
+                            if (name.startsWith("engine-")) {
+                                String url = "http://127.0.0.1:" + port;
+                                TargetAddress at = new TargetAddress(new TargetId(name), url);
+                                out.append(' ').append(name).append(engines.sessions(at));
+                            }
+                        });
+        return out.toString();
+    }
+
     private ObjectNode result(
             FaultInjector injector,
             KeyAndConfigProbe keys,
