--- a/src/main/java/org/heathercourse/daemon/call/CallExecutor.java
+++ b/src/main/java/org/heathercourse/daemon/call/CallExecutor.java
@@ -47,6 +47,7 @@
     private final RetryBudget mRetryBudget;
     private final EphemeralSessions mSessions;
     private final ProgramMaintenance mMaintenance;
+    private final SessionSweep mSweep;
     private final ExecutorService mWorkers;
     private final ScheduledExecutorService mTimer;
     private final Object mLock = new Object();
@@ -79,6 +80,7 @@
         mTimer = timer;
         mSessions = new EphemeralSessions(services, mWorkers);
         mMaintenance = new ProgramMaintenance(services, mRecorder, mWorkers, this::busy);
+        mSweep = new SessionSweep(services, mRecorder, mWorkers, this::busy);
         mTimer.scheduleWithFixedDelay(this::maintain, 1, 1, TimeUnit.SECONDS);
     }
 
@@ -95,6 +97,7 @@
         try {
             mMaintenance.run();
             mSessions.retry();
+            mSweep.run();
         } catch (RuntimeException e) {
             LOG.error("program_maintenance_failed", e);
         }
--- a/src/main/java/org/heathercourse/daemon/call/EphemeralSessions.java
+++ b/src/main/java/org/heathercourse/daemon/call/EphemeralSessions.java
@@ -8,6 +8,7 @@
 import java.util.concurrent.RejectedExecutionException;
 import org.heathercourse.core.config.TargetSpec;
 import org.heathercourse.core.error.HeathercourseException;
+import org.heathercourse.core.ownership.DaemonInfo;
 import org.heathercourse.log.EventLog;
 import org.heathercourse.platform.TargetAddress;
 
@@ -18,6 +19,10 @@
  */
 final class EphemeralSessions {
     private static final EventLog LOG = EventLog.of(EphemeralSessions.class);
+
+    /** Start of the names of engine sessions of calls without a program. */
+    static final String PREFIX = "hc-eph.";
+
     private static final int MAX_TRIES = 12;
 
     private record Owed(TargetAddress target, String session) {}
@@ -35,7 +40,12 @@
     String newName() {
         byte[] bytes = new byte[12];
         mServices.random().nextBytes(bytes);
-        return "hc-eph." + mServices.shards().self().vm() + "." + HexFormat.of().formatHex(bytes);
+        return prefix(mServices.shards().self()) + HexFormat.of().formatHex(bytes);
+    }
+
+    /** Returns the start of the names that a daemon gives to sessions. */
+    static String prefix(DaemonInfo daemon) {
+        return PREFIX + daemon.vm() + "." + daemon.incarnation() + ".";
     }
 
     void release(TargetSpec target, String session) {
--- a/src/main/java/org/heathercourse/daemon/call/ModelPlan.java
+++ b/src/main/java/org/heathercourse/daemon/call/ModelPlan.java
@@ -35,9 +35,12 @@
         String session) {
     private static final int DEFAULT_MAX_TOKENS = 1024;
 
+    /** Start of the names of engine sessions of programs. */
+    static final String SESSION_PREFIX = "hc.";
+
     /** Returns the engine session of a program. */
     static String session(ProgramId program) {
-        return "hc." + program.value();
+        return SESSION_PREFIX + program.value();
     }
 
     long neededTokens() {
--- a/src/test/java/org/heathercourse/daemon/call/FakeTargets.java
+++ b/src/test/java/org/heathercourse/daemon/call/FakeTargets.java
@@ -32,6 +32,7 @@
     public volatile EngineScript engine = FakeTargets::answer;
     public volatile BiFunction<TargetAddress, Request, Response> plain =
             (address, request) -> ok("done");
+    public final List<String> sessions = new CopyOnWriteArrayList<>();
     public volatile boolean releaseFails;
 
     /** Answers with three pieces. */
@@ -130,7 +131,7 @@
 
     @Override
     public List<String> sessions(TargetAddress target) {
-        throw new UnsupportedOperationException();
+        return List.copyOf(sessions);
     }
 
     @Override
