Pass errors of the grantor on without a wrapper

Cause: supplyAsync wraps exceptions, and the network passes the type back.

Change: the reply is completed with the error itself.

--- a/src/main/java/org/heathercourse/daemon/limits/GrantorService.java
+++ b/src/main/java/org/heathercourse/daemon/limits/GrantorService.java
@@ -75,11 +75,24 @@
     public void start() {
         mNetwork.onRequest(
                 ShareRequest.class,
-                request -> CompletableFuture.supplyAsync(() -> handle(request), mControl));
+                request -> {
+                    CompletableFuture<ShareReply> reply = new CompletableFuture<>();
+                    mControl.execute(() -> answer(request, reply));
+                    return reply;
+                });
         mControl.scheduleWithFixedDelay(
                 this::observeSafely, 0, OBSERVE_PERIOD_MILLIS, TimeUnit.MILLISECONDS);
     }
 
+    /** Completes a reply; an error is passed on as it is, not wrapped. */
+    private void answer(ShareRequest request, CompletableFuture<ShareReply> reply) {
+        try {
+            reply.complete(handle(request));
+        } catch (RuntimeException e) {
+            reply.completeExceptionally(e);
+        }
+    }
+
     private void observeSafely() {
         try {
             observe();
