Keep the ledger of a grantor whose lease lapses and returns

A grantor whose lease lapsed in an outage of the store dropped its ledgers and opened new ones under the same fence when the lease returned; those did not know the shares that were outstanding, and under fence 1 began with the full burst. Change: a ledger is dropped only when another fence is held.

--- a/src/main/java/org/heathercourse/daemon/limits/GrantorService.java
+++ b/src/main/java/org/heathercourse/daemon/limits/GrantorService.java
@@ -108,7 +108,7 @@
         for (int i = 0; i < config.shards(); i++) {
             tenure(new ShardId(i));
         }
-        mLedgers.keySet().removeIf(workspace -> !owned(config, workspace));
+        mLedgers.keySet().removeIf(workspace -> replaced(config, workspace));
         for (WorkspaceSpec spec : config.workspaces()) {
             tenure(ShardId.of(spec.workspace(), config.shards()))
                     .ifPresent(tenure -> ledger(spec.workspace(), limits(config, spec), tenure));
@@ -120,9 +120,14 @@
         }
     }
 
-    private boolean owned(DeploymentConfig config, WorkspaceId workspace) {
+    /**
+     * Returns whether the ledger of a workspace belongs to an earlier fence. A lease that lapses
+     * and returns under the same fence keeps its ledger: nobody else has granted meanwhile, and a
+     * new ledger would not know the shares that are outstanding.
+     */
+    private boolean replaced(DeploymentConfig config, WorkspaceId workspace) {
         return tenure(ShardId.of(workspace, config.shards()))
-                .filter(tenure -> tenure.fence() == mLedgers.get(workspace).fence())
+                .filter(tenure -> tenure.fence() != mLedgers.get(workspace).fence())
                 .isPresent();
     }
 
--- a/src/main/java/org/heathercourse/testing/bench/faults/FaultsRun.java
+++ b/src/main/java/org/heathercourse/testing/bench/faults/FaultsRun.java
@@ -34,6 +34,7 @@
     private static final int FAULTS_AT_ONCE = 2;
     private static final long RELEASE_WAIT_MILLIS = 130_000;
     private static final long CALLER_END_SECONDS = 180;
+    private static final long PROBE_END_SECONDS = 60;
 
     private final LocalDeployment mDeployment;
     private final int mEngines;
@@ -90,6 +91,10 @@
         }
         long takeoverMillis = takeover.p99Millis();
         judge(refusals);
+        probes.shutdown();
+        if (!probes.awaitTermination(PROBE_END_SECONDS, TimeUnit.SECONDS)) {
+            System.err.println("a probe did not end in time");
+        }
         probes.shutdownNow();
         agents.shutdownNow();
         return result(injector, keys, refusals, takeoverMillis);
