--- a/src/main/java/org/heathercourse/daemon/config/ConfigStore.java
+++ b/src/main/java/org/heathercourse/daemon/config/ConfigStore.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.UUID;
 import java.util.function.Supplier;
+import java.util.random.RandomGenerator;
 import org.heathercourse.core.config.ConfigDiff;
 import org.heathercourse.core.config.ConfigProblem;
 import org.heathercourse.core.config.ConfigValidator;
@@ -179,7 +180,7 @@
     }
 
     /** Returns a source of random identities of transactions. */
-    public static Supplier<String> randomCommitIds(java.util.random.RandomGenerator random) {
+    public static Supplier<String> randomCommitIds(RandomGenerator random) {
         return () -> "config-" + new UUID(random.nextLong(), random.nextLong());
     }
 }
--- a/src/main/java/org/heathercourse/daemon/http/CallerHandlers.java
+++ b/src/main/java/org/heathercourse/daemon/http/CallerHandlers.java
@@ -25,6 +25,7 @@
 import org.heathercourse.core.model.RequestClass;
 import org.heathercourse.core.model.RequestId;
 import org.heathercourse.core.model.ServiceId;
+import org.heathercourse.core.model.WorkspaceId;
 import org.heathercourse.core.time.Ticker;
 import org.heathercourse.daemon.call.Answer;
 import org.heathercourse.daemon.call.CallRequest;
@@ -319,7 +320,7 @@
         return call;
     }
 
-    private static org.heathercourse.core.model.WorkspaceId workspace(Principal principal) {
+    private static WorkspaceId workspace(Principal principal) {
         return principal == null ? null : principal.workspace();
     }
 
--- a/src/main/java/org/heathercourse/ops/OperatorService.java
+++ b/src/main/java/org/heathercourse/ops/OperatorService.java
@@ -402,7 +402,7 @@
                 TimeUnit.MILLISECONDS);
     }
 
-    // ---- helpers ----
+    // ---- common parts ----
 
     private DeploymentConfig present() {
         return mChanges.present();
--- a/src/test/java/org/heathercourse/core/LayeringTest.java
+++ b/src/test/java/org/heathercourse/core/LayeringTest.java
@@ -6,6 +6,7 @@
 import com.tngtech.archunit.junit.AnalyzeClasses;
 import com.tngtech.archunit.junit.ArchTest;
 import com.tngtech.archunit.lang.ArchRule;
+import java.time.Instant;
 
 /** Guards against decisions that do I/O or read a clock, which could not be tested or replayed. */
 @AnalyzeClasses(
@@ -40,7 +41,7 @@
                     .should()
                     .callMethod(System.class, "currentTimeMillis")
                     .orShould()
-                    .callMethod(java.time.Instant.class, "now")
+                    .callMethod(Instant.class, "now")
                     .orShould()
                     .callMethod(Math.class, "random");
 
--- a/src/test/java/org/heathercourse/core/freshness/FreshnessRulesTest.java
+++ b/src/test/java/org/heathercourse/core/freshness/FreshnessRulesTest.java
@@ -2,6 +2,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import java.util.Arrays;
 import java.util.Random;
 import java.util.Set;
 import java.util.function.BiFunction;
@@ -68,7 +69,7 @@
         for (int i = 0; i < 500; i++) {
             world.step();
         }
-        java.util.Arrays.fill(world.mStoreReachable, false);
+        Arrays.fill(world.mStoreReachable, false);
         for (int i = 0; i < 2_000; i++) {
             world.step();
             for (FreshnessRules rules : world.mRules) {
--- a/src/test/java/org/heathercourse/core/program/ProgramFoldTest.java
+++ b/src/test/java/org/heathercourse/core/program/ProgramFoldTest.java
@@ -5,6 +5,7 @@
 
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.List;
 import java.util.Random;
 import net.jqwik.api.ForAll;
@@ -171,7 +172,7 @@
     @Test
     void cutOffFramesAreRefused() {
         byte[] frame = LogCodec.encode(List.<LogRecord>of(started(1, 0)));
-        byte[] cut = java.util.Arrays.copyOf(frame, frame.length - 1);
+        byte[] cut = Arrays.copyOf(frame, frame.length - 1);
         assertThatThrownBy(() -> LogCodec.decode(cut, new ShardState(0)))
                 .isInstanceOf(HeathercourseException.class);
     }
--- a/src/test/java/org/heathercourse/daemon/state/CommitTest.java
+++ b/src/test/java/org/heathercourse/daemon/state/CommitTest.java
@@ -10,6 +10,7 @@
 import org.heathercourse.core.model.ShardId;
 import org.heathercourse.core.program.CallState;
 import org.heathercourse.core.program.ProgramState;
+import org.heathercourse.platform.Transaction;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -106,7 +107,7 @@
         mFleet.table
                 .as("x")
                 .commit(
-                        org.heathercourse.platform.Transaction.builder("x/1/1")
+                        Transaction.builder("x/1/1")
                                 .put(key, row.version(), StoreRows.encode(taken))
                                 .build());
         CompletableFuture<Void> lost = owner.append(P, List.of(Fleet.started(P, 1, 0)));
--- a/src/test/java/org/heathercourse/daemon/state/Fleet.java
+++ b/src/test/java/org/heathercourse/daemon/state/Fleet.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import java.util.Random;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionException;
 import org.heathercourse.core.error.HeathercourseException;
 import org.heathercourse.core.model.ChatMessage;
 import org.heathercourse.core.model.ProgramId;
@@ -162,7 +163,7 @@
         try {
             future.join();
             return null;
-        } catch (java.util.concurrent.CompletionException e) {
+        } catch (CompletionException e) {
             return ((HeathercourseException) e.getCause()).kind().wireName();
         }
     }
--- a/src/test/java/org/heathercourse/daemon/state/HandoverTest.java
+++ b/src/test/java/org/heathercourse/daemon/state/HandoverTest.java
@@ -13,6 +13,7 @@
 import org.heathercourse.core.model.VmId;
 import org.heathercourse.core.program.CallState;
 import org.heathercourse.core.program.ProgramState;
+import org.heathercourse.platform.Transaction;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -95,10 +96,7 @@
         var row = mFleet.table.as("x").read(StoreRows.daemonKey(new VmId("a"))).orElseThrow();
         mFleet.table
                 .as("x")
-                .commit(
-                        org.heathercourse.platform.Transaction.builder("x/1/1")
-                                .delete(row.key(), row.version())
-                                .build());
+                .commit(Transaction.builder("x/1/1").delete(row.key(), row.version()).build());
         b.scanStep();
         mFleet.faults.resume("a");
         slow.join(TimeUnit.SECONDS.toMillis(20));
