--- a/src/main/java/org/heathercourse/core/error/ErrorKind.java
+++ b/src/main/java/org/heathercourse/core/error/ErrorKind.java
@@ -18,7 +18,6 @@
     UNKNOWN_PROGRAM(404, true),
     UNKNOWN_REQUEST(404, true),
     IDENTITY_CONFLICT(409, true),
-    OUT_OF_ORDER(409, true),
     HISTORY_MISMATCH(409, true),
     CONFLICT(409, true),
     PROGRAM_ENDED(410, true),
