--- a/src/test/java/org/heathercourse/daemon/call/CallExecutorTest.java
+++ b/src/test/java/org/heathercourse/daemon/call/CallExecutorTest.java
@@ -15,6 +15,7 @@
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.assertj.core.api.Assertions;
+import org.heathercourse.core.config.DeploymentConfig;
 import org.heathercourse.core.model.WorkspaceId;
 import org.heathercourse.core.program.LogRecord;
 import org.heathercourse.core.program.LogRecord.CallCompleted;
@@ -344,6 +345,18 @@
         assertThat(state().cacheTargets()).isEmpty();
     }
 
+    /** Guards against a process without a configuration that refuses calls for good. */
+    @Test
+    void asksForAnotherTryWhileThereIsNoConfiguration() {
+        DeploymentConfig declared = mFixture.config.now;
+        mFixture.config.now = DeploymentConfig.empty();
+        Seen early = mFixture.run(plain("r1", "/x"), bytes(""));
+        assertThat(early.error().kind()).isEqualTo("ownership_lost");
+        assertThat(early.error().notRun()).isTrue();
+        mFixture.config.now = declared;
+        assertThat(mFixture.run(plain("r1", "/x"), bytes("")).error()).isNull();
+    }
+
     /** Guards against calls that wait in the queue beyond their deadline. */
     @Test
     void refusesQueuedCallsAtTheirDeadline() {
--- /dev/null
+++ b/src/test/java/org/heathercourse/daemon/config/StaleKeyTest.java
@@ -0,0 +1,60 @@
+package org.heathercourse.daemon.config;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.List;
+import java.util.function.Consumer;
+import org.heathercourse.core.config.DeploymentConfig;
+import org.heathercourse.core.config.WorkspaceSpec;
+import org.heathercourse.core.error.ErrorKind;
+import org.heathercourse.core.error.HeathercourseException;
+import org.heathercourse.core.model.WorkspaceId;
+import org.junit.jupiter.api.Test;
+
+/** Guards against callers who are told that their key is wrong by a daemon that cannot tell. */
+class StaleKeyTest {
+    private static final Authenticator.Principal PRINCIPAL =
+            new Authenticator.Principal(new WorkspaceId("mill"), "k");
+
+    private final Source mSource = new Source();
+    private final Authenticator mAuthenticator = new KeyAuthenticator(mSource);
+
+    private static final class Source implements ConfigSource {
+        private DeploymentConfig mConfig = DeploymentConfig.empty();
+        private boolean mFresh = true;
+
+        @Override
+        public DeploymentConfig current() {
+            return mConfig;
+        }
+
+        @Override
+        public boolean fresh() {
+            return mFresh;
+        }
+
+        @Override
+        public void onChange(Consumer<DeploymentConfig> listener) {
+            listener.accept(mConfig);
+        }
+    }
+
+    private ErrorKind recheck() {
+        return mAuthenticator.recheck(PRINCIPAL).map(HeathercourseException::kind).orElse(null);
+    }
+
+    @Test
+    void daemonThatIsCutOffDoesNotCallKeysWithdrawn() {
+        WorkspaceSpec mill = new WorkspaceSpec(new WorkspaceId("mill"), List.of(), 1, 1, 0, 1);
+        mSource.mConfig = DeploymentConfig.builder().revision(3).workspaces(List.of(mill)).build();
+        assertThat(recheck()).isEqualTo(ErrorKind.KEY_WITHDRAWN);
+        mSource.mFresh = false;
+        assertThat(recheck()).isEqualTo(ErrorKind.STALE_CONFIGURATION);
+    }
+
+    @Test
+    void daemonWithoutConfigurationDoesNotCallKeysUnknown() {
+        assertThat(mAuthenticator.authenticate("Bearer hc_k_secret").getLeft().kind())
+                .isEqualTo(ErrorKind.STALE_CONFIGURATION);
+    }
+}
--- a/src/test/java/org/heathercourse/daemon/http/CallerServerTest.java
+++ b/src/test/java/org/heathercourse/daemon/http/CallerServerTest.java
@@ -32,6 +32,7 @@
 import java.util.stream.Collectors;
 import javax.net.ssl.SSLContext;
 import javax.net.ssl.TrustManagerFactory;
+import org.heathercourse.core.config.DeploymentConfig;
 import org.heathercourse.core.error.ErrorKind;
 import org.heathercourse.core.error.HeathercourseException;
 import org.heathercourse.core.model.Usage;
@@ -289,6 +290,16 @@
                 .allMatch(r -> !r.headers().containsKey("X-Workspace-Id"));
     }
 
+    /** Guards against a service that a daemon calls unknown before it has a configuration. */
+    @Test
+    void asksForAnotherTryWhileThereIsNoConfiguration() throws Exception {
+        mFixture.config.now = DeploymentConfig.empty();
+        assertThat(status("/v1/services/orders/open/x")).isEqualTo(503);
+        mFixture.config.now = CallFixture.declared(1_000);
+        assertThat(status("/v1/services/orders/open/x")).isEqualTo(200);
+        assertThat(status("/v1/services/nothing/x")).isEqualTo(404);
+    }
+
     /** Sends a request without a key over a plain socket, as clients would normalise the path. */
     private int status(String path) throws Exception {
         String answer = raw("GET " + path + " HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n");
