Close an unresponsive link before its timed-out request fails; reach restarted peers

Cause (KNOWN-RED, NettyPeerNetworkTest.reportsWhetherRequestMayHaveArrived): a timed-out request completed before its unresponsive link was closed, so a call opened in between got the link and lost it. The timeout also ran on two extra threads.

Change: links of gateways accept a newer incarnation of the same VM (IncarnationPolicy); daemons keep the exact one.

A control plane whose peer network does not start now also fails the rate service, which was left open.

--- a/src/main/java/org/heathercourse/daemon/peer/Link.java
+++ b/src/main/java/org/heathercourse/daemon/peer/Link.java
@@ -144,7 +144,9 @@
         return !mClosed && mChannel.isActive();
     }
 
+    /** Closes the link; from now on it opens no conversation. */
     void close() {
+        mClosed = true;
         mChannel.close();
     }
 
--- a/src/main/java/org/heathercourse/daemon/peer/NettyPeerNetwork.java
+++ b/src/main/java/org/heathercourse/daemon/peer/NettyPeerNetwork.java
@@ -70,7 +70,7 @@
             new DefaultChannelGroup(GlobalEventExecutor.INSTANCE, true);
     private volatile boolean mClosed;
 
-    /** Address and incarnation of the peer of a link. */
+    /** Address of the peer of a link, and its incarnation if the policy tells them apart. */
     record PeerKey(String host, int port, long incarnation) {}
 
     /**
@@ -181,7 +181,7 @@
             mGroup.next().execute(() -> handleRequest(message, reply::complete));
             reply.orTimeout(timeoutMillis, TimeUnit.MILLISECONDS);
         } else {
-            new PendingRequest(reply, message, timeoutMillis).start(link(to));
+            new PendingRequest(reply, message, timeoutMillis).start(link(to), mGroup.next());
         }
         return reply.handle((m, error) -> resultOf(m, error, replyType));
     }
@@ -258,7 +258,8 @@
     }
 
     private OutboundLink link(DaemonInfo to) {
-        PeerKey key = new PeerKey(to.host(), to.peerPort(), to.incarnation());
+        long incarnation = mSettings.incarnationPolicy().linkIncarnation(to.incarnation());
+        PeerKey key = new PeerKey(to.host(), to.peerPort(), incarnation);
         OutboundLink link =
                 mLinks.computeIfAbsent(
                         key, k -> new OutboundLink(() -> connect(to), mTicker, mRandom));
@@ -327,7 +328,9 @@
                     @Override
                     public boolean isExpectedPeer(Frame challenge) {
                         return challenge.vm().equals(to.vm().value())
-                                && challenge.incarnation() == to.incarnation();
+                                && mSettings
+                                        .incarnationPolicy()
+                                        .accepts(to.incarnation(), challenge.incarnation());
                     }
 
                     @Override
--- a/src/main/java/org/heathercourse/gateway/control/ControlPlane.java
+++ b/src/main/java/org/heathercourse/gateway/control/ControlPlane.java
@@ -13,6 +13,7 @@
 import org.heathercourse.core.ownership.DaemonInfo;
 import org.heathercourse.core.time.SuspendAwareClock;
 import org.heathercourse.core.time.Ticker;
+import org.heathercourse.daemon.peer.IncarnationPolicy;
 import org.heathercourse.daemon.peer.NettyPeerNetwork;
 import org.heathercourse.daemon.peer.PeerSettings;
 import org.heathercourse.gateway.store.DirectChannel;
@@ -115,12 +116,18 @@
                 .whenComplete(
                         (done, error) -> {
                             if (error != null) {
-                                LOG.error("peers_not_started", error);
-                                mBudgetService.completeExceptionally(error);
+                                failPeerServices(error);
                             }
                         });
     }
 
+    /** Fails the requests that wait for the peer network, so that they are refused at once. */
+    private void failPeerServices(Throwable error) {
+        LOG.error("peers_not_started", error);
+        mBudgetService.completeExceptionally(error);
+        mRateService.completeExceptionally(error);
+    }
+
     /** Returns the client of the gateways that own the budgets of programs. */
     public CompletableFuture<BudgetService> budgetService() {
         return mBudgetService;
@@ -132,7 +139,10 @@
     }
 
     private void startPeers(byte[] secret) {
-        PeerSettings settings = new PeerSettings(mSelf.peerHost(), mSelf.peerPort(), secret, 1);
+        // Owners are chosen by VM, and buckets and budgets are safe with any process on it.
+        PeerSettings settings =
+                new PeerSettings(mSelf.peerHost(), mSelf.peerPort(), secret, 1)
+                        .withIncarnationPolicy(IncarnationPolicy.SAME_OR_NEWER);
         DaemonInfo self = PeerAddress.of(mSelf);
         mPeers = new NettyPeerNetwork(settings, () -> self, mTicker, mRandom, mGroup);
         String writerPrefix = mSelf.vm() + "/" + mSelf.incarnation() + "/";
@@ -144,7 +154,7 @@
                 .whenComplete(
                         (port, error) -> {
                             if (error != null) {
-                                mBudgetService.completeExceptionally(error);
+                                failPeerServices(error);
                                 return;
                             }
                             mMembers.start();
