Bound what a target can send without end, and blame no target for own limits

Bytes without end: an event without end filled the heap (both the event and its line were kept until the deadline), and responses to other requests or informational ones could take the whole time of a request. Change: an event is limited to 256 KB, skipped responses to 8 and 1 MB; the connection is closed, attempt_failed names the target, and a repeatable request goes on elsewhere. Replies of the store are limited to 4 MB.

Own limits: in a fleet of 95 a gateway has two connections to a target; a request that found both in use counted as a failure of the target, which was then avoided for 150 ms and more. Unavailability now tells the causes apart.

--- a/src/main/java/org/heathercourse/core/stream/EventSplitter.java
+++ b/src/main/java/org/heathercourse/core/stream/EventSplitter.java
@@ -7,9 +7,14 @@
  * Splits a stream of server-sent events after complete events, without changing any byte.
  *
  * <p>Only complete events are passed on, so that a stream that breaks inside an event can be
- * resumed from another source after the last complete event. Not safe for use by several threads.
+ * resumed from another source after the last complete event. A source in trouble may send bytes
+ * without end that complete no event; {@link #exceedsMaxEventSize} tells so. Not safe for use by
+ * several threads.
  */
 public final class EventSplitter {
+    /** Maximum size of an event in bytes. */
+    public static final int MAX_EVENT_BYTES = 256 * 1024;
+
     private static final byte[] ID_FIELD = "id:".getBytes(StandardCharsets.US_ASCII);
 
     private final ByteArrayOutputStream mIncomplete = new ByteArrayOutputStream();
@@ -105,6 +110,11 @@
         mIncompleteEventId = null;
     }
 
+    /** Returns whether the incomplete event is larger than {@link #MAX_EVENT_BYTES}. */
+    public boolean exceedsMaxEventSize() {
+        return mIncomplete.size() > MAX_EVENT_BYTES;
+    }
+
     /** Returns the number of complete events. */
     public long eventCount() {
         return mEventCount;
--- a/src/main/java/org/heathercourse/gateway/call/Attempt.java
+++ b/src/main/java/org/heathercourse/gateway/call/Attempt.java
@@ -3,6 +3,7 @@
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
 import org.heathercourse.core.attempt.Delivery;
+import org.heathercourse.core.stream.EventSplitter;
 import org.heathercourse.core.target.Target;
 import org.heathercourse.gateway.target.Exchange;
 import org.heathercourse.gateway.target.ResponseListener;
@@ -49,8 +50,17 @@
     }
 
     @Override
-    public void onUnavailable(String reason, boolean refused) {
-        failUnsent(reason, refused);
+    public void onUnavailable(TargetPool.Unavailability cause, String detail) {
+        if (mEnded) {
+            return;
+        }
+        mEnded = true;
+        if (cause.isTargetFailure()) {
+            mPool.load().recordFailure(now(), mCall.failureBackoffMillis());
+        } else {
+            mPool.load().recordInconclusive();
+        }
+        mCall.onAttemptFailed(this, Delivery.NOT_SENT, detail, cause.isTargetGone());
     }
 
     /** Records that the request is being sent on the given exchange. */
@@ -59,11 +69,16 @@
         mSentMillis = now();
     }
 
-    /** Fails the attempt before any byte of the request was sent. */
+    /**
+     * Gives up the attempt before any byte of the request was sent.
+     *
+     * @param reason why the request is not sent
+     * @param targetGone whether the target accepts no requests any more
+     */
     void failUnsent(String reason, boolean targetGone) {
         if (!mEnded) {
             mEnded = true;
-            mPool.load().recordFailure(now(), mCall.failureBackoffMillis());
+            mPool.load().recordInconclusive();
             mCall.onAttemptFailed(this, Delivery.NOT_SENT, reason, targetGone);
         }
     }
@@ -111,11 +126,16 @@
 
     @Override
     public void onBody(byte[] bytes) {
-        if (!mEnded && !mReportedNotRun) {
-            mCall.relay().onBody(bytes, now());
-            if (!mCall.isEnded()) {
-                mCall.onWritabilityChanged();
-            }
+        if (mEnded || mReportedNotRun) {
+            return;
+        }
+        if (!mCall.relay().onBody(bytes, now())) {
+            rejectResponse(
+                    "an event of the stream is larger than "
+                            + EventSplitter.MAX_EVENT_BYTES
+                            + " bytes");
+        } else if (!mCall.isEnded()) {
+            mCall.onWritabilityChanged();
         }
     }
 
--- a/src/main/java/org/heathercourse/gateway/call/ResponseRelay.java
+++ b/src/main/java/org/heathercourse/gateway/call/ResponseRelay.java
@@ -55,24 +55,29 @@
         return true;
     }
 
-    /** Forwards or buffers the next part of the body. */
-    void onBody(byte[] bytes, long nowMillis) {
+    /**
+     * Forwards or buffers the next part of the body.
+     *
+     * @return whether the body is acceptable; an event beyond the maximum size is not
+     */
+    boolean onBody(byte[] bytes, long nowMillis) {
         if (mStreaming) {
             byte[] completeEvents = mSplitter.add(bytes);
             if (completeEvents.length > 0) {
                 forward(completeEvents, nowMillis);
             }
-            return;
+            return !mSplitter.exceedsMaxEventSize();
         }
         if (mStarted) {
             mWriter.write(bytes);
-            return;
+            return true;
         }
         mBuffer.writeBytes(bytes);
         if (mBuffer.size() > MAX_BUFFERED_BYTES) {
             forward(mBuffer.toByteArray(), nowMillis);
             mBuffer.reset();
         }
+        return true;
     }
 
     private void forward(byte[] bytes, long nowMillis) {
--- a/src/main/java/org/heathercourse/gateway/store/DirectChannel.java
+++ b/src/main/java/org/heathercourse/gateway/store/DirectChannel.java
@@ -37,7 +37,10 @@
  */
 public final class DirectChannel implements StoreChannel {
     private static final int CONNECT_TIMEOUT_MILLIS = 500;
-    private static final int MAX_REPLY_BYTES = 16 * 1024 * 1024;
+
+    /** Maximum size of a reply in bytes. The store's pages end at 1 MB before their encoding. */
+    private static final int MAX_REPLY_BYTES = 4 * 1024 * 1024;
+
     private static final int MAX_IDLE_CONNECTIONS = 4;
 
     private final InetSocketAddress mAddress;
--- a/src/main/java/org/heathercourse/gateway/target/TargetConnection.java
+++ b/src/main/java/org/heathercourse/gateway/target/TargetConnection.java
@@ -27,6 +27,15 @@
     private static final Pattern KEEP_ALIVE_TIMEOUT = Pattern.compile("timeout\\s*=\\s*(\\d+)");
     private static final long MILLIS_PER_SECOND = 1_000;
 
+    /**
+     * Maximum number of responses that are skipped before the one to the current request. A target
+     * in trouble may send them without end.
+     */
+    private static final int MAX_SKIPPED_RESPONSES = 8;
+
+    /** Maximum size in bytes of the bodies of skipped responses. */
+    private static final int MAX_SKIPPED_BYTES = 1024 * 1024;
+
     private final TargetPool mPool;
     private final CallFormat mFormat;
     private ChannelHandlerContext mContext;
@@ -36,6 +45,8 @@
     private boolean mSkippingResponse;
     private boolean mHeadDelivered;
     private boolean mSkippingInformational;
+    private int mSkippedResponses;
+    private long mSkippedBytes;
     private boolean mReusable;
     private boolean mClosed;
     private long mIdleSinceMillis;
@@ -78,6 +89,8 @@
         mRequestId = requestId;
         mHeadDelivered = false;
         mSkippingResponse = false;
+        mSkippedResponses = 0;
+        mSkippedBytes = 0;
         mReusable = false;
         mWriteFuture = mContext.writeAndFlush(request);
     }
@@ -132,6 +145,7 @@
         }
         mSkippingInformational = response.status().codeClass() == HttpStatusClass.INFORMATIONAL;
         if (mSkippingInformational) {
+            countSkippedResponse();
             return;
         }
         int status = response.status().code();
@@ -139,6 +153,7 @@
         mSkippingResponse = !matchesRequest(response, facts);
         if (mSkippingResponse) {
             mPool.onResponseSkipped();
+            countSkippedResponse();
             return;
         }
         mReusable = HttpUtil.isKeepAlive(response);
@@ -147,6 +162,19 @@
         mListener.onHead(status, response.status().reasonPhrase(), response.headers(), facts);
     }
 
+    private void countSkippedResponse() {
+        if (++mSkippedResponses > MAX_SKIPPED_RESPONSES) {
+            fail("the target sent " + mSkippedResponses + " responses to other requests");
+        }
+    }
+
+    private void countSkippedBytes(int bytes) {
+        mSkippedBytes += bytes;
+        if (mSkippedBytes > MAX_SKIPPED_BYTES) {
+            fail("the target sent " + mSkippedBytes + " bytes of responses to other requests");
+        }
+    }
+
     /**
      * Returns whether the response belongs to the current request. A success response must carry
      * the request id; an error response may omit it.
@@ -174,6 +202,7 @@
         }
         boolean last = content instanceof LastHttpContent;
         if (mSkippingInformational || mSkippingResponse) {
+            countSkippedBytes(content.content().readableBytes());
             if (last) {
                 mSkippingInformational = false;
                 mSkippingResponse = false;
--- a/src/main/java/org/heathercourse/gateway/target/TargetPool.java
+++ b/src/main/java/org/heathercourse/gateway/target/TargetPool.java
@@ -4,9 +4,11 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
+import io.netty.channel.ConnectTimeoutException;
 import io.netty.channel.EventLoop;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.HttpClientCodec;
+import java.net.ConnectException;
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.Iterator;
@@ -67,11 +69,45 @@
         /**
          * Called if no connection is available.
          *
-         * @param reason cause of the failure
-         * @param refused whether the target refused the connection, which suggests that its process
-         *     has ended
+         * @param cause why there is none
+         * @param detail description of the cause
          */
-        void onUnavailable(String reason, boolean refused);
+        void onUnavailable(Unavailability cause, String detail);
+    }
+
+    /** Why no connection to a target is available. */
+    public enum Unavailability {
+        /** This gateway uses its part of the target's connections; the target may be healthy. */
+        ALL_IN_USE(false, false),
+        /** The connection could not be opened in time. */
+        CONNECT_FAILED(true, false),
+        /** The target refused the connection, which suggests that its process has ended. */
+        REFUSED(true, true);
+
+        private final boolean mTargetFailure;
+        private final boolean mTargetGone;
+
+        Unavailability(boolean targetFailure, boolean targetGone) {
+            mTargetFailure = targetFailure;
+            mTargetGone = targetGone;
+        }
+
+        /** Returns whether the target is at fault and should not be preferred for a while. */
+        public boolean isTargetFailure() {
+            return mTargetFailure;
+        }
+
+        /** Returns whether the target has probably ended. */
+        public boolean isTargetGone() {
+            return mTargetGone;
+        }
+
+        static Unavailability of(Throwable connectError) {
+            boolean refused =
+                    connectError instanceof ConnectException
+                            && !(connectError instanceof ConnectTimeoutException);
+            return refused ? REFUSED : CONNECT_FAILED;
+        }
     }
 
     TargetPool(Target target, EventLoop loop, Ticker ticker, CallFormat format, PoolEvents events) {
@@ -107,7 +143,8 @@
         if (idle != null) {
             listener.onConnection(new Exchange(idle));
         } else if (mConnectionCount >= maxConnections) {
-            listener.onUnavailable("all connections to the target are in use", false);
+            listener.onUnavailable(
+                    Unavailability.ALL_IN_USE, "all connections to the target are in use");
         } else {
             connect(listener);
         }
@@ -162,15 +199,10 @@
                             } else {
                                 mConnectionCount--;
                                 mEvents.onConnectFailed();
-                                boolean refused =
-                                        done.cause() instanceof java.net.ConnectException
-                                                && !(done.cause()
-                                                        instanceof
-                                                        io.netty.channel.ConnectTimeoutException);
                                 listener.onUnavailable(
+                                        Unavailability.of(done.cause()),
                                         "cannot connect to the target: "
-                                                + done.cause().getMessage(),
-                                        refused);
+                                                + done.cause().getMessage());
                             }
                         });
     }
--- a/src/main/java/org/heathercourse/testing/hosted/TargetStandIn.java
+++ b/src/main/java/org/heathercourse/testing/hosted/TargetStandIn.java
@@ -1,6 +1,7 @@
 package org.heathercourse.testing.hosted;
 
 import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
@@ -45,7 +46,15 @@
         /** Responds with a signed status 500, as an application error. */
         FAIL,
         /** Never responds. */
-        HANG
+        HANG,
+        /** Sends an event without end, until the gateway closes the connection. */
+        ENDLESS_EVENT,
+        /** Sends informational responses without end. */
+        ENDLESS_INFORMATIONAL_RESPONSES,
+        /** Sends a response to another request, whose body has no end. */
+        ENDLESS_EXTRA_ANSWER,
+        /** Sends a header without end. */
+        ENDLESS_HEADER
     }
 
     /** Number of events in a stream. */
@@ -54,6 +63,15 @@
     private static final int EVENTS_BEFORE_BREAK = 2;
     private static final String SIGNATURE_HEADER = "X-Heathercourse-Response-Signature";
     private static final String REQUEST_ID_HEADER = "X-Heathercourse-Request-Id";
+    private static final int FLOOD_REPETITIONS = 1_000;
+
+    /** Start of the head of a response to another request. */
+    private static final String EXTRA_HEAD =
+            "HTTP/1.1 200 OK\r\n"
+                    + REQUEST_ID_HEADER
+                    + ": earlier\r\n"
+                    + SIGNATURE_HEADER
+                    + ": sig-earlier\r\n";
 
     private final String mId;
     private final StandInServer mServer;
@@ -178,6 +196,15 @@
                 case UNSIGNED -> answer(context, 200, "unsigned", false, request);
                 case FAIL -> answer(context, 500, "failed", true, request);
                 case HANG -> {}
+                case ENDLESS_EVENT -> {
+                    sendStreamHead(context, request);
+                    flood(context, "400000\r\ndata: ", "x");
+                }
+                case ENDLESS_INFORMATIONAL_RESPONSES ->
+                        flood(context, "", "HTTP/1.1 102 Processing\r\n\r\n");
+                case ENDLESS_EXTRA_ANSWER ->
+                        flood(context, EXTRA_HEAD + "Content-Length: 100000000\r\n\r\n", "x");
+                case ENDLESS_HEADER -> flood(context, "HTTP/1.1 200 OK\r\nX-Filler: ", "x");
                 default -> {
                     if (request.uri().contains("stream")) {
                         startStream(context, request, fault);
@@ -217,16 +244,25 @@
         }
 
         private void sendExtraAnswer(ChannelHandlerContext context) {
-            String extra =
-                    "HTTP/1.1 200 OK\r\n"
-                            + REQUEST_ID_HEADER
-                            + ": earlier\r\n"
-                            + SIGNATURE_HEADER
-                            + ": sig-earlier\r\nContent-Length: 5\r\n\r\nother";
-            // Bypasses the HTTP codec, which allows one response for each request.
-            context.pipeline()
+            writeRaw(context, EXTRA_HEAD + "Content-Length: 5\r\n\r\nother");
+        }
+
+        /** Writes bytes past the HTTP codec, which allows one response for each request. */
+        private ChannelFuture writeRaw(ChannelHandlerContext context, String text) {
+            return context.pipeline()
                     .firstContext()
-                    .writeAndFlush(Unpooled.copiedBuffer(extra, StandardCharsets.US_ASCII));
+                    .writeAndFlush(Unpooled.copiedBuffer(text, StandardCharsets.US_ASCII));
+        }
+
+        /** Writes a text, and then another one again and again until the connection closes. */
+        private void flood(ChannelHandlerContext context, String start, String repeated) {
+            writeRaw(context, start)
+                    .addListener(
+                            done -> {
+                                if (done.isSuccess()) {
+                                    flood(context, repeated.repeat(FLOOD_REPETITIONS), repeated);
+                                }
+                            });
         }
 
         private void sendShortBody(ChannelHandlerContext context, FullHttpRequest request) {
@@ -251,13 +287,17 @@
 
         private void startStream(
                 ChannelHandlerContext context, FullHttpRequest request, Fault fault) {
+            sendStreamHead(context, request);
+            String lastEventId = request.headers().get("Last-Event-Id");
+            sendEvent(context, lastEventId == null ? 1 : Integer.parseInt(lastEventId) + 1, fault);
+        }
+
+        private void sendStreamHead(ChannelHandlerContext context, FullHttpRequest request) {
             DefaultHttpResponse head = head(request);
             head.headers()
                     .set(HttpHeaderNames.CONTENT_TYPE, "text/event-stream")
                     .set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED);
             context.writeAndFlush(head);
-            String lastEventId = request.headers().get("Last-Event-Id");
-            sendEvent(context, lastEventId == null ? 1 : Integer.parseInt(lastEventId) + 1, fault);
         }
 
         private void sendEvent(ChannelHandlerContext context, int number, Fault fault) {
--- a/src/test/java/org/heathercourse/core/stream/EventSplitterTest.java
+++ b/src/test/java/org/heathercourse/core/stream/EventSplitterTest.java
@@ -52,6 +52,18 @@
                 .isEqualTo("rest");
     }
 
+    /** Guards against an event without end, which would fill the memory. */
+    @Test
+    void reportsAnEventBeyondTheMaximumSize() {
+        byte[] part = new byte[EventSplitter.MAX_EVENT_BYTES / 2];
+        Arrays.fill(part, (byte) 'x');
+        mSplitter.add(part);
+        mSplitter.add(part);
+        assertThat(mSplitter.exceedsMaxEventSize()).isFalse();
+        add("x");
+        assertThat(mSplitter.exceedsMaxEventSize()).isTrue();
+    }
+
     /**
      * For any division of the stream into reads, all bytes are returned and split after events
      * only.
