Let few gateways own rates and budgets in a large fleet

Cause: every gateway was an owner. With 95 gateways and 90 workspaces each gateway sorted all members by hash for each workspace (about 120,000 hashes an epoch, and again each 500 ms while an epoch settled), and nearly every request queried an owner to which its gateway had no link. Change: OwnerSelection ranks the gateways by VM; twelve, or one in eight, own rates, with the zones in turn, and six in a zone own budgets. Gateways that start stay owners, those that leave do not. Owners are found in one pass and both fractions are kept. A late read no longer replaces a newer one. Changes of many members are logged as one line for each state. Fleets of up to twelve gateways keep all of them as owners.

--- a/src/main/java/org/heathercourse/core/fleet/Fleet.java
+++ b/src/main/java/org/heathercourse/core/fleet/Fleet.java
@@ -3,20 +3,18 @@
 import java.util.ArrayList;
 import java.util.Collections;
 import java.util.Comparator;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Random;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.random.RandomGenerator;
-import java.util.stream.Stream;
 import org.heathercourse.core.model.VmId;
 import org.heathercourse.core.model.Zone;
 
-/**
- * The live gateways of a deployment at one time. Immutable and safe for use by several threads.
- *
- * @param members live gateways, in the order of their VMs
- */
-public record Fleet(List<Member> members) {
+/** The live gateways of a deployment at one time. Immutable and safe for use by several threads. */
+public final class Fleet {
     /** The fleet before any gateway is known; has no members. */
     public static final Fleet UNKNOWN = new Fleet(List.of());
 
@@ -25,22 +23,37 @@
      */
     private static final int MIN_GATEWAYS_IN_ZONE = 2;
 
-    /** Creates a fleet with a sorted copy of the members. */
-    public Fleet {
+    private final List<Member> mMembers;
+    private final Map<VmId, Member> mByVm = new HashMap<>();
+
+    /** Owners of budgets by zone, determined at the first use of a zone. */
+    private final Map<Zone, List<Member>> mBudgetOwners = new ConcurrentHashMap<>();
+
+    /**
+     * Creates a fleet.
+     *
+     * @param members live gateways, in any order
+     */
+    public Fleet(List<Member> members) {
         List<Member> sorted = new ArrayList<>(members);
         sorted.sort(Comparator.comparing(Member::vm));
-        members = List.copyOf(sorted);
+        mMembers = List.copyOf(sorted);
+        mMembers.forEach(member -> mByVm.put(member.vm(), member));
+    }
+
+    /** Returns the live gateways, in the order of their VMs. */
+    public List<Member> members() {
+        return mMembers;
     }
 
     /** Returns the member on a VM. */
     public Optional<Member> member(VmId vm) {
-        return members.stream().filter(m -> m.vm().equals(vm)).findFirst();
+        return Optional.ofNullable(mByVm.get(vm));
     }
 
     /** Returns the number of gateways in a zone that accept new callers. */
     public int readyCount(Zone zone) {
-        return (int)
-                members.stream().filter(m -> acceptsNewCallers(m) && m.zone().equals(zone)).count();
+        return readyMembers(zone).size();
     }
 
     /**
@@ -53,43 +66,65 @@
      * @param random selects the addresses to leave out if there are too many
      */
     public List<String> recommendedAddresses(Zone zone, int maxCount, RandomGenerator random) {
-        List<Member> chosen = new ArrayList<>();
-        members.stream()
-                .filter(m -> acceptsNewCallers(m) && m.zone().equals(zone))
-                .forEach(chosen::add);
+        List<Member> chosen = readyMembers(zone);
         if (chosen.size() < MIN_GATEWAYS_IN_ZONE) {
-            members.stream()
-                    .filter(m -> acceptsNewCallers(m) && !m.zone().equals(zone))
-                    .forEach(chosen::add);
+            readyMembers().stream().filter(m -> !m.zone().equals(zone)).forEach(chosen::add);
         }
         Collections.shuffle(chosen, new Random(random.nextLong()));
         return chosen.stream().limit(maxCount).map(Member::callerAddress).toList();
     }
 
     /**
-     * Returns the gateway that owns a key: a gateway in the given zone if one there accepts new
-     * callers, so that requests to it are fast.
+     * Returns the gateway that owns the budget of a program: a gateway in the given zone if one
+     * there accepts new callers, so that requests to it are fast.
      *
-     * @param key the key
+     * @param program key of the program
      * @param zone zone of the requesting gateway
      * @return the owner; empty if no gateway accepts new callers
      */
-    public Optional<Member> ownerOf(String key, Zone zone) {
-        Optional<Member> ownerInZone =
-                highestWeight(
-                        key,
-                        members.stream()
-                                .filter(m -> acceptsNewCallers(m) && m.zone().equals(zone)));
-        return ownerInZone.isPresent()
-                ? ownerInZone
-                : highestWeight(key, members.stream().filter(Fleet::acceptsNewCallers));
+    public Optional<Member> budgetOwner(String program, Zone zone) {
+        Member owner = null;
+        long ownerWeight = 0;
+        for (Member member : mBudgetOwners.computeIfAbsent(zone, this::findBudgetOwners)) {
+            long weight = Rendezvous.weight(program, member.vm().value());
+            if (owner == null || weight > ownerWeight) {
+                owner = member;
+                ownerWeight = weight;
+            }
+        }
+        return Optional.ofNullable(owner);
     }
 
-    private static Optional<Member> highestWeight(String key, Stream<Member> members) {
-        return members.max(Comparator.comparingLong(m -> Rendezvous.weight(key, m.vm().value())));
+    private List<Member> findBudgetOwners(Zone zone) {
+        List<Member> ready = readyMembers(zone);
+        return OwnerSelection.budgetOwners(
+                OwnerSelection.rank(ready.isEmpty() ? readyMembers() : ready));
     }
 
-    private static boolean acceptsNewCallers(Member member) {
-        return member.state().acceptsNewCallers();
+    /**
+     * Returns the gateways among which the workspaces' rates should be divided. Gateways that start
+     * are included, so that a restart of all gateways does not change the owners.
+     */
+    public List<Member> rateOwners() {
+        List<Member> candidates = new ArrayList<>(mMembers);
+        candidates.removeIf(member -> member.state() == MemberState.LEAVING);
+        return OwnerSelection.rateOwners(
+                OwnerSelection.rank(candidates.isEmpty() ? mMembers : candidates));
+    }
+
+    private List<Member> readyMembers(Zone zone) {
+        List<Member> ready = readyMembers();
+        ready.removeIf(member -> !member.zone().equals(zone));
+        return ready;
+    }
+
+    private List<Member> readyMembers() {
+        List<Member> ready = new ArrayList<>();
+        for (Member member : mMembers) {
+            if (member.state().acceptsNewCallers()) {
+                ready.add(member);
+            }
+        }
+        return ready;
     }
 }
--- a/src/main/java/org/heathercourse/core/limits/RateFractions.java
+++ b/src/main/java/org/heathercourse/core/limits/RateFractions.java
@@ -33,7 +33,8 @@
     private final String mSelf;
     private final SuspendAwareClock mClock;
     private final Map<String, List<String>> mOwners = new HashMap<>();
-    private final Map<String, Double> mFractions = new HashMap<>();
+    private final Map<String, Double> mCurrentFractions = new HashMap<>();
+    private final Map<String, Double> mPreviousFractions = new HashMap<>();
     private ShareEpoch mEpoch;
     private SuspendAwareClock.Timestamp mFirstSeen;
     private SuspendAwareClock.Timestamp mReadStarted;
@@ -62,8 +63,12 @@
         if (mEpoch == null || epoch.number() > mEpoch.number()) {
             mEpoch = epoch;
             mOwners.clear();
-            mFractions.clear();
+            mCurrentFractions.clear();
+            mPreviousFractions.clear();
             mFirstSeen = mClock.now();
+        } else if (mClock.millisSince(started) > mClock.millisSince(mReadStarted)) {
+            // Replies may overtake each other; the newest read counts.
+            return;
         }
         mReadStarted = started;
     }
@@ -86,14 +91,14 @@
         if (mEpoch == null || mClock.millisSince(mReadStarted) >= READ_VALID_MILLIS) {
             return 0;
         }
-        double current = mFractions.computeIfAbsent(workspace, this::currentFraction);
+        double current = fraction(mCurrentFractions, mEpoch.current(), workspace);
         return isSettled(mClock.millisSince(mFirstSeen))
                 ? current
-                : Math.min(current, mEpoch.previous().fraction(mSelf, workspace));
+                : Math.min(current, fraction(mPreviousFractions, mEpoch.previous(), workspace));
     }
 
-    private double currentFraction(String workspace) {
-        return mEpoch.current().fraction(mSelf, workspace);
+    private double fraction(Map<String, Double> cache, ShareTable table, String workspace) {
+        return cache.computeIfAbsent(workspace, name -> table.fraction(mSelf, name));
     }
 
     /** Returns the VMs that own a workspace's rate; empty if no epoch has been read. */
--- a/src/main/java/org/heathercourse/core/limits/ShareTable.java
+++ b/src/main/java/org/heathercourse/core/limits/ShareTable.java
@@ -2,7 +2,6 @@
 
 import java.util.ArrayList;
 import java.util.Collection;
-import java.util.Comparator;
 import java.util.List;
 import java.util.Set;
 import org.heathercourse.core.fleet.Rendezvous;
@@ -22,18 +21,31 @@
      */
     static final int OWNERS_PER_WORKSPACE = 2;
 
-    /** Creates a table with a copy of the members. */
+    /** Creates a table with a copy of the members without duplicates. */
     public ShareTable {
-        members = List.copyOf(members);
+        members = members.stream().distinct().toList();
     }
 
     /** Returns the owners of a workspace's rate; the same on all gateways that read this table. */
     public List<String> owners(String workspace) {
-        List<String> sorted = new ArrayList<>(members);
-        sorted.sort(
-                Comparator.comparingLong((String vm) -> Rendezvous.weight(workspace, vm))
-                        .reversed());
-        return List.copyOf(sorted.subList(0, Math.min(OWNERS_PER_WORKSPACE, sorted.size())));
+        List<String> owners = new ArrayList<>();
+        while (owners.size() < Math.min(OWNERS_PER_WORKSPACE, members.size())) {
+            owners.add(highestWeight(workspace, owners));
+        }
+        return List.copyOf(owners);
+    }
+
+    private String highestWeight(String workspace, List<String> excluded) {
+        String best = null;
+        long bestWeight = 0;
+        for (String member : members) {
+            long weight = Rendezvous.weight(workspace, member);
+            if (!excluded.contains(member) && (best == null || weight > bestWeight)) {
+                best = member;
+                bestWeight = weight;
+            }
+        }
+        return best;
     }
 
     /** Returns the fraction, from 0 to 1, of a workspace's rate that a member owns. */
--- a/src/main/java/org/heathercourse/gateway/control/BudgetService.java
+++ b/src/main/java/org/heathercourse/gateway/control/BudgetService.java
@@ -83,7 +83,7 @@
     }
 
     private CompletableFuture<Reservation> reserveOnce(BudgetReserve request) {
-        Optional<Member> owner = mClusterView.fleet().ownerOf(request.program(), mZone);
+        Optional<Member> owner = mClusterView.fleet().budgetOwner(request.program(), mZone);
         if (owner.isEmpty() || owner.get().vm().equals(mSelf.vm())) {
             return reserveLocally(request);
         }
@@ -168,7 +168,7 @@
                 program ->
                         mClusterView
                                 .fleet()
-                                .ownerOf(program, mZone)
+                                .budgetOwner(program, mZone)
                                 .filter(owner -> !owner.vm().equals(mSelf.vm()))
                                 .isPresent());
     }
--- a/src/main/java/org/heathercourse/gateway/control/MembershipLoop.java
+++ b/src/main/java/org/heathercourse/gateway/control/MembershipLoop.java
@@ -1,7 +1,9 @@
 package org.heathercourse.gateway.control;
 
 import java.util.ArrayList;
+import java.util.EnumMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ScheduledExecutorService;
@@ -253,7 +255,9 @@
         }
     }
 
+    /** Logs one line for each state, as a whole fleet that starts changes in a few reads. */
     private void logMemberChanges(Fleet before, Fleet after) {
+        Map<MemberState, List<VmId>> changed = new EnumMap<>(MemberState.class);
         for (Member member : after.members()) {
             Optional<Member> previous = before.member(member.vm());
             boolean isUnchanged =
@@ -261,9 +265,10 @@
                             && previous.get().incarnation() == member.incarnation()
                             && previous.get().state() == member.state();
             if (!isUnchanged) {
-                LOG.info("member", "vm", member.vm(), "state", member.state());
+                changed.computeIfAbsent(member.state(), s -> new ArrayList<>()).add(member.vm());
             }
         }
+        changed.forEach((state, vms) -> LOG.info("member", "state", state, "vms", vms));
         for (Member member : before.members()) {
             if (after.member(member.vm()).isEmpty()) {
                 LOG.info("member_dead", "vm", member.vm(), "heartbeat", member.heartbeat());
@@ -285,7 +290,7 @@
 
     private void writeShares(Fleet fleet) {
         ShareTable table =
-                new ShareTable(fleet.members().stream().map(m -> m.vm().value()).toList());
+                new ShareTable(fleet.rateOwners().stream().map(m -> m.vm().value()).toList());
         ShareEpoch epoch = mRateFractions.epoch();
         if (epoch != null && !epoch.current().membersDifferFrom(table)) {
             return;
--- a/src/test/java/org/heathercourse/core/fleet/FleetTest.java
+++ b/src/test/java/org/heathercourse/core/fleet/FleetTest.java
@@ -4,9 +4,12 @@
 
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.SplittableRandom;
+import org.heathercourse.core.limits.ShareTable;
 import org.heathercourse.core.model.VmId;
 import org.heathercourse.core.model.Zone;
 import org.heathercourse.core.time.TestTime;
@@ -78,16 +81,80 @@
         Fleet remaining = new Fleet(members.subList(1, members.size()));
         Map<String, Integer> counts = new HashMap<>();
         for (int i = 0; i < 600; i++) {
-            Member owner = all.ownerOf("p" + i, NORTH).get();
+            Member owner = all.budgetOwner("p" + i, NORTH).get();
             assertThat(owner.zone()).isEqualTo(NORTH);
             counts.merge(owner.vm().value(), 1, Integer::sum);
             if (!owner.equals(leaving)) {
-                assertThat(remaining.ownerOf("p" + i, NORTH)).contains(owner);
+                assertThat(remaining.budgetOwner("p" + i, NORTH)).contains(owner);
             }
         }
         assertThat(counts.values()).hasSize(6).allMatch(count -> count > 60);
     }
 
+    private static List<Member> gateways(int zones, int perZone) {
+        List<Member> members = new ArrayList<>();
+        for (int zone = 0; zone < zones; zone++) {
+            for (int i = 0; i < perZone; i++) {
+                members.add(ready("z" + zone + "-" + i, new Zone("z" + zone)));
+            }
+        }
+        return members;
+    }
+
+    /** Guards against fewer owners than gateways in the small fleets that need each of them. */
+    @Test
+    void allGatewaysOfSmallFleetOwnRates() {
+        assertThat(new Fleet(gateways(4, 3)).rateOwners()).hasSize(12);
+    }
+
+    /**
+     * Guards against links that grow with the square of the fleet. Replays a large fleet in which
+     * each gateway serves a hundred requests, each of another workspace and program.
+     */
+    @Test
+    void requestsOfLargeFleetReachFewOwners() {
+        Fleet fleet = new Fleet(gateways(5, 19));
+        ShareTable shares =
+                new ShareTable(fleet.rateOwners().stream().map(m -> m.vm().value()).toList());
+        SplittableRandom random = new SplittableRandom(5);
+        Set<String> owners = new HashSet<>();
+        for (int i = 0; i < 100; i++) {
+            owners.addAll(shares.owners("w" + random.nextInt(90)));
+            owners.add(fleet.budgetOwner("p" + i, new Zone("z1")).get().vm().value());
+        }
+        assertThat(owners).hasSizeBetween(12, 18);
+    }
+
+    /** Guards against a lost zone that takes most owners, and against owners that change often. */
+    @Test
+    void ownersAreSpreadOverZonesAndOutlastOtherGateways() {
+        List<Member> members = gateways(5, 19);
+        List<Member> owners = new Fleet(members).rateOwners();
+        Map<Zone, Integer> counts = new HashMap<>();
+        owners.forEach(owner -> counts.merge(owner.zone(), 1, Integer::sum));
+        assertThat(counts).hasSize(5);
+        assertThat(counts.values()).allMatch(count -> count == 2 || count == 3);
+        for (Member lost : members) {
+            List<Member> remaining = new ArrayList<>(members);
+            remaining.remove(lost);
+            List<Member> after = new ArrayList<>(new Fleet(remaining).rateOwners());
+            after.retainAll(owners);
+            assertThat(after).hasSize(owners.contains(lost) ? 11 : 12);
+        }
+    }
+
+    /** Guards against rates that are moved to the few gateways that are ready after a restart. */
+    @Test
+    void startingGatewaysOwnRatesAndLeavingOnesDoNot() {
+        Fleet fleet =
+                new Fleet(
+                        List.of(
+                                member("a", NORTH, MemberState.LEAVING, 1),
+                                member("b", NORTH, MemberState.STARTING, 1),
+                                ready("c", SOUTH)));
+        assertThat(fleet.rateOwners()).extracting(m -> m.vm().value()).containsOnly("b", "c");
+    }
+
     @Test
     void gatewayIsDeadAfterThreePeriodsWithoutHeartbeat() {
         mLiveness.update(List.of(member("a", NORTH, MemberState.READY, 1)));
--- a/src/test/java/org/heathercourse/core/limits/RateFractionsTest.java
+++ b/src/test/java/org/heathercourse/core/limits/RateFractionsTest.java
@@ -32,6 +32,20 @@
         return gateways;
     }
 
+    /** Guards against a late reply that shortens the validity of a newer one. */
+    @Test
+    void lateReplyDoesNotReplaceNewerRead() {
+        TestTime time = new TestTime();
+        ShareEpoch epoch = ShareEpoch.first(table(0));
+        RateFractions fractions = gateways(time, epoch, 1).get(0);
+        SuspendAwareClock.Timestamp olderRead = time.suspendAwareClock().now();
+        time.advanceMillis(3_000);
+        fractions.onRead(epoch, time.suspendAwareClock().now());
+        fractions.onRead(epoch, olderRead);
+        time.advanceMillis(RateFractions.READ_VALID_MILLIS - 1);
+        assertThat(fractions.fraction("w")).isEqualTo(1);
+    }
+
     @Test
     void twoGatewaysOwnEqualPartsOfEachRate() {
         ShareTable table = table(0, 1, 2, 3, 4, 5);
