--- a/src/main/java/org/heathercourse/cli/Main.java
+++ b/src/main/java/org/heathercourse/cli/Main.java
@@ -1,6 +1,7 @@
 package org.heathercourse.cli;
 
 import java.util.Arrays;
+import java.util.List;
 import java.util.Locale;
 import java.util.Optional;
 import org.heathercourse.daemon.DaemonMain;
@@ -43,7 +44,7 @@
         HOSTED_DEMO("run gateways against stand-ins of a hosted platform") {
             @Override
             void run(String[] arguments) throws Exception {
-                System.exit(HostedDemo.run(System.out) ? 0 : 1);
+                System.exit(HostedDemo.run(List.of(arguments), System.out) ? 0 : 1);
             }
         },
         STANDINS("run stand-ins of the outside services for tests on one machine") {
--- a/src/main/java/org/heathercourse/testing/hosted/HostedDemo.java
+++ b/src/main/java/org/heathercourse/testing/hosted/HostedDemo.java
@@ -17,32 +17,37 @@
 /**
  * Starts two gateways and simulated targets and sends requests of each route type.
  *
- * <p>Demonstrates the hosted platform; the build also runs it to record the classes for its class
- * data archive.
+ * <p>Demonstrates the hosted platform. The build runs it with gateways as processes of their own,
+ * which record the classes for the class data archive.
  */
 public final class HostedDemo {
     private static final long READY_TIMEOUT_MILLIS = 15_000;
     private static final long POLL_INTERVAL_MILLIS = 100;
     private static final int HTTP_OK = 200;
     private static final int ROUNDS = 40;
+    private static final int GATEWAYS = 2;
 
     private HostedDemo() {}
 
     /**
      * Runs the demonstration.
      *
+     * @param gatewayCommand program and arguments that start a gateway process; if empty, the
+     *     gateways run in this process
      * @param out receives a line for each request
      * @return whether all requests succeeded
      * @throws IOException if a gateway cannot be reached
      * @throws InterruptedException if the thread is interrupted
      */
-    public static boolean run(PrintStream out) throws IOException, InterruptedException {
+    public static boolean run(List<String> gatewayCommand, PrintStream out)
+            throws IOException, InterruptedException {
         LogSetup.configureQueued(LogLevel.WARN);
         OkHttpClient client = new OkHttpClient.Builder().callTimeout(5, TimeUnit.SECONDS).build();
         try (HostedDeployment deployment = new HostedDeployment()) {
-            deployment.addGateway("vm-1");
-            deployment.addGateway("vm-2");
-            for (int i = 0; i < 2; i++) {
+            for (int i = 0; i < GATEWAYS; i++) {
+                addGateway(deployment, "vm-" + i, gatewayCommand);
+            }
+            for (int i = 0; i < GATEWAYS; i++) {
                 if (!awaitReady(client, deployment.settings(i))) {
                     out.println(
                             "gateway " + i + " is not ready after " + READY_TIMEOUT_MILLIS + " ms");
@@ -56,6 +61,15 @@
         }
     }
 
+    private static void addGateway(
+            HostedDeployment deployment, String vm, List<String> gatewayCommand) {
+        if (gatewayCommand.isEmpty()) {
+            deployment.addGateway(vm);
+        } else {
+            deployment.addGatewayProcess(vm, gatewayCommand);
+        }
+    }
+
     private static boolean awaitReady(OkHttpClient client, Settings settings)
             throws InterruptedException {
         String url = "http://" + settings.text(Setting.READINESS_ADDRESS) + "/api/readiness";
@@ -80,7 +94,7 @@
             OkHttpClient client, HostedDeployment deployment, PrintStream out) throws IOException {
         boolean allSucceeded = true;
         for (int i = 0; i < ROUNDS; i++) {
-            Settings settings = deployment.settings(i % 2);
+            Settings settings = deployment.settings(i % GATEWAYS);
             for (String path : List.of("/stream/turn", "/read/notice", "/order/yarn")) {
                 allSucceeded &= sendRequest(client, settings, path, i, out) == HTTP_OK;
             }
--- a/src/main/java/org/heathercourse/testing/hosted/HostedDeployment.java
+++ b/src/main/java/org/heathercourse/testing/hosted/HostedDeployment.java
@@ -37,6 +37,7 @@
     private final TargetStandIn mEngineB = new TargetStandIn("engine-b");
     private final TargetStandIn mPlain = new TargetStandIn("plain-a");
     private final List<Gateway> mGateways = new ArrayList<>();
+    private final List<GatewayProcess> mProcesses = new ArrayList<>();
     private final List<Settings> mSettings = new ArrayList<>();
     private long mVersion;
 
@@ -98,8 +99,7 @@
      * @return the settings that it runs with
      */
     public Settings addGateway(String vm, StoreStandIn store) {
-        Settings settings =
-                Settings.parse(Program.GATEWAY, new String[0], environment(vm, store)).get();
+        Settings settings = parse(environment(vm, store));
         HostedPlatform platform =
                 ServiceLoader.load(HostedPlatform.class).findFirst().orElseThrow();
         Gateway gateway =
@@ -111,6 +111,25 @@
         return settings;
     }
 
+    /**
+     * Starts a gateway as a process of its own.
+     *
+     * @param vm identity of its VM
+     * @param command program and arguments that start a gateway
+     * @return the settings that it runs with
+     */
+    Settings addGatewayProcess(String vm, List<String> command) {
+        Map<String, String> environment = environment(vm, mStore);
+        Settings settings = parse(environment);
+        mProcesses.add(GatewayProcess.start(command, environment));
+        mSettings.add(settings);
+        return settings;
+    }
+
+    private static Settings parse(Map<String, String> environment) {
+        return Settings.parse(Program.GATEWAY, new String[0], environment).get();
+    }
+
     private Map<String, String> environment(String vm, StoreStandIn store) {
         Map<String, String> environment = new HashMap<>();
         environment.put(Setting.PLATFORM.environmentVariable(), "hosted");
@@ -169,12 +188,12 @@
         return mPlain;
     }
 
-    /** Returns the gateways in the order of their start. */
+    /** Returns the gateways of this process in the order of their start. */
     public List<Gateway> gateways() {
         return mGateways;
     }
 
-    /** Returns the settings of the gateway with an index in {@link #gateways()}. */
+    /** Returns the settings of a gateway by its position in the order of the starts. */
     public Settings settings(int gateway) {
         return mSettings.get(gateway);
     }
@@ -182,6 +201,7 @@
     @Override
     public void close() {
         mGateways.forEach(Gateway::close);
+        mProcesses.forEach(GatewayProcess::close);
         mStore.close();
         mEngineA.close();
         mEngineB.close();
