Admit small bursts at once

Half of the burst came at once and was halved again between two owners, so that a group of five calls found two tokens. Change: up to ten requests of the burst may come at once; the sum over any 5 s stays the rate and one burst, as the rest of the burst is what adds to the rate. Workspaces with bursts above twenty are as before.

--- a/src/main/java/org/heathercourse/core/limits/WorkspaceRates.java
+++ b/src/main/java/org/heathercourse/core/limits/WorkspaceRates.java
@@ -35,6 +35,13 @@
      */
     private static final double IMMEDIATE_BURST_RATIO = 0.5;
 
+    /**
+     * Burst in requests up to which all of it may be admitted at once. A program sends about this
+     * many calls together; half of a small burst would reject most of them, however idle the
+     * workspace was before.
+     */
+    private static final double WHOLE_BURST_REQUESTS = 10;
+
     /** Time in milliseconds during which a refunded token can be used again. */
     private static final long REFUND_VALID_MILLIS = 1_000;
 
@@ -148,7 +155,7 @@
                 mRateStates.computeIfAbsent(workspace.name(), name -> new RateState(nowNanos));
         boolean canGrant = nowNanos >= mGrantsFromNanos;
         double fraction = canGrant ? mShares.fraction(workspace.name()) : 0;
-        double immediateBurst = workspace.burst() * IMMEDIATE_BURST_RATIO;
+        double immediateBurst = immediateBurst(workspace.burst());
         double ratePerSecond =
                 workspace.ratePerSecond() + (workspace.burst() - immediateBurst) / WINDOW_SECONDS;
         // A bucket with a capacity below one token would never grant one.
@@ -156,4 +163,8 @@
         rateState.mBucket.reconfigure(ratePerSecond * fraction, capacity, nowNanos);
         return rateState;
     }
+
+    private static double immediateBurst(double burst) {
+        return Math.max(burst * IMMEDIATE_BURST_RATIO, Math.min(burst, WHOLE_BURST_REQUESTS));
+    }
 }
--- a/src/test/java/org/heathercourse/core/limits/WorkspaceRatesTest.java
+++ b/src/test/java/org/heathercourse/core/limits/WorkspaceRatesTest.java
@@ -144,6 +144,24 @@
         assertThat(admitted).isBetween(40, 42);
     }
 
+    /**
+     * Replays a large fleet, whose workspaces have rates of a few requests a second. A program that
+     * sends its calls together after a pause must get the burst of its workspace.
+     */
+    @Test
+    void smallWorkspaceGetsItsWholeBurstAtOnce() {
+        start();
+        Workspace small = new Workspace("w", Set.of("k"), OptionalInt.empty(), 6, 6);
+        mGateways.forEach(gateway -> gateway.refresh(List.of(small)));
+        advanceMillis(2_000);
+        int admitted = 0;
+        for (int i = 0; i < 12; i++) {
+            WorkspaceRates owner = mGateways.get(owner(i % 2));
+            admitted += owner.reserve(small, begunRequest(0)).granted() ? 1 : 0;
+        }
+        assertThat(admitted).isEqualTo(6);
+    }
+
     /**
      * Programs send their calls in groups to random gateways, below the rate on average. A rate
      * split over all gateways would reject a sixth of the calls, because most tokens would be at
