Read the rows of all members less often in a calm large fleet

Change: MemberReadPolicy. The three next leaders read with each heartbeat, the others each third time while nothing changes, and read the shares alone in between. Fleets of up to sixteen gateways read as before.

--- a/src/main/java/org/heathercourse/core/fleet/Fleet.java
+++ b/src/main/java/org/heathercourse/core/fleet/Fleet.java
@@ -106,12 +106,26 @@
      * are included, so that a restart of all gateways does not change the owners.
      */
     public List<Member> rateOwners() {
-        List<Member> candidates = new ArrayList<>(mMembers);
-        candidates.removeIf(member -> member.state() == MemberState.LEAVING);
+        List<Member> candidates = leaderOrder();
         return OwnerSelection.rateOwners(
                 OwnerSelection.rank(candidates.isEmpty() ? mMembers : candidates));
     }
 
+    /**
+     * Returns the gateways in the order in which they lead: the first one that is live and does not
+     * leave is the leader.
+     */
+    public List<Member> leaderOrder() {
+        return mMembers.stream().filter(m -> m.state() != MemberState.LEAVING).toList();
+    }
+
+    /** Returns whether members came, went, restarted or changed their state since another view. */
+    public boolean differsFrom(Fleet earlier) {
+        return mMembers.size() != earlier.mMembers.size()
+                || mMembers.stream()
+                        .anyMatch(m -> !m.isSameProcessAndState(earlier.mByVm.get(m.vm())));
+    }
+
     private List<Member> readyMembers(Zone zone) {
         List<Member> ready = readyMembers();
         ready.removeIf(member -> !member.zone().equals(zone));
--- a/src/main/java/org/heathercourse/core/fleet/Liveness.java
+++ b/src/main/java/org/heathercourse/core/fleet/Liveness.java
@@ -37,12 +37,23 @@
     }
 
     /**
-     * Records the rows that were read.
+     * Records the rows that were read one period after the previous ones.
      *
      * @param rows rows of all members
      * @return the live members
      */
     public Fleet update(List<Member> rows) {
+        return update(rows, 1);
+    }
+
+    /**
+     * Records the rows that were read.
+     *
+     * @param rows rows of all members
+     * @param plannedPeriods periods after the previous read at which this one was planned
+     * @return the live members
+     */
+    public Fleet update(List<Member> rows, int plannedPeriods) {
         SuspendAwareClock.Timestamp now = mClock.now();
         List<Member> live = new ArrayList<>();
         Map<VmId, ObservedHeartbeat> observed = new HashMap<>();
@@ -53,7 +64,9 @@
                             || previous.incarnation() != row.incarnation()
                             || previous.heartbeat() != row.heartbeat();
             boolean longReadGap =
-                    mLastRead != null && mClock.millisSince(mLastRead) > row.periodMillis() * 2;
+                    mLastRead != null
+                            && mClock.millisSince(mLastRead)
+                                    > row.periodMillis() * (plannedPeriods + 1);
             ObservedHeartbeat current =
                     changed || longReadGap
                             ? new ObservedHeartbeat(row.incarnation(), row.heartbeat(), now)
--- a/src/main/java/org/heathercourse/core/fleet/Member.java
+++ b/src/main/java/org/heathercourse/core/fleet/Member.java
@@ -26,6 +26,15 @@
         MemberState state,
         long heartbeat,
         long periodMillis) {
+    /**
+     * Returns whether another row describes the same process in the same state.
+     *
+     * @param other the other row; null for none
+     */
+    public boolean isSameProcessAndState(Member other) {
+        return other != null && incarnation == other.incarnation && state == other.state;
+    }
+
     /** Returns this member with the values of its next heartbeat. */
     public Member withHeartbeat(MemberState newState, long newPeriodMillis) {
         return new Member(
--- a/src/main/java/org/heathercourse/gateway/control/MembershipLoop.java
+++ b/src/main/java/org/heathercourse/gateway/control/MembershipLoop.java
@@ -12,6 +12,7 @@
 import org.heathercourse.core.fleet.Fleet;
 import org.heathercourse.core.fleet.Liveness;
 import org.heathercourse.core.fleet.Member;
+import org.heathercourse.core.fleet.MemberReadPolicy;
 import org.heathercourse.core.fleet.MemberState;
 import org.heathercourse.core.limits.RateFractions;
 import org.heathercourse.core.limits.ShareEpoch;
@@ -62,6 +63,7 @@
     private final RateFractions mRateFractions;
     private final Supplier<MemberState> mStateSupplier;
     private final Liveness mLiveness;
+    private final MemberReadPolicy mReadPolicy;
     private Member mSelf;
     private long mSharesVersion;
     private boolean mHealthy = true;
@@ -89,6 +91,7 @@
         mSelf = self;
         mStateSupplier = stateSupplier;
         mLiveness = new Liveness(ticker);
+        mReadPolicy = new MemberReadPolicy(self.vm());
     }
 
     void start() {
@@ -116,7 +119,7 @@
             return;
         }
         writeSelf()
-                .thenComposeAsync(committed -> readAll(), mControl)
+                .thenComposeAsync(committed -> readAfterHeartbeat(), mControl)
                 .whenCompleteAsync(this::onHeartbeatEnded, mControl);
     }
 
@@ -132,6 +135,10 @@
         return Math.max(MIN_PERIOD_MILLIS, (long) (PERIOD_PER_MEMBER_MILLIS * members));
     }
 
+    private CompletableFuture<Void> readAfterHeartbeat() {
+        return mReadPolicy.readsNow(mClusterView.fleet()) ? readAll() : readShares();
+    }
+
     private CompletableFuture<Void> readAll() {
         return readFrom("", new ArrayList<>(), mTicker.now());
     }
@@ -186,9 +193,9 @@
                 TimeUnit.MILLISECONDS);
     }
 
-    private void readShares() {
+    private CompletableFuture<Void> readShares() {
         SuspendAwareClock.Timestamp readStart = mTicker.now();
-        mStore.read(SHARES)
+        return mStore.read(SHARES)
                 .thenAcceptAsync(
                         row ->
                                 JsonRowCodec.decode(row, ShareEpoch.class)
@@ -217,8 +224,9 @@
             }
         }
         Fleet before = mClusterView.fleet();
-        Fleet fleet = mLiveness.update(members);
+        Fleet fleet = mLiveness.update(members, mReadPolicy.heartbeatsSinceRead());
         mClusterView.setFleet(fleet);
+        mReadPolicy.onRead(fleet.differsFrom(before));
         logMemberChanges(before, fleet);
         if (isLeader(fleet)) {
             removeDeadMembers(rows);
@@ -259,12 +267,7 @@
     private void logMemberChanges(Fleet before, Fleet after) {
         Map<MemberState, List<VmId>> changed = new EnumMap<>(MemberState.class);
         for (Member member : after.members()) {
-            Optional<Member> previous = before.member(member.vm());
-            boolean isUnchanged =
-                    previous.isPresent()
-                            && previous.get().incarnation() == member.incarnation()
-                            && previous.get().state() == member.state();
-            if (!isUnchanged) {
+            if (!member.isSameProcessAndState(before.member(member.vm()).orElse(null))) {
                 changed.computeIfAbsent(member.state(), s -> new ArrayList<>()).add(member.vm());
             }
         }
@@ -281,8 +284,7 @@
      * Conditional writes in the store resolve differing views.
      */
     private boolean isLeader(Fleet fleet) {
-        return fleet.members().stream()
-                .filter(member -> member.state() != MemberState.LEAVING)
+        return fleet.leaderOrder().stream()
                 .findFirst()
                 .filter(first -> first.vm().equals(mSelf.vm()))
                 .isPresent();
--- a/src/test/java/org/heathercourse/daemon/http/CallerServerTest.java
+++ b/src/test/java/org/heathercourse/daemon/http/CallerServerTest.java
@@ -148,7 +148,11 @@
                                 calls,
                                 programs,
                                 random);
-        start(HttpSettings.builder().idleTimeoutMillis(IDLE_TIMEOUT_MILLIS).build(), calls, programs, random);
+        start(
+                HttpSettings.builder().idleTimeoutMillis(IDLE_TIMEOUT_MILLIS).build(),
+                calls,
+                programs,
+                random);
     }
 
     private void start(
