--- a/src/main/java/org/heathercourse/testing/hosted/HostedDeployment.java
+++ b/src/main/java/org/heathercourse/testing/hosted/HostedDeployment.java
@@ -19,7 +19,8 @@
 import org.heathercourse.platform.entry.HostedPlatform;
 
 /**
- * A store, two model engines, a plain target and gateways on loopback ports of one process.
+ * A store, two model engines, a plain target and gateways on loopback ports. Gateways run in this
+ * process or in processes of their own.
  *
  * <p>Life cycle: create, {@link #addGateway}, {@link #close}. Not thread-safe.
  */
