--- a/src/main/java/org/heathercourse/gateway/control/TableFollower.java
+++ b/src/main/java/org/heathercourse/gateway/control/TableFollower.java
@@ -5,6 +5,7 @@
 import java.util.concurrent.CompletionException;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
+import java.util.function.LongSupplier;
 import org.heathercourse.core.freshness.ReadFreshness;
 import org.heathercourse.core.time.SuspendAwareClock;
 import org.heathercourse.log.EventLog;
@@ -54,7 +55,7 @@
     }
 
     private final String mTable;
-    private final long mMaxWaitMillis;
+    private final LongSupplier mMaxWaitMillis;
     private final RowStore mStore;
     private final ScheduledExecutorService mControl;
     private final SuspendAwareClock mTicker;
@@ -71,7 +72,7 @@
      */
     TableFollower(
             String table,
-            long maxWaitMillis,
+            LongSupplier maxWaitMillis,
             RowStore store,
             ScheduledExecutorService control,
             SuspendAwareClock ticker,
@@ -127,7 +128,7 @@
 
     private void readChanges(long afterVersion) {
         SuspendAwareClock.Timestamp readStart = mTicker.now();
-        mStore.changes(mTable, afterVersion, mMaxWaitMillis)
+        mStore.changes(mTable, afterVersion, mMaxWaitMillis.getAsLong())
                 .whenCompleteAsync(
                         (page, error) -> onChanges(afterVersion, readStart, page, error), mControl);
     }
