--- a/src/main/java/org/heathercourse/core/limits/WorkspaceRates.java
+++ b/src/main/java/org/heathercourse/core/limits/WorkspaceRates.java
@@ -2,6 +2,7 @@
 
 import java.util.HashMap;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
 import org.heathercourse.core.routing.Workspace;
 import org.heathercourse.core.time.Ticker;
@@ -141,12 +142,12 @@
 
     /** Returns a description of a workspace's rate and its owners, for messages. */
     public String describe(Workspace workspace) {
-        // Not formatted with Formatter: its locale data costs each gateway tens of milliseconds.
-        return workspace.ratePerSecond()
-                + "/s with a burst of "
-                + workspace.burst()
-                + ", owned by "
-                + owners(workspace);
+        return String.format(
+                Locale.ROOT,
+                "%.1f/s with a burst of %.0f, owned by %s",
+                workspace.ratePerSecond(),
+                workspace.burst(),
+                owners(workspace));
     }
 
     private RateState rateState(Workspace workspace, long nowNanos) {
--- a/src/main/java/org/heathercourse/gateway/control/ConfigurationFollower.java
+++ b/src/main/java/org/heathercourse/gateway/control/ConfigurationFollower.java
@@ -16,15 +16,10 @@
  */
 final class ConfigurationFollower implements TableFollower.Listener {
     /**
-     * Time in milliseconds for which the store holds a read. Short, because keys are accepted only
-     * while the configuration is recent.
+     * Maximum time in milliseconds for which the store holds a read. Short, because keys are
+     * accepted only while the configuration is recent.
      */
-    private static final long MIN_WAIT_MILLIS = 500;
-
-    /** Added time for each gateway, which bounds the reads of a large fleet and their CPU time. */
-    private static final long WAIT_PER_MEMBER_MILLIS = 5;
-
-    private static final long MAX_WAIT_MILLIS = 1_000;
+    private static final long MAX_WAIT_MILLIS = 500;
 
     private static final EventLog LOG = EventLog.of(ConfigurationFollower.class);
 
@@ -41,12 +36,7 @@
         mRows = rows;
         mClusterView = clusterView;
         String table = rows.configurationRow().table();
-        mFollower = new TableFollower(table, this::waitMillis, store, control, ticker, this);
-    }
-
-    private long waitMillis() {
-        int members = mClusterView.fleet().members().size();
-        return Math.min(MAX_WAIT_MILLIS, MIN_WAIT_MILLIS + members * WAIT_PER_MEMBER_MILLIS);
+        mFollower = new TableFollower(table, MAX_WAIT_MILLIS, store, control, ticker, this);
     }
 
     void start() {
--- a/src/main/java/org/heathercourse/gateway/control/TableFollower.java
+++ b/src/main/java/org/heathercourse/gateway/control/TableFollower.java
@@ -5,7 +5,6 @@
 import java.util.concurrent.CompletionException;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
-import java.util.function.LongSupplier;
 import org.heathercourse.core.freshness.ReadFreshness;
 import org.heathercourse.core.time.SuspendAwareClock;
 import org.heathercourse.log.EventLog;
@@ -55,7 +54,7 @@
     }
 
     private final String mTable;
-    private final LongSupplier mMaxWaitMillis;
+    private final long mMaxWaitMillis;
     private final RowStore mStore;
     private final ScheduledExecutorService mControl;
     private final SuspendAwareClock mTicker;
@@ -72,7 +71,7 @@
      */
     TableFollower(
             String table,
-            LongSupplier maxWaitMillis,
+            long maxWaitMillis,
             RowStore store,
             ScheduledExecutorService control,
             SuspendAwareClock ticker,
@@ -128,7 +127,7 @@
 
     private void readChanges(long afterVersion) {
         SuspendAwareClock.Timestamp readStart = mTicker.now();
-        mStore.changes(mTable, afterVersion, mMaxWaitMillis.getAsLong())
+        mStore.changes(mTable, afterVersion, mMaxWaitMillis)
                 .whenCompleteAsync(
                         (page, error) -> onChanges(afterVersion, readStart, page, error), mControl);
     }
--- a/src/main/java/org/heathercourse/gateway/control/TargetFollower.java
+++ b/src/main/java/org/heathercourse/gateway/control/TargetFollower.java
@@ -40,7 +40,7 @@
         mTracker = new TargetTracker(ticker);
         mFollower =
                 new TableFollower(
-                        rows.targetTable(), () -> MAX_WAIT_MILLIS, store, control, ticker, this);
+                        rows.targetTable(), MAX_WAIT_MILLIS, store, control, ticker, this);
     }
 
     void start() {
