--- a/src/main/java/org/heathercourse/core/fleet/OwnerSelection.java
+++ b/src/main/java/org/heathercourse/core/fleet/OwnerSelection.java
@@ -34,11 +34,13 @@
 
     private static final String RANKING_KEY = "owner";
 
+    /** A gateway with its weight, which is computed once. */
+    private record Ranked(Member member, long weight) {}
+
     private OwnerSelection() {}
 
     /** Returns the gateways in an order that does not change when others come or go. */
     static List<Member> rank(Collection<Member> members) {
-        record Ranked(Member member, long weight) {}
         return members.stream()
                 .map(m -> new Ranked(m, Rendezvous.weight(RANKING_KEY, m.vm().value())))
                 .sorted(Comparator.comparingLong(Ranked::weight).reversed())
