Log when a leaving gateway accepted a request and which calls its exit cuts off

The log could not tell a request that was accepted late in a planned stop from one that the gateway did not count: no line said how long after the stop signal a request arrived, and calls that were cut at the exit had no line at all.

- call has leavingMillis, the time from the stop signal to the arrival, -1 if the gateway stays
- call_cut_off names each call that is cut by the exit: id, program, route, target, whether it was sent, leavingMillis, age
- gateway_leaving and gateway_stopped give the number of running calls, gateway_stopped the time since the signal
- the stop sequence moves from GatewayMain to GatewayDrain, so that tests can run it; its times move to DrainSchedule

--- a/src/main/java/org/heathercourse/gateway/Gateway.java
+++ b/src/main/java/org/heathercourse/gateway/Gateway.java
@@ -19,6 +19,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
 import java.util.random.RandomGenerator;
+import org.heathercourse.core.drain.DrainSchedule;
 import org.heathercourse.core.fleet.Member;
 import org.heathercourse.core.fleet.MemberState;
 import org.heathercourse.core.limits.RateGrant;
@@ -82,7 +83,8 @@
     private final RandomGenerator mTrafficRandom;
 
     private final long mMaxConfigurationAgeMillis;
-    private volatile boolean mLeaving;
+    private final Ticker mTicker;
+    private volatile DrainSchedule mDrainSchedule = DrainSchedule.NOT_LEAVING;
 
     /**
      * Creates a gateway whose ports are closed and starts its control plane.
@@ -100,6 +102,7 @@
             Clock clock,
             RandomGenerator random) {
         mSettings = settings;
+        mTicker = ticker;
         mEntryFormat = platform.entryFormat();
         mTrafficRandom = new SplittableRandom(random.nextLong());
         mMaxConfigurationAgeMillis =
@@ -134,7 +137,8 @@
                         mPools,
                         new TargetSelector(zone, mTrafficRandom),
                         mTrafficRandom,
-                        callMetrics);
+                        callMetrics,
+                        () -> mDrainSchedule);
         mCallerServer = new CallerServer(services);
         mMetrics.registerAll(gauges());
     }
@@ -226,7 +230,7 @@
     // Endpoints of the gateway itself
 
     private boolean isReady() {
-        return !mLeaving
+        return !mDrainSchedule.isLeaving()
                 && mControl.state() == MemberState.READY
                 && mControl.configurationAge().isYoungerThan(mMaxConfigurationAgeMillis);
     }
@@ -263,12 +267,18 @@
 
     // Stop
 
-    /** Directs callers to other gateways; requests that still arrive are served. */
-    public void leave() {
-        mLeaving = true;
+    /**
+     * Directs callers to other gateways; requests that still arrive are served.
+     *
+     * @return times of the stop that begins now
+     */
+    public DrainSchedule leave() {
+        DrainSchedule schedule = GatewayDrain.schedule(mTicker.readMillis(), mSettings);
+        mDrainSchedule = schedule;
         mControl.leave();
         mTraffic.execute(mCallerServer::leave);
-        LOG.info("gateway_leaving");
+        LOG.info("gateway_leaving", "running", activeCallCount());
+        return schedule;
     }
 
     /** Returns the number of active calls; blocks until the traffic loop has replied. */
@@ -296,7 +306,15 @@
             drained = false;
         }
         mControl.returnRemainingTokens();
-        LOG.info("gateway_stopped", "quiet", drained, "running", activeCallCount());
+        int cutCalls = CompletableFuture.supplyAsync(mCallerServer::logCutCalls, mTraffic).join();
+        LOG.info(
+                "gateway_stopped",
+                "quiet",
+                drained,
+                "leavingMillis",
+                mDrainSchedule.millisSinceStart(mTicker.readMillis()),
+                "running",
+                cutCalls);
         return drained;
     }
 
--- /dev/null
+++ b/src/main/java/org/heathercourse/gateway/GatewayDrain.java
@@ -0,0 +1,70 @@
+package org.heathercourse.gateway;
+
+import org.heathercourse.core.drain.DrainSchedule;
+import org.heathercourse.core.time.Ticker;
+import org.heathercourse.daemon.settings.Setting;
+import org.heathercourse.daemon.settings.Settings;
+
+/**
+ * The planned stop of a gateway: serves callers that cached its address, waits for the active calls
+ * and ends before the stop grace period does. Used by one thread.
+ */
+final class GatewayDrain {
+    /**
+     * Maximum time in milliseconds for which a leaving gateway waits for callers that cached its
+     * address.
+     */
+    private static final long MAX_SERVE_MILLIS = 3_200;
+
+    /**
+     * Time in milliseconds between the exit of the process and the end of the stop grace period.
+     */
+    private static final long EXIT_MARGIN_MILLIS = 700;
+
+    private static final long POLL_MILLIS = 100;
+    private static final double MILLIS_PER_SECOND = 1e3;
+
+    private final Gateway mGateway;
+    private final Ticker mTicker;
+
+    /**
+     * Creates a stop that has not begun.
+     *
+     * @param gateway gateway to stop
+     * @param ticker monotonic clock
+     */
+    GatewayDrain(Gateway gateway, Ticker ticker) {
+        mGateway = gateway;
+        mTicker = ticker;
+    }
+
+    /**
+     * Returns the schedule of a stop.
+     *
+     * @param startMillis ticker time of the stop signal
+     * @param settings settings of the gateway, which have the grace period
+     */
+    static DrainSchedule schedule(long startMillis, Settings settings) {
+        long graceMillis =
+                (long) (settings.decimal(Setting.STOP_GRACE_SECONDS) * MILLIS_PER_SECOND);
+        long responseMillis = Math.max(0, graceMillis - EXIT_MARGIN_MILLIS);
+        long serveMillis = Math.min(MAX_SERVE_MILLIS, graceMillis / 2);
+        return DrainSchedule.of(startMillis, Math.min(serveMillis, responseMillis), responseMillis);
+    }
+
+    /**
+     * Stops the gateway; returns when the process may exit.
+     *
+     * @throws InterruptedException if the thread is interrupted
+     */
+    void run() throws InterruptedException {
+        DrainSchedule schedule = mGateway.leave();
+        Thread.sleep(schedule.millisToServeEnd(mTicker.readMillis()));
+        while (mGateway.activeCallCount() > 0
+                && schedule.millisToResponseEnd(mTicker.readMillis()) > POLL_MILLIS) {
+            Thread.sleep(POLL_MILLIS);
+        }
+        mGateway.stop(Math.max(1, schedule.millisToResponseEnd(mTicker.readMillis())));
+        mGateway.close();
+    }
+}
--- a/src/main/java/org/heathercourse/gateway/GatewayMain.java
+++ b/src/main/java/org/heathercourse/gateway/GatewayMain.java
@@ -28,20 +28,6 @@
     private static final EventLog LOG = EventLog.of(GatewayMain.class);
     private static final int BAD_SETTING_EXIT_CODE = 2;
 
-    /**
-     * Maximum time in milliseconds for which a leaving gateway waits for callers that cached its
-     * address.
-     */
-    private static final long MAX_LEAVING_SERVE_MILLIS = 3_200;
-
-    /**
-     * Time in milliseconds between the exit of the process and the end of the stop grace period.
-     */
-    private static final long EXIT_MARGIN_MILLIS = 700;
-
-    private static final long DRAIN_POLL_MILLIS = 100;
-    private static final double MILLIS_PER_SECOND = 1e3;
-
     private GatewayMain() {}
 
     /**
@@ -145,31 +131,11 @@
                             new SecureRandom());
             gateway.start();
             stopRequested.await();
-            drain(gateway, settings);
+            new GatewayDrain(gateway, Ticker.system()).run();
             System.exit(0);
         } catch (HeathercourseException e) {
             System.err.println("error: " + e.getMessage() + "; " + e.remedy());
             System.exit(BAD_SETTING_EXIT_CODE);
         }
     }
-
-    /**
-     * Serves callers that cached the gateway's address, then waits for the active calls until the
-     * stop grace period ends.
-     */
-    private static void drain(Gateway gateway, Settings settings) throws InterruptedException {
-        Ticker ticker = Ticker.system();
-        long graceMillis =
-                (long) (settings.decimal(Setting.STOP_GRACE_SECONDS) * MILLIS_PER_SECOND);
-        long endMillis = ticker.readMillis() + graceMillis - EXIT_MARGIN_MILLIS;
-        long serveMillis = Math.min(MAX_LEAVING_SERVE_MILLIS, graceMillis / 2);
-        gateway.leave();
-        Thread.sleep(serveMillis);
-        while (gateway.activeCallCount() > 0
-                && ticker.readMillis() < endMillis - DRAIN_POLL_MILLIS) {
-            Thread.sleep(DRAIN_POLL_MILLIS);
-        }
-        gateway.stop(Math.max(1, endMillis - ticker.readMillis()));
-        gateway.close();
-    }
 }
--- a/src/main/java/org/heathercourse/gateway/call/Call.java
+++ b/src/main/java/org/heathercourse/gateway/call/Call.java
@@ -82,6 +82,8 @@
         mOnEnd = onEnd;
         mArrivedMillis = dependencies.ticker().readMillis();
         mLogEntry = new CallLogEntry(mFacts, mArrivedMillis);
+        mLogEntry.recordLeaving(
+                dependencies.drainSchedule().get().millisSinceStart(mArrivedMillis));
     }
 
     // Checks
@@ -426,6 +428,12 @@
         return REJECTION_BACKOFF_MILLIS;
     }
 
+    /** Logs that the exit of the process cuts the call off. */
+    public void logCutOff() {
+        boolean hasBeenSent = mAttempt != null && mAttempt.hasBeenSent();
+        mLogEntry.logCutOff(mDependencies.ticker().readMillis(), mLastTarget, hasBeenSent);
+    }
+
     private void finish() {
         mEnded = true;
         if (mTimeout != null) {
--- a/src/main/java/org/heathercourse/gateway/call/CallDependencies.java
+++ b/src/main/java/org/heathercourse/gateway/call/CallDependencies.java
@@ -2,7 +2,9 @@
 
 import io.netty.channel.EventLoop;
 import java.util.concurrent.CompletableFuture;
+import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
+import org.heathercourse.core.drain.DrainSchedule;
 import org.heathercourse.core.freshness.ReadFreshness;
 import org.heathercourse.core.limits.WorkspaceRates;
 import org.heathercourse.core.model.Zone;
@@ -35,6 +37,7 @@
  * @param targetSelector load balancer
  * @param random source of random numbers for load balancing and jitter
  * @param metrics counters and histograms of calls
+ * @param drainSchedule times of the planned stop, if the gateway leaves
  */
 public record CallDependencies(
         EventLoop loop,
@@ -50,4 +53,5 @@
         TargetPools pools,
         TargetSelector targetSelector,
         RandomGenerator random,
-        CallMetrics metrics) {}
+        CallMetrics metrics,
+        Supplier<DrainSchedule> drainSchedule) {}
--- a/src/main/java/org/heathercourse/gateway/call/CallLogEntry.java
+++ b/src/main/java/org/heathercourse/gateway/call/CallLogEntry.java
@@ -13,6 +13,7 @@
     private final CallFacts mFacts;
     private final long mArrivedMillis;
     private Admission mAdmission;
+    private long mLeavingMillis = -1;
     private long mConfigurationAgeMillis;
     private String mBudget = "none";
     private long mBudgetMillis;
@@ -35,6 +36,11 @@
         mConfigurationAgeMillis = ageMillis;
     }
 
+    /** Records for how long the gateway had been leaving on arrival, -1 if it was not. */
+    void recordLeaving(long leavingMillis) {
+        mLeavingMillis = leavingMillis;
+    }
+
     void recordAdmission(Admission admission) {
         mAdmission = admission;
     }
@@ -102,6 +108,26 @@
         mOutcome = "caller_gone";
     }
 
+    /** Logs a call that is cut off because the process exits; no other line is written for it. */
+    void logCutOff(long nowMillis, Target target, boolean sent) {
+        LOG.warn(
+                "call_cut_off",
+                "id",
+                mFacts.requestId(),
+                "program",
+                mFacts.programId(),
+                "route",
+                mAdmission == null ? "" : mAdmission.route().name(),
+                "target",
+                target == null ? "" : target.id(),
+                "sent",
+                sent,
+                "leavingMillis",
+                mLeavingMillis,
+                "totalMillis",
+                nowMillis - mArrivedMillis);
+    }
+
     void log(long nowMillis, Target target) {
         LOG.info(
                 "call",
@@ -143,6 +169,8 @@
                 mFirstByteMillis,
                 "totalMillis",
                 nowMillis - mArrivedMillis,
+                "leavingMillis",
+                mLeavingMillis,
                 "reason",
                 mReason);
     }
--- a/src/main/java/org/heathercourse/gateway/http/CallerConnection.java
+++ b/src/main/java/org/heathercourse/gateway/http/CallerConnection.java
@@ -202,6 +202,12 @@
         mContext.close();
     }
 
+    void logCutOff() {
+        if (mCall != null) {
+            mCall.logCutOff();
+        }
+    }
+
     HeaderTimeoutHandler headerTimeoutHandler(String name) {
         return (HeaderTimeoutHandler) mContext.pipeline().get(name);
     }
--- a/src/main/java/org/heathercourse/gateway/http/CallerServer.java
+++ b/src/main/java/org/heathercourse/gateway/http/CallerServer.java
@@ -135,6 +135,12 @@
         return mDrained;
     }
 
+    /** Logs each call that the exit of the process cuts off; returns their number. */
+    public int logCutCalls() {
+        mConnections.forEach(CallerConnection::logCutOff);
+        return mActiveCalls;
+    }
+
     private void completeIfDrained() {
         if (mClosing && mActiveCalls == 0) {
             mDrained.complete(null);
