Refuse late in a planned stop what cannot end before the exit, and answer what the exit interrupts

What callers saw: a request that reached a gateway seconds after its SIGTERM was started at an engine and then lost when the process exited; the connection closed without a response.

Cause: the stop waited for a moment without an active call, but went on starting each request that arrived, with its full timeout. Under steady load that moment never comes. A request that arrives up to 7.2 s after the signal was cut at 7.3 s. Class of fault: work is admitted without regard to the time at which the process that admits it ends.

Change: DrainSchedule, a decision in core, admits all requests for 3 s after the signal (callers keep an address for 2 s) and after that only those whose own time limit ends before the last response; others get 503, not run, at once, and go to another gateway. So what is admitted late ends before the exit by its own timeout. Calls that still run at the end (admitted in the first 3 s, limit beyond the exit) get a true error, 502 if they may have run and 503 if not, and are logged; a stream that has begun is broken off visibly.

--- a/src/main/java/org/heathercourse/gateway/Gateway.java
+++ b/src/main/java/org/heathercourse/gateway/Gateway.java
@@ -60,6 +60,9 @@
     /** Maximum number of gateway addresses in a directory response. */
     private static final int MAX_ADDRESSES = 64;
 
+    /** Time in milliseconds in which error responses reach callers before the process exits. */
+    private static final long FINAL_RESPONSE_MILLIS = 100;
+
     /** Time in milliseconds between two runs of the traffic loop's housekeeping. */
     private static final long HOUSEKEEPING_PERIOD_MILLIS = 500;
 
@@ -268,7 +271,8 @@
     // Stop
 
     /**
-     * Directs callers to other gateways; requests that still arrive are served.
+     * Directs callers to other gateways; requests that still arrive are served, later only if they
+     * end before the process exits.
      *
      * @return times of the stop that begins now
      */
@@ -287,35 +291,45 @@
     }
 
     /**
-     * Stops listening and waits for the active calls.
+     * Stops listening and waits for the active calls. Calls that are still active after the timeout
+     * are answered with an error, if no response has begun.
      *
      * @param timeoutMillis maximum time to wait, in milliseconds
-     * @return whether all calls have ended
+     * @return whether all calls have ended within the timeout
      */
     public boolean stop(long timeoutMillis) {
-        boolean drained;
-        try {
-            CompletableFuture.supplyAsync(mCallerServer::close, mTraffic)
-                    .thenCompose(closed -> closed)
-                    .get(timeoutMillis, TimeUnit.MILLISECONDS);
-            drained = true;
-        } catch (InterruptedException e) {
-            Thread.currentThread().interrupt();
-            drained = false;
-        } catch (ExecutionException | TimeoutException e) {
-            drained = false;
+        CompletableFuture<Void> drained =
+                CompletableFuture.supplyAsync(mCallerServer::close, mTraffic)
+                        .thenCompose(closed -> closed);
+        boolean quiet = await(drained, timeoutMillis);
+        int interruptedCalls =
+                CompletableFuture.supplyAsync(mCallerServer::endCallsForExit, mTraffic).join();
+        if (!quiet) {
+            await(drained, FINAL_RESPONSE_MILLIS);
         }
         mControl.returnRemainingTokens();
-        int cutCalls = CompletableFuture.supplyAsync(mCallerServer::logCutCalls, mTraffic).join();
         LOG.info(
                 "gateway_stopped",
                 "quiet",
-                drained,
+                quiet,
                 "leavingMillis",
                 mDrainSchedule.millisSinceStart(mTicker.readMillis()),
                 "running",
-                cutCalls);
-        return drained;
+                interruptedCalls);
+        return quiet;
+    }
+
+    /** Returns whether the future has completed within the timeout. */
+    private static boolean await(CompletableFuture<?> future, long timeoutMillis) {
+        try {
+            future.get(timeoutMillis, TimeUnit.MILLISECONDS);
+            return true;
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            return false;
+        } catch (ExecutionException | TimeoutException e) {
+            return false;
+        }
     }
 
     /** Closes the peer links and shuts down the event loops. */
--- a/src/main/java/org/heathercourse/gateway/GatewayDrain.java
+++ b/src/main/java/org/heathercourse/gateway/GatewayDrain.java
@@ -11,15 +11,16 @@
  */
 final class GatewayDrain {
     /**
-     * Maximum time in milliseconds for which a leaving gateway waits for callers that cached its
-     * address.
+     * Maximum time in milliseconds for which a leaving gateway admits all requests: callers keep an
+     * address for two seconds, and learn within another one that a gateway leaves.
      */
-    private static final long MAX_SERVE_MILLIS = 3_200;
+    private static final long MAX_SERVE_MILLIS = 3_000;
 
-    /**
-     * Time in milliseconds between the exit of the process and the end of the stop grace period.
-     */
-    private static final long EXIT_MARGIN_MILLIS = 700;
+    /** The same as a fraction of the stop grace period, for short ones. */
+    private static final double MAX_SERVE_FRACTION = 3.0 / 8;
+
+    /** Time in milliseconds between the last response and the end of the stop grace period. */
+    private static final long RESPONSE_MARGIN_MILLIS = 800;
 
     private static final long POLL_MILLIS = 100;
     private static final double MILLIS_PER_SECOND = 1e3;
@@ -47,8 +48,8 @@
     static DrainSchedule schedule(long startMillis, Settings settings) {
         long graceMillis =
                 (long) (settings.decimal(Setting.STOP_GRACE_SECONDS) * MILLIS_PER_SECOND);
-        long responseMillis = Math.max(0, graceMillis - EXIT_MARGIN_MILLIS);
-        long serveMillis = Math.min(MAX_SERVE_MILLIS, graceMillis / 2);
+        long responseMillis = Math.max(0, graceMillis - RESPONSE_MARGIN_MILLIS);
+        long serveMillis = (long) Math.min(MAX_SERVE_MILLIS, graceMillis * MAX_SERVE_FRACTION);
         return DrainSchedule.of(startMillis, Math.min(serveMillis, responseMillis), responseMillis);
     }
 
--- a/src/main/java/org/heathercourse/gateway/call/Call.java
+++ b/src/main/java/org/heathercourse/gateway/call/Call.java
@@ -36,6 +36,11 @@
     /** Retry-After in milliseconds if the store does not reply. */
     private static final long STORE_UNAVAILABLE_RETRY_AFTER_MILLIS = 1_200;
 
+    /**
+     * Retry-After in milliseconds of a leaving gateway; another gateway can serve the request now.
+     */
+    private static final long LEAVING_RETRY_AFTER_MILLIS = 10;
+
     /** Backoff of a target in milliseconds after it rejected a request for lack of capacity. */
     private static final long REJECTION_BACKOFF_MILLIS = 60;
 
@@ -109,6 +114,10 @@
             endWithError(deadlineExpired());
             return;
         }
+        if (!mDependencies.drainSchedule().get().admits(mArrivedMillis, timeoutMillis)) {
+            endWithError(leaving());
+            return;
+        }
         mTimeout =
                 mDependencies
                         .loop()
@@ -375,13 +384,24 @@
                 OVERLOADED_RETRY_AFTER_MILLIS);
     }
 
+    /** Returns the response of a gateway that exits before the request would have to end. */
+    public static ErrorResponse leaving() {
+        return new ErrorResponse(
+                ErrorKind.DRAINING,
+                "the gateway exits before the request would have to end",
+                "retry the request at another gateway",
+                LEAVING_RETRY_AFTER_MILLIS);
+    }
+
+    private boolean mayHaveRun() {
+        return mHistory.possibleRunCount() > 0 || mAttempt != null && mAttempt.hasBeenSent();
+    }
+
     private void onTimeout() {
         if (mEnded) {
             return;
         }
-        boolean mayHaveRun =
-                mHistory.possibleRunCount() > 0 || mAttempt != null && mAttempt.hasBeenSent();
-        if (mayHaveRun) {
+        if (mayHaveRun()) {
             endWithError(
                     ErrorResponse.of(
                             ErrorKind.DEADLINE_EXCEEDED,
@@ -428,10 +448,14 @@
         return REJECTION_BACKOFF_MILLIS;
     }
 
-    /** Logs that the exit of the process cuts the call off. */
-    public void logCutOff() {
-        boolean hasBeenSent = mAttempt != null && mAttempt.hasBeenSent();
-        mLogEntry.logCutOff(mDependencies.ticker().readMillis(), mLastTarget, hasBeenSent);
+    /** Ends the call because the process exits: with an error response, if none has begun. */
+    public void endForExit() {
+        mLogEntry.logCutOff(mDependencies.ticker().readMillis(), mLastTarget, mayHaveRun());
+        if (mayHaveRun()) {
+            endWithUnknownOutcome("the gateway exits before the response is complete");
+        } else {
+            endWithError(leaving());
+        }
     }
 
     private void finish() {
--- a/src/main/java/org/heathercourse/gateway/call/CallLogEntry.java
+++ b/src/main/java/org/heathercourse/gateway/call/CallLogEntry.java
@@ -108,8 +108,8 @@
         mOutcome = "caller_gone";
     }
 
-    /** Logs a call that is cut off because the process exits; no other line is written for it. */
-    void logCutOff(long nowMillis, Target target, boolean sent) {
+    /** Logs a call that is still active when the process has to exit. */
+    void logCutOff(long nowMillis, Target target, boolean mayHaveRun) {
         LOG.warn(
                 "call_cut_off",
                 "id",
@@ -120,8 +120,8 @@
                 mAdmission == null ? "" : mAdmission.route().name(),
                 "target",
                 target == null ? "" : target.id(),
-                "sent",
-                sent,
+                "mayHaveRun",
+                mayHaveRun,
                 "leavingMillis",
                 mLeavingMillis,
                 "totalMillis",
--- a/src/main/java/org/heathercourse/gateway/http/CallerConnection.java
+++ b/src/main/java/org/heathercourse/gateway/http/CallerConnection.java
@@ -202,9 +202,10 @@
         mContext.close();
     }
 
-    void logCutOff() {
+    /** Ends the running call because the process exits. */
+    void endForExit() {
         if (mCall != null) {
-            mCall.logCutOff();
+            mCall.endForExit();
         }
     }
 
--- a/src/main/java/org/heathercourse/gateway/http/CallerServer.java
+++ b/src/main/java/org/heathercourse/gateway/http/CallerServer.java
@@ -54,7 +54,8 @@
         return mPort.port();
     }
 
-    private void initialize(Channel channel) {
+    /** Sets up the pipeline of a caller's connection. */
+    void initialize(Channel channel) {
         CallerLimits limits =
                 mCallDependencies
                         .clusterView()
@@ -113,7 +114,7 @@
         return mActiveCalls;
     }
 
-    /** Closes each connection after its next response; requests that still arrive are served. */
+    /** Closes each connection after its next response. */
     public void leave() {
         mLeaving = true;
     }
@@ -125,7 +126,9 @@
      */
     public CompletableFuture<Void> close() {
         mClosing = true;
-        mPort.close();
+        if (mPort != null) {
+            mPort.close();
+        }
         for (CallerConnection connection : Set.copyOf(mConnections)) {
             if (!connection.isBusy()) {
                 connection.close();
@@ -135,10 +138,11 @@
         return mDrained;
     }
 
-    /** Logs each call that the exit of the process cuts off; returns their number. */
-    public int logCutCalls() {
-        mConnections.forEach(CallerConnection::logCutOff);
-        return mActiveCalls;
+    /** Ends the active calls because the process exits; returns their number. */
+    public int endCallsForExit() {
+        int calls = mActiveCalls;
+        Set.copyOf(mConnections).forEach(CallerConnection::endForExit);
+        return calls;
     }
 
     private void completeIfDrained() {
--- a/src/main/java/org/heathercourse/testing/hosted/HostedDeployment.java
+++ b/src/main/java/org/heathercourse/testing/hosted/HostedDeployment.java
@@ -100,7 +100,23 @@
      * @return the settings that it runs with
      */
     public Settings addGateway(String vm, StoreStandIn store) {
-        Settings settings = parse(environment(vm, store));
+        return addGateway(parse(environment(vm, store)));
+    }
+
+    /**
+     * Starts a gateway with changed settings.
+     *
+     * @param vm identity of its VM
+     * @param changes settings that differ from the default
+     * @return the settings that it runs with
+     */
+    public Settings addGateway(String vm, Map<Setting, String> changes) {
+        Map<String, String> environment = environment(vm, mStore);
+        changes.forEach((setting, value) -> environment.put(setting.environmentVariable(), value));
+        return addGateway(parse(environment));
+    }
+
+    private Settings addGateway(Settings settings) {
         HostedPlatform platform =
                 ServiceLoader.load(HostedPlatform.class).findFirst().orElseThrow();
         Gateway gateway =
--- /dev/null
+++ b/src/test/java/org/heathercourse/gateway/GatewayDrainTest.java
@@ -0,0 +1,159 @@
+package org.heathercourse.gateway;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.awaitility.Awaitility.await;
+
+import java.io.IOException;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import org.heathercourse.core.time.Ticker;
+import org.heathercourse.daemon.settings.Setting;
+import org.heathercourse.gateway.RawCaller.Response;
+import org.heathercourse.testing.hosted.HostedDeployment;
+import org.heathercourse.testing.hosted.TargetStandIn;
+import org.heathercourse.testing.hosted.TargetStandIn.ReceivedRequest;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/** Guards against requests that a planned stop cuts off, whenever and however they arrive. */
+class GatewayDrainTest {
+    private static final Duration MAX_WAIT = Duration.ofSeconds(12);
+
+    /**
+     * All requests are admitted for 3/8 of it, and the process responds to all 0.8 s before its
+     * end.
+     */
+    private static final String GRACE_SECONDS = "3";
+
+    private static final long GRACE_MILLIS = 3_000;
+    private static final long SEND_INTERVAL_MILLIS = 60;
+
+    private final HostedDeployment mDeployment = new HostedDeployment();
+    private Gateway mGateway;
+    private int mRequestCount;
+
+    @BeforeEach
+    void start() {
+        mDeployment.addGateway("vm-1", Map.of(Setting.STOP_GRACE_SECONDS, GRACE_SECONDS));
+        mGateway = mDeployment.gateways().get(0);
+        await().atMost(MAX_WAIT)
+                .ignoreExceptions()
+                .until(() -> call(request("/stream/turn", "")).status() == 200);
+    }
+
+    @AfterEach
+    void stop() {
+        mDeployment.close();
+    }
+
+    private RawCaller caller() throws IOException {
+        return new RawCaller(mDeployment.settings(0).endpoint(Setting.CALLER_ADDRESS));
+    }
+
+    private Response call(String request) throws IOException {
+        try (RawCaller caller = caller()) {
+            return caller.call(request);
+        }
+    }
+
+    private String request(String path, String body) {
+        return "POST "
+                + path
+                + " HTTP/1.1\r\nHost: "
+                + HostedDeployment.HOST
+                + "\r\nApi-Key: "
+                + HostedDeployment.KEY
+                + "\r\nX-Heathercourse-Request-Id: r"
+                + ++mRequestCount
+                + "\r\nX-Heathercourse-Request-Deadline: 2500\r\nContent-Length: "
+                + body.length()
+                + "\r\n\r\n"
+                + body;
+    }
+
+    private CompletableFuture<Void> drain() {
+        return CompletableFuture.runAsync(
+                () -> {
+                    try {
+                        new GatewayDrain(mGateway, Ticker.system()).run();
+                    } catch (InterruptedException e) {
+                        throw new IllegalStateException(e);
+                    }
+                });
+    }
+
+    private List<String> executedIds() {
+        List<String> ids = new ArrayList<>();
+        for (TargetStandIn target :
+                List.of(mDeployment.engineA(), mDeployment.engineB(), mDeployment.plain())) {
+            target.executedRequests().stream().map(ReceivedRequest::id).forEach(ids::add);
+        }
+        return ids;
+    }
+
+    /** Sends a request on a connection and classifies how it ends. */
+    private CompletableFuture<String> sendAndClassify(RawCaller caller, String id, String request) {
+        return CompletableFuture.supplyAsync(
+                () -> {
+                    String end;
+                    try (caller) {
+                        Response response = caller.call(request);
+                        end = response.isComplete() ? "" + response.status() : "incomplete";
+                    } catch (IOException | NumberFormatException e) {
+                        end = "closed";
+                    }
+                    return executedIds().contains(id) ? "executed " + end : end;
+                });
+    }
+
+    /** Guards against requests that arrive late in a stop, are started and cut by the exit. */
+    @Test
+    void requestsUnderSteadyLoadAreAnsweredOrRefusedUntilTheExit() throws Exception {
+        mDeployment.engineA().setEventIntervalMillis(200);
+        mDeployment.engineB().setEventIntervalMillis(200);
+        List<RawCaller> openedBefore = new ArrayList<>();
+        for (int i = 0; i < 10; i++) {
+            openedBefore.add(caller());
+        }
+        CompletableFuture<Void> drained = drain();
+        List<CompletableFuture<String>> ends = new ArrayList<>();
+        while (!drained.isDone()) {
+            String request = request("/stream/turn", "");
+            String id = "r" + mRequestCount;
+            boolean isKept = mRequestCount % 4 == 0 && !openedBefore.isEmpty();
+            try {
+                RawCaller caller = isKept ? openedBefore.remove(0) : caller();
+                ends.add(sendAndClassify(caller, id, request));
+            } catch (IOException e) {
+                // The gateway no longer listens; callers go elsewhere.
+                break;
+            }
+            Thread.sleep(SEND_INTERVAL_MILLIS);
+        }
+        drained.get(GRACE_MILLIS, TimeUnit.MILLISECONDS);
+        List<String> kinds = new ArrayList<>();
+        for (CompletableFuture<String> end : ends) {
+            kinds.add(end.get());
+        }
+        assertThat(kinds).contains("executed 200").isSubsetOf("executed 200", "503", "closed");
+    }
+
+    /** Guards against a stop that ends with an unanswered call instead of a true error. */
+    @Test
+    void callThatTheExitInterruptsIsAnsweredAsPossiblyRun() throws Exception {
+        mDeployment.plain().enqueueFaults(TargetStandIn.Fault.HANG);
+        try (RawCaller caller = caller()) {
+            CompletableFuture<Void> drained = drain();
+            Thread.sleep(500);
+            Response response = caller.call(request("/order/yarn", "a"));
+            assertThat(response.status()).isEqualTo(502);
+            assertThat(response.body()).contains("\"not_run\":false");
+            drained.get(GRACE_MILLIS, TimeUnit.MILLISECONDS);
+        }
+    }
+}
