Let requests that are being read and responses that are not written hold the exit

What callers saw: the connection closed without a response, or within one, though the log of the gateway said that no call was running (gateway_stopped quiet=true).

Cause: only calls counted as work. A call begins when its request is read whole and ends when its response is handed to the connection, so a request that is half read and a response that waits for a slow reader held nothing, and the process exited over them. Class of fault: the count of work that a stop waits for does not begin with the first byte taken and end with the last byte given.

Change: a connection is busy from the head of a request until its response is written; the stop waits for busy connections, until the end of the schedule. A request that is still not read whole then is refused as not run.

--- a/src/main/java/org/heathercourse/gateway/Gateway.java
+++ b/src/main/java/org/heathercourse/gateway/Gateway.java
@@ -285,17 +285,25 @@
         return schedule;
     }
 
+    /**
+     * Returns whether a request is being read, a call is active or a response is being written;
+     * blocks until the traffic loop has replied.
+     */
+    public boolean isBusy() {
+        return CompletableFuture.supplyAsync(mCallerServer::isBusy, mTraffic).join();
+    }
+
     /** Returns the number of active calls; blocks until the traffic loop has replied. */
     public int activeCallCount() {
         return CompletableFuture.supplyAsync(mCallerServer::activeCallCount, mTraffic).join();
     }
 
     /**
-     * Stops listening and waits for the active calls. Calls that are still active after the timeout
-     * are answered with an error, if no response has begun.
+     * Stops listening and waits until all responses are written. Calls that are still active after
+     * the timeout are answered with an error, if no response has begun.
      *
      * @param timeoutMillis maximum time to wait, in milliseconds
-     * @return whether all calls have ended within the timeout
+     * @return whether all responses were written within the timeout
      */
     public boolean stop(long timeoutMillis) {
         CompletableFuture<Void> drained =
--- a/src/main/java/org/heathercourse/gateway/GatewayDrain.java
+++ b/src/main/java/org/heathercourse/gateway/GatewayDrain.java
@@ -6,8 +6,8 @@
 import org.heathercourse.daemon.settings.Settings;
 
 /**
- * The planned stop of a gateway: serves callers that cached its address, waits for the active calls
- * and ends before the stop grace period does. Used by one thread.
+ * The planned stop of a gateway: serves callers that cached its address, waits for the requests
+ * that have begun and ends before the stop grace period does. Used by one thread.
  */
 final class GatewayDrain {
     /**
@@ -61,7 +61,7 @@
     void run() throws InterruptedException {
         DrainSchedule schedule = mGateway.leave();
         Thread.sleep(schedule.millisToServeEnd(mTicker.readMillis()));
-        while (mGateway.activeCallCount() > 0
+        while (mGateway.isBusy()
                 && schedule.millisToResponseEnd(mTicker.readMillis()) > POLL_MILLIS) {
             Thread.sleep(POLL_MILLIS);
         }
--- a/src/main/java/org/heathercourse/gateway/http/CallerConnection.java
+++ b/src/main/java/org/heathercourse/gateway/http/CallerConnection.java
@@ -2,7 +2,6 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
-import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
@@ -50,6 +49,7 @@
     private ByteArrayOutputStream mBody;
     private boolean mDiscardBody;
     private Call mCall;
+    private int mUnwrittenResponses;
     private boolean mKeepAlive;
     private boolean mSupportsChunked;
     private boolean mIsHeadRequest;
@@ -148,6 +148,7 @@
     }
 
     private void rejectAndClose(ErrorResponse error) {
+        mHead = null;
         mDiscardBody = true;
         mKeepAlive = false;
         error.writeTo(this);
@@ -191,21 +192,24 @@
         while (mCall == null && !mPendingMessages.isEmpty()) {
             process(mPendingMessages.remove());
         }
+        mServer.closeIfStopping(this);
     }
 
-    /** Returns whether a request is being read or a call is running. */
+    /** Returns whether a request is being read, a call is running or a response being written. */
     boolean isBusy() {
-        return mCall != null || mHead != null;
+        return mCall != null || mHead != null || mUnwrittenResponses > 0;
     }
 
     void close() {
         mContext.close();
     }
 
-    /** Ends the running call because the process exits. */
+    /** Ends the running call, or refuses the request being read, because the process exits. */
     void endForExit() {
         if (mCall != null) {
             mCall.endForExit();
+        } else if (mHead != null) {
+            rejectAndClose(Call.leaving());
         }
     }
 
@@ -247,10 +251,18 @@
 
     @Override
     public void end() {
-        var writeFuture = mContext.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT);
-        if (!mKeepAlive) {
-            writeFuture.addListener(ChannelFutureListener.CLOSE);
+        boolean isLast = !mKeepAlive;
+        mUnwrittenResponses++;
+        mContext.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT)
+                .addListener(done -> onResponseWritten(isLast));
+    }
+
+    private void onResponseWritten(boolean isLast) {
+        mUnwrittenResponses--;
+        if (isLast) {
+            mContext.close();
         }
+        mServer.closeIfStopping(this);
     }
 
     @Override
--- a/src/main/java/org/heathercourse/gateway/http/CallerServer.java
+++ b/src/main/java/org/heathercourse/gateway/http/CallerServer.java
@@ -87,6 +87,7 @@
 
     void onClosed(CallerConnection connection) {
         mConnections.remove(connection);
+        completeIfDrained();
     }
 
     void onHeadRead(CallerConnection connection) {
@@ -100,6 +101,13 @@
     void onCallEnded(CallerConnection connection) {
         mActiveCalls--;
         connection.headerTimeoutHandler(HEADER_TIMEOUT_HANDLER).onRequestEnded();
+    }
+
+    /** Closes the connection if the server is stopping and the connection is not busy. */
+    void closeIfStopping(CallerConnection connection) {
+        if (mClosing && !connection.isBusy()) {
+            connection.close();
+        }
         completeIfDrained();
     }
 
@@ -114,6 +122,14 @@
         return mActiveCalls;
     }
 
+    /**
+     * Returns whether a request is being read, a call is active or a response is being written;
+     * must be called on the traffic loop.
+     */
+    public boolean isBusy() {
+        return mConnections.stream().anyMatch(CallerConnection::isBusy);
+    }
+
     /** Closes each connection after its next response. */
     public void leave() {
         mLeaving = true;
@@ -122,7 +138,7 @@
     /**
      * Stops listening and closes the connections without a request.
      *
-     * @return completes when no call is active
+     * @return completes when no call is active and all responses are written
      */
     public CompletableFuture<Void> close() {
         mClosing = true;
@@ -146,7 +162,7 @@
     }
 
     private void completeIfDrained() {
-        if (mClosing && mActiveCalls == 0) {
+        if (mClosing && !isBusy()) {
             mDrained.complete(null);
         }
     }
--- a/src/test/java/org/heathercourse/gateway/GatewayDrainTest.java
+++ b/src/test/java/org/heathercourse/gateway/GatewayDrainTest.java
@@ -143,6 +143,22 @@
         assertThat(kinds).contains("executed 200").isSubsetOf("executed 200", "503", "closed");
     }
 
+    /** Guards against an exit while the rest of a request is on its way. */
+    @Test
+    void requestThatIsBeingReadHoldsTheExit() throws Exception {
+        try (RawCaller caller = caller()) {
+            String request = request("/order/yarn", "abcd");
+            caller.send(request.substring(0, request.length() - 2));
+            CompletableFuture<Void> drained = drain();
+            // After the time for which all requests are admitted, 0.2 s before the last response.
+            Thread.sleep(2_000);
+            caller.send("cd");
+            assertThat(caller.readResponse().status()).isEqualTo(503);
+            drained.get(GRACE_MILLIS, TimeUnit.MILLISECONDS);
+        }
+        assertThat(mDeployment.plain().receivedRequests()).isEmpty();
+    }
+
     /** Guards against a stop that ends with an unanswered call instead of a true error. */
     @Test
     void callThatTheExitInterruptsIsAnsweredAsPossiblyRun() throws Exception {
