Start no request behind the last response of a connection

What callers saw: a request that followed on a connection whose response said Connection: close was sent to an engine, and then the connection closed without a response; so it was with a non-idempotent order.

Cause: at the end of a call the connection started the requests that were queued behind it, though it was to close as soon as the last response was written. While that write waits for a slow reader, the next request runs. Class of fault: work is taken on a connection that has announced its end.

Change: once the last response has ended, queued and later bytes are dropped; the caller was told that the connection closes and may send them again elsewhere.

--- a/src/main/java/org/heathercourse/gateway/http/CallerConnection.java
+++ b/src/main/java/org/heathercourse/gateway/http/CallerConnection.java
@@ -51,6 +51,7 @@
     private Call mCall;
     private int mUnwrittenResponses;
     private boolean mKeepAlive;
+    private boolean mLastResponseEnded;
     private boolean mSupportsChunked;
     private boolean mIsHeadRequest;
 
@@ -69,7 +70,10 @@
 
     @Override
     public void channelRead(ChannelHandlerContext context, Object message) {
-        if (mCall == null && mPendingMessages.isEmpty()) {
+        if (mLastResponseEnded) {
+            // The caller was told that the connection closes; what follows is not served.
+            ReferenceCountUtil.release(message);
+        } else if (mCall == null && mPendingMessages.isEmpty()) {
             process(message);
         } else if (mPendingMessages.size() < MAX_PENDING_MESSAGES) {
             mPendingMessages.add(message);
@@ -189,7 +193,7 @@
     private void onCallEnded() {
         mCall = null;
         mServer.onCallEnded(this);
-        while (mCall == null && !mPendingMessages.isEmpty()) {
+        while (mCall == null && !mLastResponseEnded && !mPendingMessages.isEmpty()) {
             process(mPendingMessages.remove());
         }
         mServer.closeIfStopping(this);
@@ -251,15 +255,15 @@
 
     @Override
     public void end() {
-        boolean isLast = !mKeepAlive;
+        mLastResponseEnded = !mKeepAlive;
         mUnwrittenResponses++;
         mContext.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT)
-                .addListener(done -> onResponseWritten(isLast));
+                .addListener(done -> onResponseWritten());
     }
 
-    private void onResponseWritten(boolean isLast) {
+    private void onResponseWritten() {
         mUnwrittenResponses--;
-        if (isLast) {
+        if (mLastResponseEnded) {
             mContext.close();
         }
         mServer.closeIfStopping(this);
--- a/src/test/java/org/heathercourse/gateway/http/CallerServerDrainTest.java
+++ b/src/test/java/org/heathercourse/gateway/http/CallerServerDrainTest.java
@@ -116,6 +116,18 @@
         assertThat(mChannel.isOpen()).isFalse();
     }
 
+    @Test
+    void requestBehindTheLastResponseOfConnectionIsNotStarted() {
+        open();
+        leave();
+        receive(REQUEST + REQUEST);
+        receive(REQUEST);
+        assertThat(responseCount()).isEqualTo(1);
+        completeWrites();
+        assertThat(mChannel.isOpen()).isFalse();
+        assertThat(responseCount()).isEqualTo(1);
+    }
+
     /** Records what is written and completes the writes only when the test says so. */
     private final class WriteHolder extends ChannelOutboundHandlerAdapter {
         @Override
