--- a/src/main/java/org/heathercourse/testing/hosted/HostedDeployment.java
+++ b/src/main/java/org/heathercourse/testing/hosted/HostedDeployment.java
@@ -1,5 +1,6 @@
 package org.heathercourse.testing.hosted;
 
+import java.io.File;
 import java.io.IOException;
 import java.io.UncheckedIOException;
 import java.net.InetAddress;
@@ -32,6 +33,10 @@
     public static final String KEY = "key-1";
 
     private static final String ZONE = "zone-a";
+    private static final String LOOPBACK_HOST = "127.0.0.1";
+
+    /** Last number of the host address of the first gateway with a host address of its own. */
+    private static final int FIRST_PROCESS_HOST = 2;
 
     private final StoreStandIn mStore = new StoreStandIn();
     private final TargetStandIn mEngineA = new TargetStandIn("engine-a");
@@ -100,7 +105,7 @@
      * @return the settings that it runs with
      */
     public Settings addGateway(String vm, StoreStandIn store) {
-        Settings settings = parse(environment(vm, store));
+        Settings settings = parse(environment(vm, LOOPBACK_HOST, store));
         HostedPlatform platform =
                 ServiceLoader.load(HostedPlatform.class).findFirst().orElseThrow();
         Gateway gateway =
@@ -120,18 +125,39 @@
      * @return the settings that it runs with
      */
     Settings addGatewayProcess(String vm, List<String> command) {
-        Map<String, String> environment = environment(vm, mStore);
+        Map<String, String> environment = environment(vm, LOOPBACK_HOST, mStore);
         Settings settings = parse(environment);
         mProcesses.add(GatewayProcess.start(command, environment));
         mSettings.add(settings);
         return settings;
     }
 
+    /**
+     * Starts a gateway as a process of its own, with a host address of its own so that no outgoing
+     * connection takes its ports while it restarts.
+     *
+     * @param vm identity of its VM
+     * @param command program and arguments that start a gateway
+     * @param variables further environment variables
+     * @param output file that receives the output of the gateway
+     * @return the process; its settings are {@link #lastSettings}
+     */
+    GatewayProcess addGatewayProcess(
+            String vm, List<String> command, Map<String, String> variables, File output) {
+        String host = "127.0.0." + (FIRST_PROCESS_HOST + mProcesses.size());
+        Map<String, String> environment = environment(vm, host, mStore);
+        environment.putAll(variables);
+        GatewayProcess process = GatewayProcess.start(command, environment, output);
+        mProcesses.add(process);
+        mSettings.add(parse(environment));
+        return process;
+    }
+
     private static Settings parse(Map<String, String> environment) {
         return Settings.parse(Program.GATEWAY, new String[0], environment).get();
     }
 
-    private Map<String, String> environment(String vm, StoreStandIn store) {
+    private static Map<String, String> environment(String vm, String host, StoreStandIn store) {
         Map<String, String> environment = new HashMap<>();
         environment.put(Setting.PLATFORM.environmentVariable(), "hosted");
         environment.put(Setting.VM_ID.environmentVariable(), vm);
@@ -144,19 +170,19 @@
                         Setting.DIRECTORY_ADDRESS,
                         Setting.PEER_ADDRESS,
                         Setting.METRICS_ADDRESS);
-        List<Integer> ports = freePorts(addresses.size());
+        List<Integer> ports = freePorts(host, addresses.size());
         for (int i = 0; i < addresses.size(); i++) {
-            environment.put(addresses.get(i).environmentVariable(), "127.0.0.1:" + ports.get(i));
+            environment.put(addresses.get(i).environmentVariable(), host + ":" + ports.get(i));
         }
         return environment;
     }
 
-    private static List<Integer> freePorts(int count) {
+    private static List<Integer> freePorts(String host, int count) {
         List<ServerSocket> sockets = new ArrayList<>();
         try {
             List<Integer> ports = new ArrayList<>();
             for (int i = 0; i < count; i++) {
-                ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress());
+                ServerSocket socket = new ServerSocket(0, 1, InetAddress.getByName(host));
                 sockets.add(socket);
                 ports.add(socket.getLocalPort());
             }
@@ -199,6 +225,11 @@
         return mSettings.get(gateway);
     }
 
+    /** Returns the settings of the gateway that was started last. */
+    Settings lastSettings() {
+        return mSettings.get(mSettings.size() - 1);
+    }
+
     @Override
     public void close() {
         mGateways.forEach(Gateway::close);
--- a/src/main/java/org/heathercourse/testing/hosted/TargetStandIn.java
+++ b/src/main/java/org/heathercourse/testing/hosted/TargetStandIn.java
@@ -14,17 +14,27 @@
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.handler.codec.http.QueryStringDecoder;
+import java.io.IOException;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
+import java.util.Map;
+import java.util.OptionalLong;
 import java.util.Queue;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
+import org.heathercourse.core.time.Ticker;
 
 /**
  * A target on a loopback port that answers with event streams or short bodies and can inject
  * faults. Open from construction until {@link #close()}. Thread-safe.
+ *
+ * <p>Parameters in the query of a request's URI set how long it takes: {@code event_interval_ms}
+ * between the events of a stream, {@code answer_delay_ms} before a short body, and {@code
+ * body_bytes}, the minimum size of that body.
  */
 public final class TargetStandIn implements AutoCloseable {
     /** A fault to inject into one request. */
@@ -77,6 +87,8 @@
     private final StandInServer mServer;
     private final Queue<Fault> mFaults = new ConcurrentLinkedQueue<>();
     private final List<ReceivedRequest> mReceivedRequests = new CopyOnWriteArrayList<>();
+    private final Map<String, Long> mWorkEndMillis = new ConcurrentHashMap<>();
+    private final Ticker mTicker = Ticker.system();
     private final AtomicInteger mCancelledCount = new AtomicInteger();
     private volatile long mEventIntervalMillis;
 
@@ -97,6 +109,15 @@
         }
     }
 
+    /**
+     * A stream that the target sends.
+     *
+     * @param requestId identity of its request
+     * @param intervalMillis time between two events in milliseconds
+     * @param fault fault of its request
+     */
+    private record Stream(String requestId, long intervalMillis, Fault fault) {}
+
     /**
      * Opens a target on a free port.
      *
@@ -150,6 +171,17 @@
         return mReceivedRequests.stream().filter(ReceivedRequest::executed).toList();
     }
 
+    /**
+     * Returns when the target finished its work on a request, even if nobody read the answer.
+     *
+     * @param requestId identity of the request
+     * @return time of {@link Ticker#system} in milliseconds; empty while the target works on it
+     */
+    public OptionalLong workEndMillis(String requestId) {
+        Long millis = mWorkEndMillis.get(requestId);
+        return millis == null ? OptionalLong.empty() : OptionalLong.of(millis);
+    }
+
     /** Returns the number of connections that closed while a request was executed. */
     public int cancelledCount() {
         return mCancelledCount.get();
@@ -209,15 +241,47 @@
                     if (request.uri().contains("stream")) {
                         startStream(context, request, fault);
                     } else {
-                        answer(context, 200, "answer to " + requestId(request), true, request);
-                        if (fault == Fault.EXTRA_ANSWER) {
-                            sendExtraAnswer(context);
-                        }
+                        scheduleAnswer(context, request, fault);
                     }
                 }
             }
         }
 
+        private void scheduleAnswer(
+                ChannelHandlerContext context, FullHttpRequest request, Fault fault) {
+            long delayMillis = queryNumber(request, "answer_delay_ms", 0);
+            if (delayMillis == 0) {
+                answerShortly(context, request, fault);
+                return;
+            }
+            // Only the URI and the headers are read later, which outlive the released body.
+            context.executor()
+                    .schedule(
+                            () -> answerShortly(context, request, fault),
+                            delayMillis,
+                            TimeUnit.MILLISECONDS);
+        }
+
+        private void answerShortly(
+                ChannelHandlerContext context, FullHttpRequest request, Fault fault) {
+            String text = "answer to " + requestId(request);
+            long fillerBytes = queryNumber(request, "body_bytes", 0) - text.length();
+            recordWorkEnd(requestId(request));
+            answer(context, 200, text + " ".repeat((int) Math.max(0, fillerBytes)), true, request);
+            if (fault == Fault.EXTRA_ANSWER) {
+                sendExtraAnswer(context);
+            }
+        }
+
+        private long queryNumber(FullHttpRequest request, String parameter, long defaultNumber) {
+            List<String> values = new QueryStringDecoder(request.uri()).parameters().get(parameter);
+            return values == null ? defaultNumber : Long.parseLong(values.get(0));
+        }
+
+        private void recordWorkEnd(String requestId) {
+            mWorkEndMillis.merge(requestId, mTicker.readMillis(), Math::max);
+        }
+
         private void answer(
                 ChannelHandlerContext context,
                 int status,
@@ -289,7 +353,13 @@
                 ChannelHandlerContext context, FullHttpRequest request, Fault fault) {
             sendStreamHead(context, request);
             String lastEventId = request.headers().get("Last-Event-Id");
-            sendEvent(context, lastEventId == null ? 1 : Integer.parseInt(lastEventId) + 1, fault);
+            Stream stream =
+                    new Stream(
+                            requestId(request),
+                            queryNumber(request, "event_interval_ms", mEventIntervalMillis),
+                            fault);
+            int firstNumber = lastEventId == null ? 1 : Integer.parseInt(lastEventId) + 1;
+            sendEvent(context, firstNumber, stream);
         }
 
         private void sendStreamHead(ChannelHandlerContext context, FullHttpRequest request) {
@@ -300,8 +370,8 @@
             context.writeAndFlush(head);
         }
 
-        private void sendEvent(ChannelHandlerContext context, int number, Fault fault) {
-            if (fault == Fault.BREAK_STREAM && number > EVENTS_BEFORE_BREAK) {
+        private void sendEvent(ChannelHandlerContext context, int number, Stream stream) {
+            if (stream.fault() == Fault.BREAK_STREAM && number > EVENTS_BEFORE_BREAK) {
                 mRunning = false;
                 write(context, "id: " + number + "\nda");
                 context.close();
@@ -309,17 +379,18 @@
             }
             if (number > EVENT_COUNT) {
                 mRunning = false;
+                recordWorkEnd(stream.requestId());
                 context.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT);
                 return;
             }
             write(context, "id: " + number + "\ndata: token " + number + "\n\n");
-            if (mEventIntervalMillis == 0) {
-                sendEvent(context, number + 1, fault);
+            if (stream.intervalMillis() == 0) {
+                sendEvent(context, number + 1, stream);
             } else {
                 context.executor()
                         .schedule(
-                                () -> sendEvent(context, number + 1, fault),
-                                mEventIntervalMillis,
+                                () -> sendEvent(context, number + 1, stream),
+                                stream.intervalMillis(),
                                 TimeUnit.MILLISECONDS);
             }
         }
@@ -339,5 +410,15 @@
                 mCancelledCount.incrementAndGet();
             }
         }
+
+        /** Closes the connection if it failed: a gateway process that exits resets it. */
+        @Override
+        public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+            if (cause instanceof IOException) {
+                context.close();
+            } else {
+                context.fireExceptionCaught(cause);
+            }
+        }
     }
 }
--- a/src/test/java/org/heathercourse/gateway/RawCaller.java
+++ b/src/test/java/org/heathercourse/gateway/RawCaller.java
@@ -12,27 +12,54 @@
 import java.util.TreeMap;
 
 /** A caller on one plain socket, for tests that control each byte sent and check each one read. */
-final class RawCaller implements AutoCloseable {
+public final class RawCaller implements AutoCloseable {
     private static final int TIMEOUT_MILLIS = 8_000;
 
     private final Socket mSocket = new Socket();
     private final InputStream mInput;
 
-    /** A response; its body is null if the connection ended before the body was complete. */
-    record Response(int status, Map<String, String> headers, String body) {
-        boolean isComplete() {
+    /**
+     * A response; its body is null if the connection ended before the body was complete.
+     *
+     * @param status HTTP status
+     * @param headers HTTP headers by their names in lower case
+     * @param body body, one character for each byte
+     */
+    public record Response(int status, Map<String, String> headers, String body) {
+        /** Returns whether the whole body was read. */
+        public boolean isComplete() {
             return body != null;
         }
     }
 
     RawCaller(InetSocketAddress address) throws IOException {
+        this(address, 0);
+    }
+
+    /**
+     * Connects to a gateway.
+     *
+     * @param address address for callers
+     * @param receiveBufferBytes size of the socket's receive buffer in bytes; 0 for the default
+     * @throws IOException if the gateway does not accept the connection
+     */
+    public RawCaller(InetSocketAddress address, int receiveBufferBytes) throws IOException {
+        if (receiveBufferBytes > 0) {
+            mSocket.setReceiveBufferSize(receiveBufferBytes);
+        }
         mSocket.connect(address, TIMEOUT_MILLIS);
         mSocket.setSoTimeout(TIMEOUT_MILLIS);
         mSocket.setTcpNoDelay(true);
         mInput = mSocket.getInputStream();
     }
 
-    void send(String text) throws IOException {
+    /**
+     * Sends a text, one byte for each character.
+     *
+     * @param text bytes to send
+     * @throws IOException if the connection is closed
+     */
+    public void send(String text) throws IOException {
         mSocket.getOutputStream().write(text.getBytes(StandardCharsets.ISO_8859_1));
         mSocket.getOutputStream().flush();
     }
@@ -60,7 +87,13 @@
         return line.toString(StandardCharsets.ISO_8859_1);
     }
 
-    Response readResponse() throws IOException {
+    /**
+     * Reads the next response.
+     *
+     * @return the response, incomplete if the connection ended within its body
+     * @throws IOException if the connection ended before the end of the response's head
+     */
+    public Response readResponse() throws IOException {
         int status = Integer.parseInt(readLine().split(" ")[1]);
         Map<String, String> headers = new TreeMap<>();
         for (String line = readLine(); !line.isEmpty(); line = readLine()) {
