Pause reading instead of closing when many requests follow on a connection

What callers saw: with more than about 32 requests in a row on one connection, the connection closed and the running one had no response, at any time and not only in a stop.

Cause: the queue of HTTP messages behind a running call was bounded by closing the connection.

Change: a full queue pauses reading; what was read already is kept. While it is full, a caller that leaves is noticed by the next write.

--- a/src/main/java/org/heathercourse/gateway/http/CallerConnection.java
+++ b/src/main/java/org/heathercourse/gateway/http/CallerConnection.java
@@ -38,7 +38,7 @@
  * Confined to the traffic loop.
  */
 final class CallerConnection extends ChannelInboundHandlerAdapter implements ResponseWriter {
-    /** Maximum number of HTTP messages queued behind a running call. */
+    /** Number of HTTP messages queued behind a running call from which on no more are read. */
     private static final int MAX_PENDING_MESSAGES = 64;
 
     private final CallerServer mServer;
@@ -75,14 +75,16 @@
             ReferenceCountUtil.release(message);
         } else if (mCall == null && mPendingMessages.isEmpty()) {
             process(message);
-        } else if (mPendingMessages.size() < MAX_PENDING_MESSAGES) {
-            mPendingMessages.add(message);
         } else {
-            ReferenceCountUtil.release(message);
-            context.close();
+            mPendingMessages.add(message);
+            pauseReadingIfQueueFull();
         }
     }
 
+    private void pauseReadingIfQueueFull() {
+        mContext.channel().config().setAutoRead(mPendingMessages.size() < MAX_PENDING_MESSAGES);
+    }
+
     private void process(Object message) {
         try {
             if (message instanceof HttpRequest head) {
@@ -196,6 +198,7 @@
         while (mCall == null && !mLastResponseEnded && !mPendingMessages.isEmpty()) {
             process(mPendingMessages.remove());
         }
+        pauseReadingIfQueueFull();
         mServer.closeIfStopping(this);
     }
 
--- a/src/test/java/org/heathercourse/gateway/GatewayTest.java
+++ b/src/test/java/org/heathercourse/gateway/GatewayTest.java
@@ -201,6 +201,22 @@
         }
     }
 
+    /** Guards against a running call that is cut because many requests follow on its connection. */
+    @Test
+    void answersMoreRequestsThanTheQueueOfConnectionHolds() throws IOException {
+        int first = mRequestCount + 1;
+        StringBuilder requests = new StringBuilder();
+        for (int i = 0; i < 60; i++) {
+            requests.append(get("/read/" + i, ""));
+        }
+        try (RawCaller caller = caller()) {
+            caller.send(requests.toString());
+            for (int i = 0; i < 60; i++) {
+                assertThat(caller.readResponse().body()).isEqualTo("answer to r" + (first + i));
+            }
+        }
+    }
+
     @Test
     void convertsChunkedBodyToContentLength() throws IOException {
         String request =
