Decide from reports of ended targets which requests crash them

Change: core.crash identifies a request by the digest of workspace, method, path and body, and counts the target processes that ended while they ran it. A request is quarantined from three crashes that no other quarantined request explains, until 10 minutes after its last crash or until it succeeds. The table has at most 128 entries and is not used by the gateway yet.

--- /dev/null
+++ b/src/main/java/org/heathercourse/core/crash/CrashTable.java
@@ -0,0 +1,219 @@
+package org.heathercourse.core.crash;
+
+import com.fasterxml.jackson.annotation.JsonCreator;
+import com.fasterxml.jackson.annotation.JsonIgnore;
+import com.fasterxml.jackson.annotation.JsonProperty;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+
+/**
+ * The requests that ran on targets when these ended, and those of them that are quarantined because
+ * they crash targets. Immutable and safe for use by several threads.
+ *
+ * <p>Load pattern: a request that crashes each target that begins to run it comes again at any
+ * gateway. All requests that ran on the target are suspects; a sound one may be so several times. A
+ * request is quarantined once it has {@link #CRASH_LIMIT} crashes that no other quarantined request
+ * explains. The requests with the most unexplained crashes are chosen first.
+ */
+public final class CrashTable {
+    /** Number of unexplained crashes from which a request is quarantined. */
+    public static final int CRASH_LIMIT = 3;
+
+    /** Maximum number of entries. */
+    public static final int MAX_ENTRIES = 128;
+
+    /** Time in milliseconds after its last crash for which a request is remembered. */
+    public static final long EXPIRY_MILLIS = 600_000;
+
+    private static final Comparator<CrashEntry> MOST_CRASHES_THEN_LATEST_FIRST =
+            Comparator.comparingInt(CrashEntry::crashCount)
+                    .thenComparingLong(CrashEntry::lastCrashMillis)
+                    .reversed()
+                    .thenComparing(CrashEntry::digest);
+
+    /** A table without entries. */
+    public static final CrashTable EMPTY = new CrashTable(List.of());
+
+    private final Map<String, CrashEntry> mEntries;
+    private final Set<String> mQuarantined;
+
+    /**
+     * Creates a table.
+     *
+     * @param entries entries, of which at most {@link #MAX_ENTRIES} are kept: those with the most
+     *     crashes, and of these the latest
+     */
+    @JsonCreator
+    public CrashTable(@JsonProperty("entries") Collection<CrashEntry> entries) {
+        mEntries = new TreeMap<>();
+        entries.stream()
+                .sorted(MOST_CRASHES_THEN_LATEST_FIRST)
+                .limit(MAX_ENTRIES)
+                .forEach(entry -> mEntries.putIfAbsent(entry.digest(), entry));
+        mQuarantined = chooseQuarantined(mEntries.values());
+    }
+
+    // Quarantine
+
+    private static Set<String> chooseQuarantined(Collection<CrashEntry> entries) {
+        Set<String> quarantined = new HashSet<>();
+        Set<String> explainedTargets = new HashSet<>();
+        List<CrashEntry> suspects = new ArrayList<>(entries);
+        while (true) {
+            long maxCrashes =
+                    suspects.stream()
+                            .mapToLong(entry -> unexplainedCrashes(entry, explainedTargets))
+                            .max()
+                            .orElse(0);
+            if (maxCrashes < CRASH_LIMIT) {
+                return Set.copyOf(quarantined);
+            }
+            List<CrashEntry> chosen =
+                    suspects.stream()
+                            .filter(
+                                    entry ->
+                                            unexplainedCrashes(entry, explainedTargets)
+                                                    == maxCrashes)
+                            .toList();
+            suspects.removeAll(chosen);
+            for (CrashEntry entry : chosen) {
+                quarantined.add(entry.digest());
+                explainedTargets.addAll(entry.targets());
+            }
+        }
+    }
+
+    private static long unexplainedCrashes(CrashEntry entry, Set<String> explainedTargets) {
+        return entry.targets().stream().filter(t -> !explainedTargets.contains(t)).count();
+    }
+
+    /** Returns whether there are no entries. */
+    @JsonIgnore
+    public boolean isEmpty() {
+        return mEntries.isEmpty();
+    }
+
+    /** Returns whether there is an entry for a request. */
+    public boolean contains(RequestDigest digest) {
+        return mEntries.containsKey(digest.text());
+    }
+
+    /** Returns whether the table has the crash of a target while it ran a request. */
+    public boolean hasCrash(RequestDigest digest, String targetIncarnation) {
+        CrashEntry entry = mEntries.get(digest.text());
+        return entry != null && entry.targets().contains(targetIncarnation);
+    }
+
+    /** Returns the number of targets that ended while they ran a request. */
+    public int crashCount(RequestDigest digest) {
+        CrashEntry entry = mEntries.get(digest.text());
+        return entry == null ? 0 : entry.crashCount();
+    }
+
+    /**
+     * Returns whether a request must not be sent to targets. Entries that have expired since the
+     * table was made count too; see {@link #quarantineEndMillis}.
+     */
+    public boolean isQuarantined(RequestDigest digest) {
+        return mQuarantined.contains(digest.text());
+    }
+
+    /**
+     * Returns the wall-clock time in milliseconds since the epoch at which the quarantine of a
+     * request ends, or 0 if it is not quarantined.
+     */
+    public long quarantineEndMillis(RequestDigest digest) {
+        return isQuarantined(digest) ? mEntries.get(digest.text()).endMillis() : 0;
+    }
+
+    /** Returns the digests of the requests that are quarantined. */
+    public Set<String> quarantinedDigests() {
+        return mQuarantined;
+    }
+
+    /** Returns the entries in the order of their digests. */
+    @JsonProperty("entries")
+    public List<CrashEntry> entries() {
+        return List.copyOf(mEntries.values());
+    }
+
+    // Changes
+
+    /**
+     * Returns a table that also has a crash.
+     *
+     * @param digest the request
+     * @param targetIncarnation identity of the target's process that ended; counts once
+     * @param atMillis wall-clock time of the crash in milliseconds since the epoch
+     */
+    public CrashTable withCrash(RequestDigest digest, String targetIncarnation, long atMillis) {
+        CrashEntry entry = mEntries.get(digest.text());
+        CrashEntry base =
+                entry == null ? new CrashEntry(digest.text(), List.of(), atMillis) : entry;
+        Map<String, CrashEntry> entries = new TreeMap<>(mEntries);
+        entries.put(digest.text(), base.withCrash(targetIncarnation, atMillis));
+        return new CrashTable(entries.values());
+    }
+
+    /** Returns a table without the crashes of a request, which succeeded or was cleared. */
+    public CrashTable withoutDigest(RequestDigest digest) {
+        if (!contains(digest)) {
+            return this;
+        }
+        Map<String, CrashEntry> entries = new TreeMap<>(mEntries);
+        entries.remove(digest.text());
+        return new CrashTable(entries.values());
+    }
+
+    /**
+     * Returns a table without the entries that have expired. Crashes that an expired quarantined
+     * request explained are removed from the other entries too: otherwise a sound request would be
+     * quarantined as soon as the request that explains its crashes expires.
+     *
+     * @param nowMillis wall-clock time in milliseconds since the epoch
+     */
+    public CrashTable withoutExpired(long nowMillis) {
+        List<CrashEntry> expired =
+                mEntries.values().stream().filter(e -> e.endMillis() <= nowMillis).toList();
+        if (expired.isEmpty()) {
+            return this;
+        }
+        Set<String> explainedTargets = new HashSet<>();
+        expired.stream()
+                .filter(entry -> mQuarantined.contains(entry.digest()))
+                .forEach(entry -> explainedTargets.addAll(entry.targets()));
+        return new CrashTable(
+                mEntries.values().stream()
+                        .filter(entry -> entry.endMillis() > nowMillis)
+                        .map(entry -> withoutExplained(entry, explainedTargets))
+                        .filter(entry -> entry.crashCount() > 0)
+                        .toList());
+    }
+
+    private CrashEntry withoutExplained(CrashEntry entry, Set<String> explainedTargets) {
+        return mQuarantined.contains(entry.digest())
+                ? entry
+                : entry.withoutTargets(explainedTargets);
+    }
+
+    @Override
+    public boolean equals(Object other) {
+        return other instanceof CrashTable table && mEntries.equals(table.mEntries);
+    }
+
+    @Override
+    public int hashCode() {
+        return mEntries.hashCode();
+    }
+
+    @Override
+    public String toString() {
+        return "CrashTable" + mEntries.values();
+    }
+}
--- /dev/null
+++ b/src/main/java/org/heathercourse/core/crash/package-info.java
@@ -0,0 +1,2 @@
+/** Recognition of requests that crash the targets that run them. */
+package org.heathercourse.core.crash;
--- /dev/null
+++ b/src/test/java/org/heathercourse/core/crash/CrashTableTest.java
@@ -0,0 +1,140 @@
+package org.heathercourse.core.crash;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.List;
+import java.util.Random;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import net.jqwik.api.constraints.Size;
+import org.junit.jupiter.api.Test;
+
+/** Guards against requests that crash targets without end, and against refusing sound ones. */
+class CrashTableTest {
+    private static final RequestDigest KILLER = digest("killer");
+    private static final RequestDigest SOUND = digest("sound");
+
+    private static RequestDigest digest(String body) {
+        return RequestDigest.of("w", "POST", "/x", body.getBytes(StandardCharsets.UTF_8));
+    }
+
+    private static CrashTable crashes(CrashTable table, RequestDigest digest, String... targets) {
+        CrashTable result = table;
+        for (String target : targets) {
+            result = result.withCrash(digest, target, 1_000);
+        }
+        return result;
+    }
+
+    @Test
+    void digestCoversEachPartAndItsBounds() {
+        byte[] body = {'b'};
+        assertThat(RequestDigest.of("w", "GET", "/x", body))
+                .isEqualTo(RequestDigest.of("w", "GET", "/x", body.clone()))
+                .isNotEqualTo(RequestDigest.of("v", "GET", "/x", body))
+                .isNotEqualTo(RequestDigest.of("w", "PUT", "/x", body))
+                .isNotEqualTo(RequestDigest.of("w", "GET", "/xb", new byte[0]))
+                .isNotEqualTo(RequestDigest.of("w", "GET", "/x", new byte[0]));
+        assertThat(RequestDigest.of(null, "GET", "/x", body))
+                .isNotEqualTo(RequestDigest.of("", "GET", "/x", body));
+    }
+
+    @Test
+    void quarantinesAfterThirdCrash() {
+        CrashTable table = crashes(CrashTable.EMPTY, KILLER, "a", "b");
+        assertThat(table.isQuarantined(KILLER)).isFalse();
+        table = crashes(table, KILLER, "c");
+        assertThat(table.isQuarantined(KILLER)).isTrue();
+        assertThat(table.isQuarantined(SOUND)).isFalse();
+        assertThat(table.quarantineEndMillis(KILLER)).isEqualTo(601_000);
+    }
+
+    /** Several gateways, or one that lost a reply, report the same end of a target. */
+    @Test
+    void sameIncarnationCountsOnce() {
+        CrashTable table = crashes(CrashTable.EMPTY, KILLER, "a", "a", "b", "a");
+        assertThat(table.crashCount(KILLER)).isEqualTo(2);
+        assertThat(table.isQuarantined(KILLER)).isFalse();
+    }
+
+    @Test
+    void doesNotRefuseRequestWhoseCrashesAreExplained() {
+        CrashTable table = crashes(CrashTable.EMPTY, KILLER, "a", "b", "c", "d");
+        table = crashes(table, SOUND, "a", "b", "c");
+        assertThat(table.isQuarantined(SOUND)).as("all three explained").isFalse();
+        table = crashes(table, KILLER, "e", "f");
+        table = crashes(table, SOUND, "x", "y");
+        assertThat(table.isQuarantined(SOUND)).as("two unexplained").isFalse();
+        table = crashes(table, SOUND, "z");
+        assertThat(table.isQuarantined(SOUND)).as("three of its own").isTrue();
+    }
+
+    /** Nothing tells such requests apart, and leaving both out would leave the killer out. */
+    @Test
+    void quarantinesAllRequestsWithTheSameCrashes() {
+        CrashTable table = crashes(CrashTable.EMPTY, KILLER, "a", "b", "c");
+        table = crashes(table, SOUND, "a", "b", "c");
+        assertThat(table.quarantinedDigests())
+                .containsExactlyInAnyOrder(KILLER.text(), SOUND.text());
+    }
+
+    @Test
+    void forgetsRequestThatSucceededOrExpired() {
+        CrashTable table = crashes(CrashTable.EMPTY, KILLER, "a", "b", "c");
+        assertThat(table.withoutDigest(KILLER).isEmpty()).isTrue();
+        assertThat(table.withoutDigest(SOUND)).isSameAs(table);
+        assertThat(table.withoutExpired(600_999)).isSameAs(table);
+        assertThat(table.withoutExpired(601_000).isEmpty()).isTrue();
+    }
+
+    /** Guards against a sound request that is refused once the one that explains it expires. */
+    @Test
+    void explainedCrashesExpireWithTheRequestThatExplainsThem() {
+        CrashTable table = crashes(CrashTable.EMPTY, KILLER, "a", "b", "c", "d");
+        table = table.withCrash(SOUND, "a", 1_200).withCrash(SOUND, "b", 1_200);
+        table = table.withCrash(SOUND, "c", 1_200).withCrash(SOUND, "x", 1_200);
+        table = table.withCrash(KILLER, "e", 1_000).withoutExpired(601_000);
+        assertThat(table.contains(KILLER)).isFalse();
+        assertThat(table.crashCount(SOUND)).isEqualTo(1);
+    }
+
+    /** Guards against a table that grows without end or drops the worst entries. */
+    @Test
+    void keepsEntriesWithMostCrashesThenLatest() {
+        CrashTable table = crashes(CrashTable.EMPTY, KILLER, "a", "b");
+        for (int i = 0; i < 2 * CrashTable.MAX_ENTRIES; i++) {
+            table = table.withCrash(digest("sound" + i), "c", 2_000 + i);
+        }
+        assertThat(table.entries()).hasSize(CrashTable.MAX_ENTRIES);
+        assertThat(table.crashCount(KILLER)).isEqualTo(2);
+        assertThat(table.contains(digest("sound0"))).isFalse();
+        for (int i = 0; i < 100; i++) {
+            table = table.withCrash(KILLER, "t" + i, 3_000);
+        }
+        assertThat(table.crashCount(KILLER)).isEqualTo(CrashEntry.MAX_TARGETS);
+    }
+
+    /** Gateways report the ends of a target in any order. */
+    @Property(tries = 300)
+    void orderOfReportsDoesNotChangeTheResult(
+            @ForAll @Size(max = 60) List<@IntRange(max = 71) Integer> reports,
+            @ForAll Random random) {
+        List<Integer> shuffled = new ArrayList<>(reports);
+        Collections.shuffle(shuffled, random);
+        assertThat(apply(shuffled)).isEqualTo(apply(reports));
+        assertThat(apply(shuffled).quarantinedDigests())
+                .isEqualTo(apply(reports).quarantinedDigests());
+    }
+
+    private static CrashTable apply(List<Integer> reports) {
+        CrashTable table = CrashTable.EMPTY;
+        for (int report : reports) {
+            table = table.withCrash(digest("" + report % 6), "t" + report / 6, report * 7L % 13);
+        }
+        return table;
+    }
+}
