Share the record of crashing requests among the gateways

Change: CrashRecordService keeps the table of crashes in the row "crashes" of the members' table. MembershipLoop reads the row with all others, and with the shares where all rows are read seldom. ControlPlane gives access to it; no request is refused by it yet.

--- a/src/main/java/org/heathercourse/gateway/control/ControlPlane.java
+++ b/src/main/java/org/heathercourse/gateway/control/ControlPlane.java
@@ -23,8 +23,8 @@
 import org.heathercourse.platform.rows.RowStore;
 
 /**
- * The control plane of a gateway: store access, configuration, targets, membership, rate limits and
- * budgets, all on one control thread.
+ * The control plane of a gateway: store access, configuration, targets, membership, rate limits,
+ * budgets and the record of crashes, all on one control thread.
  *
  * <p>Life cycle: create, {@link #start}, {@link #leave}, {@link #close}. Safe for use by several
  * threads.
@@ -45,6 +45,7 @@
     private final RelayingChannel mStoreChannel;
     private final RowStore mStore;
     private final RateFractions mRateFractions;
+    private final CrashRecordService mCrashRecords;
     private final ConfigurationFollower mConfiguration;
     private final TargetFollower mTargets;
     private final MembershipLoop mMembers;
@@ -85,6 +86,7 @@
         mStoreChannel = new RelayingChannel(mDirectChannel, ticker);
         mStore = platform.rowStore(mStoreChannel);
         mRateFractions = new RateFractions(self.vm().value(), wallTicker);
+        mCrashRecords = new CrashRecordService(mStore, mControl, wallTicker, random);
         mConfiguration =
                 new ConfigurationFollower(
                         platform.declaredRows(), mStore, mControl, wallTicker, mClusterView);
@@ -98,6 +100,7 @@
                         wallTicker,
                         mClusterView,
                         mRateFractions,
+                        mCrashRecords,
                         self,
                         this::state);
     }
@@ -180,6 +183,11 @@
         return mRateFractions;
     }
 
+    /** Returns the record of requests that crash targets. */
+    public CrashRecordService crashRecords() {
+        return mCrashRecords;
+    }
+
     /** Returns the age of the configuration. */
     public ReadFreshness configurationAge() {
         return mConfiguration.freshness();
--- a/src/main/java/org/heathercourse/gateway/control/MembershipLoop.java
+++ b/src/main/java/org/heathercourse/gateway/control/MembershipLoop.java
@@ -29,8 +29,8 @@
 
 /**
  * Maintains the membership of the gateways: writes this gateway's heartbeat, reads the heartbeats
- * of the others and the rate shares, and as leader writes the next shares and removes dead members.
- * Confined to the control thread.
+ * of the others, the rate shares and the record of crashes, and as leader writes the next shares
+ * and removes dead members. Confined to the control thread.
  */
 final class MembershipLoop {
     /** Minimum time between two heartbeats in milliseconds. */
@@ -47,8 +47,8 @@
     /** Time without a heartbeat in milliseconds after which a gateway's row is removed. */
     private static final long ROW_REMOVAL_MILLIS = 60_000;
 
-    /** Maximum time in milliseconds between two reads of the shares. */
-    private static final long MAX_SHARES_READ_PERIOD_MILLIS = 1_500;
+    /** Maximum time in milliseconds between two reads of the shares and of the crashes. */
+    private static final long MAX_READ_PERIOD_MILLIS = 1_500;
 
     private static final int MAX_REMOVALS = 50;
     private static final String TABLE = "member";
@@ -61,6 +61,7 @@
     private final SuspendAwareClock mTicker;
     private final ClusterView mClusterView;
     private final RateFractions mRateFractions;
+    private final CrashRecordService mCrashRecords;
     private final Supplier<MemberState> mStateSupplier;
     private final Liveness mLiveness;
     private final MemberReadPolicy mReadPolicy;
@@ -81,6 +82,7 @@
             SuspendAwareClock ticker,
             ClusterView clusterView,
             RateFractions rateFractions,
+            CrashRecordService crashRecords,
             Member self,
             Supplier<MemberState> stateSupplier) {
         mStore = store;
@@ -88,6 +90,7 @@
         mTicker = ticker;
         mClusterView = clusterView;
         mRateFractions = rateFractions;
+        mCrashRecords = crashRecords;
         mSelf = self;
         mStateSupplier = stateSupplier;
         mLiveness = new Liveness(ticker);
@@ -136,7 +139,7 @@
     }
 
     private CompletableFuture<Void> readAfterHeartbeat() {
-        return mReadPolicy.readsNow(mClusterView.fleet()) ? readAll() : readShares();
+        return mReadPolicy.readsNow(mClusterView.fleet()) ? readAll() : readSharesAndCrashes();
     }
 
     private CompletableFuture<Void> readAll() {
@@ -170,29 +173,43 @@
         long delayMillis = mHealthy ? periodMillis() : RETRY_DELAY_MILLIS;
         mControl.schedule(this::runHeartbeat, delayMillis, TimeUnit.MILLISECONDS);
         if (mHealthy) {
-            scheduleSharesReads(mTicker.now(), delayMillis);
+            scheduleReads(mTicker.now(), delayMillis);
         }
     }
 
     /**
-     * Schedules reads of the shares alone until the next heartbeat, if the period is long as in a
-     * large fleet.
+     * Schedules reads of the shares and crashes alone until the next heartbeat, if the period is
+     * long as in a large fleet.
      */
-    private void scheduleSharesReads(
-            SuspendAwareClock.Timestamp heartbeatTimestamp, long delayMillis) {
-        if (delayMillis - mTicker.millisSince(heartbeatTimestamp) <= MAX_SHARES_READ_PERIOD_MILLIS
+    private void scheduleReads(SuspendAwareClock.Timestamp heartbeatTimestamp, long delayMillis) {
+        if (delayMillis - mTicker.millisSince(heartbeatTimestamp) <= MAX_READ_PERIOD_MILLIS
                 || mStopped) {
             return;
         }
         mControl.schedule(
                 () -> {
-                    readShares();
-                    scheduleSharesReads(heartbeatTimestamp, delayMillis);
+                    readSharesAndCrashes();
+                    scheduleReads(heartbeatTimestamp, delayMillis);
                 },
-                MAX_SHARES_READ_PERIOD_MILLIS,
+                MAX_READ_PERIOD_MILLIS,
                 TimeUnit.MILLISECONDS);
     }
 
+    private CompletableFuture<Void> readSharesAndCrashes() {
+        return CompletableFuture.allOf(readShares(), readCrashes());
+    }
+
+    /** Reads the crashes, of which every gateway must learn within 2 s, however large the fleet. */
+    private CompletableFuture<Void> readCrashes() {
+        return mStore.read(CrashRecordService.ROW)
+                .thenAcceptAsync(mCrashRecords::onRow, mControl)
+                .exceptionally(
+                        error -> {
+                            LOG.info("crashes_read_failed", "reason", error.getMessage());
+                            return null;
+                        });
+    }
+
     private CompletableFuture<Void> readShares() {
         SuspendAwareClock.Timestamp readStart = mTicker.now();
         return mStore.read(SHARES)
@@ -219,6 +236,8 @@
             if (row.key().equals(SHARES)) {
                 epoch = JsonRowCodec.decode(row, ShareEpoch.class);
                 mSharesVersion = row.version();
+            } else if (row.key().equals(CrashRecordService.ROW)) {
+                mCrashRecords.onRow(row);
             } else if (row.key().key().startsWith(VM_PREFIX)) {
                 JsonRowCodec.decode(row, Member.class).ifPresent(members::add);
             }
