Release a request from quarantine only if another one explains all its crashes

Cause: choosing the request with the most crashes first released a crashing request as soon as another one that shared a target with it had more crashes, as happens while reports are late.

Change: a request with three crashes is released only if another one ran in all of them and in further ones. Two test cases stood for the rule before and are replaced: two further crashes no longer count as explained, and crashes that expire with the request that explains them are all gone. CrashTableTest.lateReportsOfAnotherRequestReleaseNothing fails with the rule before and passes now, as do the other CrashTableTest, CrashSimulationTest, CrashRecordServiceTest and LayeringTest.

--- a/src/main/java/org/heathercourse/core/crash/CrashTable.java
+++ b/src/main/java/org/heathercourse/core/crash/CrashTable.java
@@ -3,7 +3,6 @@
 import com.fasterxml.jackson.annotation.JsonCreator;
 import com.fasterxml.jackson.annotation.JsonIgnore;
 import com.fasterxml.jackson.annotation.JsonProperty;
-import java.util.ArrayList;
 import java.util.Collection;
 import java.util.Comparator;
 import java.util.HashSet;
@@ -18,11 +17,11 @@
  *
  * <p>Load pattern: a request that crashes each target that begins to run it comes again at any
  * gateway. All requests that ran on the target are suspects; a sound one may be so several times. A
- * request is quarantined once it has {@link #CRASH_LIMIT} crashes that no other quarantined request
- * explains. The requests with the most unexplained crashes are chosen first.
+ * request is quarantined once it has {@link #CRASH_LIMIT} crashes, unless another one ran in all of
+ * these and in further ones, which then explains them.
  */
 public final class CrashTable {
-    /** Number of unexplained crashes from which a request is quarantined. */
+    /** Number of crashes from which a request is quarantined. */
     public static final int CRASH_LIMIT = 3;
 
     /** Maximum number of entries. */
@@ -62,35 +61,21 @@
     // Quarantine
 
     private static Set<String> chooseQuarantined(Collection<CrashEntry> entries) {
+        List<CrashEntry> suspects =
+                entries.stream().filter(entry -> entry.crashCount() >= CRASH_LIMIT).toList();
         Set<String> quarantined = new HashSet<>();
-        Set<String> explainedTargets = new HashSet<>();
-        List<CrashEntry> suspects = new ArrayList<>(entries);
-        while (true) {
-            long maxCrashes =
-                    suspects.stream()
-                            .mapToLong(entry -> unexplainedCrashes(entry, explainedTargets))
-                            .max()
-                            .orElse(0);
-            if (maxCrashes < CRASH_LIMIT) {
-                return Set.copyOf(quarantined);
-            }
-            List<CrashEntry> chosen =
-                    suspects.stream()
-                            .filter(
-                                    entry ->
-                                            unexplainedCrashes(entry, explainedTargets)
-                                                    == maxCrashes)
-                            .toList();
-            suspects.removeAll(chosen);
-            for (CrashEntry entry : chosen) {
-                quarantined.add(entry.digest());
-                explainedTargets.addAll(entry.targets());
+        for (CrashEntry suspect : suspects) {
+            if (suspects.stream().noneMatch(other -> explains(other, suspect))) {
+                quarantined.add(suspect.digest());
             }
         }
+        return Set.copyOf(quarantined);
     }
 
-    private static long unexplainedCrashes(CrashEntry entry, Set<String> explainedTargets) {
-        return entry.targets().stream().filter(t -> !explainedTargets.contains(t)).count();
+    /** Returns whether a request ran in all crashes of another one and in further ones. */
+    private static boolean explains(CrashEntry entry, CrashEntry other) {
+        return entry.crashCount() > other.crashCount()
+                && entry.targets().containsAll(other.targets());
     }
 
     /** Returns whether there are no entries. */
--- a/src/test/java/org/heathercourse/core/crash/CrashTableTest.java
+++ b/src/test/java/org/heathercourse/core/crash/CrashTableTest.java
@@ -66,11 +66,17 @@
         CrashTable table = crashes(CrashTable.EMPTY, KILLER, "a", "b", "c", "d");
         table = crashes(table, SOUND, "a", "b", "c");
         assertThat(table.isQuarantined(SOUND)).as("all three explained").isFalse();
-        table = crashes(table, KILLER, "e", "f");
-        table = crashes(table, SOUND, "x", "y");
-        assertThat(table.isQuarantined(SOUND)).as("two unexplained").isFalse();
-        table = crashes(table, SOUND, "z");
-        assertThat(table.isQuarantined(SOUND)).as("three of its own").isTrue();
+        table = crashes(table, SOUND, "x");
+        assertThat(table.isQuarantined(SOUND)).as("one unexplained").isTrue();
+    }
+
+    /** Guards against a crashing request that runs again because another one shared a target. */
+    @Test
+    void lateReportsOfAnotherRequestReleaseNothing() {
+        CrashTable table = crashes(CrashTable.EMPTY, KILLER, "a", "b", "c");
+        table = crashes(table, SOUND, "a", "d", "e", "f");
+        assertThat(table.isQuarantined(KILLER)).isTrue();
+        assertThat(table.isQuarantined(SOUND)).isTrue();
     }
 
     /** Nothing tells such requests apart, and leaving both out would leave the killer out. */
@@ -96,10 +102,10 @@
     void explainedCrashesExpireWithTheRequestThatExplainsThem() {
         CrashTable table = crashes(CrashTable.EMPTY, KILLER, "a", "b", "c", "d");
         table = table.withCrash(SOUND, "a", 1_200).withCrash(SOUND, "b", 1_200);
-        table = table.withCrash(SOUND, "c", 1_200).withCrash(SOUND, "x", 1_200);
-        table = table.withCrash(KILLER, "e", 1_000).withoutExpired(601_000);
+        table = table.withCrash(SOUND, "c", 1_200).withoutExpired(601_000);
         assertThat(table.contains(KILLER)).isFalse();
-        assertThat(table.crashCount(SOUND)).isEqualTo(1);
+        assertThat(table.isQuarantined(SOUND)).isFalse();
+        assertThat(table.crashCount(SOUND)).isZero();
     }
 
     /** Guards against a table that grows without end or drops the worst entries. */
