Respond until the last part of short grace periods too

Cause: the last response came a fixed 0.8 s before the end of the grace period. With a grace period of 4 s that is before its last sixth, in which alone a target that is still at work excuses a response that is broken off.

Change: the margin is at most 0.15 of the grace period, 0.6 s of 4 s and 0.8 s as before of 8 s. GatewayDrainTest passes.

--- a/src/main/java/org/heathercourse/gateway/GatewayDrain.java
+++ b/src/main/java/org/heathercourse/gateway/GatewayDrain.java
@@ -19,8 +19,13 @@
     /** The same as a fraction of the stop grace period, for short ones. */
     private static final double MAX_SERVE_FRACTION = 3.0 / 8;
 
-    /** Time in milliseconds between the last response and the end of the stop grace period. */
-    private static final long RESPONSE_MARGIN_MILLIS = 800;
+    /**
+     * Maximum time in milliseconds between the last response and the end of the stop grace period.
+     */
+    private static final long MAX_RESPONSE_MARGIN_MILLIS = 800;
+
+    /** The same as a fraction of the stop grace period, for short ones. */
+    private static final double MAX_RESPONSE_MARGIN_FRACTION = 0.15;
 
     private static final long POLL_MILLIS = 100;
     private static final double MILLIS_PER_SECOND = 1e3;
@@ -48,9 +53,13 @@
     static DrainSchedule schedule(long startMillis, Settings settings) {
         long graceMillis =
                 (long) (settings.decimal(Setting.STOP_GRACE_SECONDS) * MILLIS_PER_SECOND);
-        long responseMillis = Math.max(0, graceMillis - RESPONSE_MARGIN_MILLIS);
+        long marginMillis =
+                (long)
+                        Math.min(
+                                MAX_RESPONSE_MARGIN_MILLIS,
+                                graceMillis * MAX_RESPONSE_MARGIN_FRACTION);
         long serveMillis = (long) Math.min(MAX_SERVE_MILLIS, graceMillis * MAX_SERVE_FRACTION);
-        return DrainSchedule.of(startMillis, Math.min(serveMillis, responseMillis), responseMillis);
+        return DrainSchedule.of(startMillis, serveMillis, graceMillis - marginMillis);
     }
 
     /**
