Tell the end of a target from the loss of a connection, and log the digest of its requests

The log could not show whether an engine had ended under a request or only a connection had, nor that a request was the same as an earlier one.

Change: when a connection is lost while a request is outstanding, the gateway looks once, 10 ms later, whether the target refuses a new connection; requests on the same target share the look, and a connection that is accepted is kept for use. A target that leaves as planned is not looked at. The line target_crashed gives the request's digest (workspace, method, path and body) and the incarnation of the target; attempts_ended_by_target_crash counts.

The comment of a test named an old margin.

--- a/src/main/java/org/heathercourse/core/error/ErrorKind.java
+++ b/src/main/java/org/heathercourse/core/error/ErrorKind.java
@@ -33,6 +33,7 @@
     OWNER_UNAVAILABLE(503, true),
     OWNERSHIP_LOST(503, false),
     DRAINING(503, true),
+    QUARANTINED(503, true),
     CANCELLED(499, false),
     TARGET_FAILED(502, false),
     OUTCOME_UNKNOWN(502, false),
--- a/src/main/java/org/heathercourse/core/target/Target.java
+++ b/src/main/java/org/heathercourse/core/target/Target.java
@@ -29,6 +29,11 @@
         return host + ":" + port;
     }
 
+    /** Returns a text that differs for each start of a target. */
+    public String incarnation() {
+        return id + "@" + startedMillis + "@" + address();
+    }
+
     /** Returns whether another row describes the same target since the same start. */
     public boolean isSameIncarnation(Target other) {
         return other != null
--- a/src/main/java/org/heathercourse/gateway/call/Attempt.java
+++ b/src/main/java/org/heathercourse/gateway/call/Attempt.java
@@ -6,6 +6,7 @@
 import org.heathercourse.core.stream.EventSplitter;
 import org.heathercourse.core.target.Target;
 import org.heathercourse.gateway.target.Exchange;
+import org.heathercourse.gateway.target.ResponseFailure;
 import org.heathercourse.gateway.target.ResponseListener;
 import org.heathercourse.gateway.target.TargetPool;
 import org.heathercourse.platform.entry.AnswerFacts;
@@ -121,7 +122,7 @@
 
     private void rejectResponse(String reason) {
         mExchange.cancel();
-        onFailure(reason);
+        onFailure(ResponseFailure.INVALID_RESPONSE, reason);
     }
 
     @Override
@@ -160,7 +161,7 @@
     }
 
     @Override
-    public void onFailure(String reason) {
+    public void onFailure(ResponseFailure failure, String reason) {
         if (mEnded) {
             return;
         }
@@ -172,7 +173,20 @@
             return;
         }
         mCall.relay().discardBuffered();
-        mCall.onAttemptFailed(this, Delivery.MAY_HAVE_RUN, reason, false);
+        // The end of a target that leaves as planned says nothing about its requests.
+        if (failure == ResponseFailure.CONNECTION_LOST && mCall.isUsable(target())) {
+            mPool.checkEnded(ended -> onEndChecked(ended, reason));
+        } else {
+            mCall.onAttemptFailed(this, Delivery.MAY_HAVE_RUN, reason, false);
+        }
+    }
+
+    private void onEndChecked(boolean targetEnded, String reason) {
+        if (targetEnded) {
+            mCall.onTargetCrashed(this, reason);
+        } else {
+            mCall.onAttemptFailed(this, Delivery.MAY_HAVE_RUN, reason, false);
+        }
     }
 
     private long now() {
--- a/src/main/java/org/heathercourse/gateway/call/Call.java
+++ b/src/main/java/org/heathercourse/gateway/call/Call.java
@@ -9,6 +9,7 @@
 import org.heathercourse.core.attempt.CapacityBackoff;
 import org.heathercourse.core.attempt.Delivery;
 import org.heathercourse.core.budget.BudgetOutcome;
+import org.heathercourse.core.crash.RequestDigest;
 import org.heathercourse.core.error.ErrorKind;
 import org.heathercourse.core.limits.RateWaitPolicy;
 import org.heathercourse.core.target.Target;
@@ -55,6 +56,7 @@
     private final long mArrivedMillis;
     private final CallLogEntry mLogEntry;
     private Admission mAdmission;
+    private RequestDigest mDigest;
     private AttemptHistory mHistory;
     private ResponseRelay mRelay;
     private TurnBudget mBudget;
@@ -225,7 +227,7 @@
     void send(Attempt attempt, Exchange exchange) {
         Target target = attempt.target();
         long remainingMillis = remainingMillis();
-        boolean isTargetUsable = mDependencies.clusterView().targets().isUsable(target);
+        boolean isTargetUsable = isUsable(target);
         if (mEnded || remainingMillis <= 0 || !isTargetUsable) {
             exchange.closeUnused();
             attempt.failUnsent(
@@ -270,6 +272,29 @@
         finish();
     }
 
+    /**
+     * Called when the target's process has ended while it ran an attempt; the call may have ended
+     * in the meantime.
+     */
+    void onTargetCrashed(Attempt attempt, String reason) {
+        mDependencies.metrics().recordTargetCrash();
+        mLogEntry.logTargetCrash(attempt.target(), digest());
+        onAttemptFailed(attempt, Delivery.MAY_HAVE_RUN, reason, true);
+    }
+
+    /** Returns the digest by which the request is recognized when it comes again. */
+    private RequestDigest digest() {
+        if (mDigest == null) {
+            mDigest =
+                    RequestDigest.of(
+                            mAdmission.workspaceName(),
+                            mRequest.method(),
+                            mRequest.uri(),
+                            mRequest.body());
+        }
+        return mDigest;
+    }
+
     /** Called when an attempt has returned no usable response. */
     void onAttemptFailed(Attempt attempt, Delivery delivery, String reason, boolean targetGone) {
         if (mEnded) {
@@ -432,6 +457,10 @@
         return mEnded;
     }
 
+    boolean isUsable(Target target) {
+        return mDependencies.clusterView().targets().isUsable(target);
+    }
+
     CallDependencies dependencies() {
         return mDependencies;
     }
--- a/src/main/java/org/heathercourse/gateway/call/CallLogEntry.java
+++ b/src/main/java/org/heathercourse/gateway/call/CallLogEntry.java
@@ -1,6 +1,7 @@
 package org.heathercourse.gateway.call;
 
 import org.heathercourse.core.attempt.Delivery;
+import org.heathercourse.core.crash.RequestDigest;
 import org.heathercourse.core.target.Target;
 import org.heathercourse.gateway.control.BudgetService.Reservation;
 import org.heathercourse.log.EventLog;
@@ -86,6 +87,20 @@
                 reason);
     }
 
+    /** Logs that a target ended while it ran the request. */
+    void logTargetCrash(Target target, RequestDigest digest) {
+        LOG.info(
+                "target_crashed",
+                "id",
+                mFacts.requestId(),
+                "digest",
+                digest,
+                "target",
+                target.incarnation(),
+                "service",
+                target.service());
+    }
+
     void recordAnswered(int status, long firstByteMillis, long eventCount) {
         mOutcome = "answered";
         mStatus = status;
--- a/src/main/java/org/heathercourse/gateway/call/CallMetrics.java
+++ b/src/main/java/org/heathercourse/gateway/call/CallMetrics.java
@@ -17,6 +17,7 @@
     private final Meter mCallerDisconnected;
     private final Meter mRetried;
     private final Meter mResumed;
+    private final Meter mTargetCrashes;
     private final Meter mConnected;
     private final Meter mConnectFailed;
     private final Meter mSkippedResponses;
@@ -36,6 +37,7 @@
         mCallerDisconnected = registry.meter("calls_left_by_caller");
         mRetried = registry.meter("attempts_repeated");
         mResumed = registry.meter("streams_resumed");
+        mTargetCrashes = registry.meter("attempts_ended_by_target_crash");
         mConnected = registry.meter("target_connections_opened");
         mConnectFailed = registry.meter("target_connections_failed");
         mSkippedResponses = registry.meter("target_answers_skipped");
@@ -63,6 +65,10 @@
         mRetried.mark();
     }
 
+    void recordTargetCrash() {
+        mTargetCrashes.mark();
+    }
+
     void recordResume() {
         mResumed.mark();
     }
--- a/src/main/java/org/heathercourse/gateway/target/Exchange.java
+++ b/src/main/java/org/heathercourse/gateway/target/Exchange.java
@@ -21,6 +21,11 @@
         mConnection.send(request, requestId, listener);
     }
 
+    /** Leaves the connection to other requests without sending one. */
+    void releaseUnused() {
+        mConnection.releaseUnused();
+    }
+
     /** Closes the connection without sending a request. */
     public void closeUnused() {
         mConnection.close();
--- a/src/main/java/org/heathercourse/gateway/target/ResponseListener.java
+++ b/src/main/java/org/heathercourse/gateway/target/ResponseListener.java
@@ -28,7 +28,8 @@
     /**
      * Called once in place of {@link #onEnd} if the response is missing, malformed or incomplete.
      *
+     * @param failure kind of the failure
      * @param reason cause of the failure
      */
-    void onFailure(String reason);
+    void onFailure(ResponseFailure failure, String reason);
 }
--- a/src/main/java/org/heathercourse/gateway/target/TargetConnection.java
+++ b/src/main/java/org/heathercourse/gateway/target/TargetConnection.java
@@ -11,6 +11,7 @@
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
+import java.io.IOException;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 import org.heathercourse.platform.entry.AnswerFacts;
@@ -95,6 +96,12 @@
         mWriteFuture = mContext.writeAndFlush(request);
     }
 
+    /** Makes a connection that has carried no request available to others. */
+    void releaseUnused() {
+        mIdleSinceMillis = mPool.nowMillis();
+        mPool.onIdle(this);
+    }
+
     /** Closes the connection without a result, upon which the target cancels the request. */
     void cancel() {
         mListener = null;
@@ -237,21 +244,29 @@
     }
 
     private void fail(String reason) {
+        fail(ResponseFailure.INVALID_RESPONSE, reason);
+    }
+
+    private void fail(ResponseFailure failure, String reason) {
         ResponseListener listener = mListener;
         mListener = null;
         close();
         if (listener != null) {
-            listener.onFailure(reason);
+            listener.onFailure(failure, reason);
         }
     }
 
     @Override
     public void channelInactive(ChannelHandlerContext context) {
-        fail("the target closed the connection");
+        fail(ResponseFailure.CONNECTION_LOST, "the target closed the connection");
     }
 
     @Override
     public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
-        fail("the connection to the target failed: " + cause.getMessage());
+        fail(
+                cause instanceof IOException
+                        ? ResponseFailure.CONNECTION_LOST
+                        : ResponseFailure.INVALID_RESPONSE,
+                "the connection to the target failed: " + cause.getMessage());
     }
 }
--- a/src/main/java/org/heathercourse/gateway/target/TargetPool.java
+++ b/src/main/java/org/heathercourse/gateway/target/TargetPool.java
@@ -10,8 +10,12 @@
 import io.netty.handler.codec.http.HttpClientCodec;
 import java.net.ConnectException;
 import java.util.ArrayDeque;
+import java.util.ArrayList;
 import java.util.Deque;
 import java.util.Iterator;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import org.heathercourse.core.target.Target;
 import org.heathercourse.core.target.TargetLoad;
 import org.heathercourse.core.time.Ticker;
@@ -34,6 +38,12 @@
      */
     private static final double MAX_IDLE_FRACTION = 0.6;
 
+    /**
+     * Delay in milliseconds before a check whether the target's process has ended. The end of a
+     * process closes its connections and its port one after the other.
+     */
+    private static final long END_CHECK_DELAY_MILLIS = 10;
+
     private static final int CONNECT_TIMEOUT_MILLIS = 400;
     private static final int MAX_LINE_BYTES = 8 * 1024;
     private static final int MAX_HEADER_BYTES = 32 * 1024;
@@ -46,6 +56,7 @@
     private final CallFormat mFormat;
     private final PoolEvents mEvents;
     private final Deque<TargetConnection> mIdle = new ArrayDeque<>();
+    private final List<Consumer<Boolean>> mEndCheckListeners = new ArrayList<>();
     private int mConnectionCount;
     private boolean mRetired;
 
@@ -207,6 +218,41 @@
                         });
     }
 
+    /**
+     * Checks after the loss of a connection whether the target's process has ended: whether it
+     * refuses a new connection. One check serves all listeners that wait at the same time.
+     *
+     * @param listener receives true if the process has ended; false if it accepts a connection, or
+     *     if that is unknown because it does not reply, as behind a partition
+     */
+    public void checkEnded(Consumer<Boolean> listener) {
+        mEndCheckListeners.add(listener);
+        if (mEndCheckListeners.size() == 1) {
+            mLoop.schedule(
+                    () -> connect(new EndCheck()), END_CHECK_DELAY_MILLIS, TimeUnit.MILLISECONDS);
+        }
+    }
+
+    /** Receives the connection that shows whether the target's process has ended. */
+    private final class EndCheck implements AcquireListener {
+        @Override
+        public void onConnection(Exchange exchange) {
+            exchange.releaseUnused();
+            complete(false);
+        }
+
+        @Override
+        public void onUnavailable(Unavailability cause, String detail) {
+            complete(cause.isTargetGone());
+        }
+
+        private void complete(boolean ended) {
+            List<Consumer<Boolean>> listeners = List.copyOf(mEndCheckListeners);
+            mEndCheckListeners.clear();
+            listeners.forEach(listener -> listener.accept(ended));
+        }
+    }
+
     void onIdle(TargetConnection connection) {
         if (mRetired) {
             connection.close();
--- a/src/test/java/org/heathercourse/gateway/GatewayDrainTest.java
+++ b/src/test/java/org/heathercourse/gateway/GatewayDrainTest.java
@@ -25,7 +25,7 @@
     private static final Duration MAX_WAIT = Duration.ofSeconds(12);
 
     /**
-     * All requests are admitted for 3/8 of it, and the process responds to all 0.8 s before its
+     * All requests are admitted for 3/8 of it, and the process responds to all 0.45 s before its
      * end.
      */
     private static final String GRACE_SECONDS = "3";
@@ -150,7 +150,7 @@
             String request = request("/order/yarn", "abcd");
             caller.send(request.substring(0, request.length() - 2));
             CompletableFuture<Void> drained = drain();
-            // After the time for which all requests are admitted, 0.2 s before the last response.
+            // After the time for which all requests are admitted, 0.55 s before the last response.
             Thread.sleep(2_000);
             caller.send("cd");
             assertThat(caller.readResponse().status()).isEqualTo(503);
