Quarantine a request under which three engines have ended, at all gateways

What callers saw: one request crashed engine after engine, each time it came and at each gateway, and hardly a sound request was served meanwhile.

Cause: nothing remembered the request. Each caller attempt began with an empty history, and engines that end do not count towards the attempts of a route, so that one attempt crashed up to four engines and its repetition the next ones. Class of fault: retries are bounded for each attempt only, while the damage is done by the request.

Evidence: on the code before, CrashQuarantineTest.requestReachesThreeEnginesHoweverOftenItComes counts 20 runs of the request where 3 are allowed. It passes now, and requestThatSucceedsInBetweenIsNeverRefused, which ended an engine under the same sound request four times, passes before and after. GatewayTest (27), GatewayDrainTest, GatewayFleetTest, EndlessBytesTest and LayeringTest pass.

Change: CrashGuard asks the shared record (CrashRecordService, one row of the store, read by each gateway at least each 1.5 to 2 s) before a request is admitted and before each attempt, records each end of a target under the request, and clears the request when a target answers it. A request that is quarantined is refused with 503 quarantined, not run, with the rest of the quarantine as Retry-After; one that has run in this attempt gets 502. The digest covers the workspace, so nobody can have another's requests refused. Without crashes on record it costs one read of a field. While the store is away each gateway counts what it sees itself.

--- a/src/main/java/org/heathercourse/gateway/Gateway.java
+++ b/src/main/java/org/heathercourse/gateway/Gateway.java
@@ -137,6 +137,7 @@
                         mRates,
                         mControl.rateService(),
                         mControl.budgetService(),
+                        mControl.crashRecords(),
                         mPools,
                         new TargetSelector(zone, mTrafficRandom),
                         mTrafficRandom,
@@ -187,6 +188,8 @@
                                                 .routing()
                                                 .map(RoutingTable::version)
                                                 .orElse(0L)),
+                        "quarantined_requests",
+                        gauge(() -> mControl.crashRecords().table().quarantinedDigests().size()),
                         "configuration_age_millis",
                         gauge(() -> mControl.configurationAge().ageMillis()),
                         "members_living",
--- a/src/main/java/org/heathercourse/gateway/call/Call.java
+++ b/src/main/java/org/heathercourse/gateway/call/Call.java
@@ -9,7 +9,6 @@
 import org.heathercourse.core.attempt.CapacityBackoff;
 import org.heathercourse.core.attempt.Delivery;
 import org.heathercourse.core.budget.BudgetOutcome;
-import org.heathercourse.core.crash.RequestDigest;
 import org.heathercourse.core.error.ErrorKind;
 import org.heathercourse.core.limits.RateWaitPolicy;
 import org.heathercourse.core.target.Target;
@@ -56,7 +55,7 @@
     private final long mArrivedMillis;
     private final CallLogEntry mLogEntry;
     private Admission mAdmission;
-    private RequestDigest mDigest;
+    private CrashGuard mCrashGuard;
     private AttemptHistory mHistory;
     private ResponseRelay mRelay;
     private TurnBudget mBudget;
@@ -108,6 +107,8 @@
         mLogEntry.recordAdmission(mAdmission);
         mBudget = new TurnBudget(mDependencies, mFacts, mAdmission);
         mPlacement = new Placement(mDependencies, mFacts, mAdmission);
+        mCrashGuard =
+                new CrashGuard(mDependencies.crashRecords(), mRequest, mAdmission.workspaceName());
         mHistory =
                 new AttemptHistory(
                         mAdmission.route().repeatable(), mAdmission.route().maxTargets());
@@ -120,6 +121,10 @@
             endWithError(leaving());
             return;
         }
+        if (mCrashGuard.isQuarantined()) {
+            endQuarantined();
+            return;
+        }
         mTimeout =
                 mDependencies
                         .loop()
@@ -202,6 +207,10 @@
         if (mEnded) {
             return;
         }
+        if (mCrashGuard.isQuarantined()) {
+            endQuarantined();
+            return;
+        }
         List<Target> candidates = mPlacement.usableTargets();
         Optional<Target> target = mPlacement.selectTarget(candidates, mHistory.excluded());
         if (target.isEmpty()) {
@@ -265,6 +274,7 @@
     /** Called when an attempt has returned a complete response. */
     void onAnswered(Attempt attempt, int status) {
         mAttempt = null;
+        mCrashGuard.recordSuccess();
         long now = mDependencies.ticker().readMillis();
         long firstByteMillis = mRelay.firstByteMillis(mArrivedMillis, now);
         mDependencies.metrics().recordAnswered(firstByteMillis, now - mArrivedMillis);
@@ -278,21 +288,21 @@
      */
     void onTargetCrashed(Attempt attempt, String reason) {
         mDependencies.metrics().recordTargetCrash();
-        mLogEntry.logTargetCrash(attempt.target(), digest());
-        onAttemptFailed(attempt, Delivery.MAY_HAVE_RUN, reason, true);
+        mLogEntry.logTargetCrash(attempt.target(), mCrashGuard.digest());
+        mCrashGuard
+                .recordCrash(attempt.target())
+                .whenCompleteAsync(
+                        (done, error) ->
+                                onAttemptFailed(attempt, Delivery.MAY_HAVE_RUN, reason, true),
+                        mDependencies.loop());
     }
 
-    /** Returns the digest by which the request is recognized when it comes again. */
-    private RequestDigest digest() {
-        if (mDigest == null) {
-            mDigest =
-                    RequestDigest.of(
-                            mAdmission.workspaceName(),
-                            mRequest.method(),
-                            mRequest.uri(),
-                            mRequest.body());
+    private void endQuarantined() {
+        if (mayHaveRun()) {
+            endWithUnknownOutcome(mCrashGuard.reason());
+        } else {
+            endWithError(mCrashGuard.notRun());
         }
-        return mDigest;
     }
 
     /** Called when an attempt has returned no usable response. */
@@ -328,6 +338,10 @@
         if (mEnded) {
             return;
         }
+        if (mCrashGuard.isQuarantined()) {
+            endQuarantined();
+            return;
+        }
         if (mRelay != null && mRelay.isStarted()) {
             mDependencies.metrics().recordResume();
         }
--- a/src/main/java/org/heathercourse/gateway/call/CallDependencies.java
+++ b/src/main/java/org/heathercourse/gateway/call/CallDependencies.java
@@ -12,6 +12,7 @@
 import org.heathercourse.core.time.Ticker;
 import org.heathercourse.gateway.control.BudgetService;
 import org.heathercourse.gateway.control.ClusterView;
+import org.heathercourse.gateway.control.CrashRecordService;
 import org.heathercourse.gateway.control.RateService;
 import org.heathercourse.gateway.target.TargetPools;
 import org.heathercourse.platform.entry.CallFormat;
@@ -33,6 +34,7 @@
  *     started
  * @param budgetService client of the gateways that own the budgets of programs; completed once the
  *     peer network has started
+ * @param crashRecords requests that crash targets, as known to all gateways
  * @param pools connections to targets
  * @param targetSelector load balancer
  * @param random source of random numbers for load balancing and jitter
@@ -50,6 +52,7 @@
         WorkspaceRates rates,
         CompletableFuture<RateService> rateService,
         CompletableFuture<BudgetService> budgetService,
+        CrashRecordService crashRecords,
         TargetPools pools,
         TargetSelector targetSelector,
         RandomGenerator random,
--- a/src/main/java/org/heathercourse/gateway/control/CrashRecordService.java
+++ b/src/main/java/org/heathercourse/gateway/control/CrashRecordService.java
@@ -4,6 +4,7 @@
 import java.util.ArrayList;
 import java.util.Deque;
 import java.util.List;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import java.util.random.RandomGenerator;
@@ -101,15 +102,16 @@
     }
 
     /**
-     * Records that a target ended while it ran a request. May be called by any thread; on the
-     * control thread's event loop it takes effect after the current task.
+     * Records that a target ended while it ran a request. May be called by any thread.
      *
      * @param digest the request
      * @param targetIncarnation identity of the target's process that ended
+     * @return completes on the control thread when {@link #table} has the crash
      */
-    public void recordCrash(RequestDigest digest, String targetIncarnation) {
+    public CompletableFuture<Void> recordCrash(RequestDigest digest, String targetIncarnation) {
         long atMillis = nowMillis();
-        mControl.execute(() -> addCrash(digest, targetIncarnation, atMillis));
+        return CompletableFuture.runAsync(
+                () -> addCrash(digest, targetIncarnation, atMillis), mControl);
     }
 
     /**
@@ -134,6 +136,11 @@
         mControl.execute(() -> removeEntry(digest, "cleared"));
     }
 
+    /** Returns the time in milliseconds until the quarantine of a request ends; 0 without one. */
+    public long remainingQuarantineMillis(RequestDigest digest) {
+        return Math.max(0, mTable.quarantineEndMillis(digest) - nowMillis());
+    }
+
     private long nowMillis() {
         return mClock.now().wallMillis();
     }
--- a/src/main/java/org/heathercourse/testing/hosted/HostedDeployment.java
+++ b/src/main/java/org/heathercourse/testing/hosted/HostedDeployment.java
@@ -211,6 +211,14 @@
         }
     }
 
+    /** Makes the model engines crash at each request whose body contains a text. */
+    public void crashEnginesOn(String text) {
+        for (TargetStandIn engine : List.of(mEngineA, mEngineB)) {
+            engine.crashOn(
+                    text, () -> mStore.register(engine.id(), engine.row("engines", ZONE, "ready")));
+        }
+    }
+
     /** Returns the store that gateways use by default. */
     public StoreStandIn store() {
         return mStore;
--- a/src/main/java/org/heathercourse/testing/hosted/TargetStandIn.java
+++ b/src/main/java/org/heathercourse/testing/hosted/TargetStandIn.java
@@ -71,6 +71,7 @@
     public static final int EVENT_COUNT = 5;
 
     private static final int EVENTS_BEFORE_BREAK = 2;
+    private static final long CRASH_DOWN_MILLIS = 300;
     private static final String SIGNATURE_HEADER = "X-Heathercourse-Response-Signature";
     private static final String REQUEST_ID_HEADER = "X-Heathercourse-Request-Id";
     private static final int FLOOD_REPETITIONS = 1_000;
@@ -91,6 +92,9 @@
     private final Ticker mTicker = Ticker.system();
     private final AtomicInteger mCancelledCount = new AtomicInteger();
     private volatile long mEventIntervalMillis;
+    private volatile String mCrashText;
+    private volatile Runnable mOnRestart = () -> {};
+    private volatile int mStarts = 1;
 
     /**
      * A received request.
@@ -142,8 +146,8 @@
     public String row(String service, String zone, String state) {
         return String.format(
                 "{\"service\":\"%s\",\"address\":\"%s\",\"zone\":\"%s\",\"version\":\"v1\","
-                        + "\"slots\":4,\"state\":\"%s\",\"sequence\":1,\"born\":1}",
-                service, address(), zone, state);
+                        + "\"slots\":4,\"state\":\"%s\",\"sequence\":1,\"born\":%d}",
+                service, address(), zone, state, mStarts);
     }
 
     /** Enqueues faults; each of the next requests consumes one. */
@@ -161,6 +165,34 @@
         mEventIntervalMillis = millis;
     }
 
+    /**
+     * Makes the target crash at each request whose body contains a text.
+     *
+     * @param text the text
+     * @param onRestart called when the target is back, as a new incarnation
+     */
+    public void crashOn(String text, Runnable onRestart) {
+        mOnRestart = onRestart;
+        mCrashText = text;
+    }
+
+    /**
+     * Ends all connections and the port; the target is back as a new incarnation a little later.
+     */
+    public void crash() {
+        mServer.crash(
+                CRASH_DOWN_MILLIS,
+                () -> {
+                    mStarts++;
+                    mOnRestart.run();
+                });
+    }
+
+    /** Returns the number of starts. */
+    public int startCount() {
+        return mStarts;
+    }
+
     /** Returns all received requests in order of arrival. */
     public List<ReceivedRequest> receivedRequests() {
         return mReceivedRequests;
@@ -214,6 +246,12 @@
                 return;
             }
             mRunning = true;
+            String crashText = mCrashText;
+            if (crashText != null
+                    && request.content().toString(StandardCharsets.UTF_8).contains(crashText)) {
+                crash();
+                return;
+            }
             execute(context, request, fault);
         }
 
--- a/src/test/java/org/heathercourse/gateway/http/CallerServerDrainTest.java
+++ b/src/test/java/org/heathercourse/gateway/http/CallerServerDrainTest.java
@@ -62,6 +62,7 @@
                 null,
                 null,
                 null,
+                null,
                 new CallMetrics(new MetricRegistry()),
                 () -> mSchedule);
     }
