Wait until all daemons of a local deployment run before keys are added

Seen: in 1 of 5 starts of a deployment of two daemons (load 20 on 8 cores) the start failed in addKey with UNAVAILABLE, "connection refused" at the operator port of one daemon, whose log shows that it was still starting.

Cause, read from the code and the logs: the configuration is applied with retries as soon as one daemon accepts it, but a key is added once without a retry. A daemon opens its operator port before it is ready and its admin port last, so that readiness implies both.

The start now waits for readiness between the two steps.

--- a/src/main/java/org/heathercourse/testing/deployment/LocalDeployment.java
+++ b/src/main/java/org/heathercourse/testing/deployment/LocalDeployment.java
@@ -86,6 +86,8 @@
             throw new UncheckedIOException(e);
         }
         apply(mOptions.mConfiguration.apply(this));
+        // A daemon that still starts cannot confirm a change, so that adding a key could fail.
+        awaitReady();
         for (String workspace : mOptions.mWorkspaces) {
             addKey(workspace);
         }
