Report an incomplete request body instead of an empty success

What callers saw: a request whose body stopped arriving got "200 OK" with an empty body when the idle timeout of the connection had expired (30 s by default), although it had not been run.

Cause: the failed read of the body is an IOException, which CallerServer takes for a caller that has disconnected. It then writes nothing, and the server completes the response with its default status. The connection may still be open in the direction of the caller.

A body that cannot be read to its end is now an error of kind request_timeout (408), not run. Streamed bodies of calls without a program are not changed: their reads fail in the attempt.

Evidence: CallerServerTest.reportsBodiesThatDoNotArrive got 200 on the code before this commit and passes now.

--- a/src/main/java/org/heathercourse/daemon/http/CallerRequest.java
+++ b/src/main/java/org/heathercourse/daemon/http/CallerRequest.java
@@ -120,19 +120,34 @@
      * Reads a complete body.
      *
      * @param limitBytes maximum size of the body in bytes
-     * @throws HeathercourseException of kind {@code PAYLOAD_TOO_LARGE} if it exceeds the limit
+     * @throws HeathercourseException of kind {@code PAYLOAD_TOO_LARGE} if it exceeds the limit, of
+     *     kind {@code REQUEST_TIMEOUT} if it ends early or does not arrive in time
      */
-    static byte[] readBody(HttpServletRequest request, int limitBytes) throws IOException {
+    static byte[] readBody(HttpServletRequest request, int limitBytes) {
         if (request.getContentLengthLong() > limitBytes) {
             throw bodyTooLarge(limitBytes);
         }
-        byte[] body = request.getInputStream().readNBytes(limitBytes + 1);
+        byte[] body;
+        try {
+            body = request.getInputStream().readNBytes(limitBytes + 1);
+        } catch (IOException e) {
+            throw bodyIncomplete(e);
+        }
         if (body.length > limitBytes) {
             throw bodyTooLarge(limitBytes);
         }
         return body;
     }
 
+    private static HeathercourseException bodyIncomplete(IOException cause) {
+        return HeathercourseException.builder(ErrorKind.REQUEST_TIMEOUT)
+                .message("the body did not arrive completely")
+                .remedy("send the request again with its complete body")
+                .notRun(true)
+                .cause(cause)
+                .build();
+    }
+
     /** Returns a body as a stream whose reads fail once it exceeds the limit in bytes. */
     static InputStream limitedBody(HttpServletRequest request, int limitBytes) throws IOException {
         if (request.getContentLengthLong() > limitBytes) {
--- a/src/test/java/org/heathercourse/daemon/http/CallerServerTest.java
+++ b/src/test/java/org/heathercourse/daemon/http/CallerServerTest.java
@@ -346,6 +346,24 @@
         assertThat(failed.body()).contains("outcome_unknown").contains("\"not_run\":false");
     }
 
+    /** Guards against a successful response to a request that did not run for want of its body. */
+    @Test
+    void reportsBodiesThatDoNotArrive() throws Exception {
+        String head =
+                "POST /v1/services/orders/open HTTP/1.1\r\nHost: a\r\nContent-Length: 2\r\n\r\n{";
+        try (Socket slow = new Socket(InetAddress.getLoopbackAddress(), mPort);
+                Socket ended = new Socket(InetAddress.getLoopbackAddress(), mPort)) {
+            slow.getOutputStream().write(head.getBytes());
+            ended.getOutputStream().write(head.getBytes());
+            ended.shutdownOutput();
+            String timedOut = new String(slow.getInputStream().readAllBytes());
+            assertThat(timedOut).startsWith("HTTP/1.1 408 ").contains("\"not_run\":true");
+            String cut = new String(ended.getInputStream().readAllBytes());
+            assertThat(cut).doesNotContain("200 OK");
+        }
+        assertThat(mFixture.targets.plainRequests).isEmpty();
+    }
+
     /** Guards against calls that the idle timeout ends while their target is still working. */
     @Test
     void keepsSlowCallOpenBeyondIdleTimeout() throws Exception {
