Admit requests to a leaving daemon only if they end before it does

Cause: after the time for which callers may keep the address, the daemon polled until no request was active, for at most the drain timeout, and started every request that arrived in the meantime. Under steady load a poll never finds zero. It then stopped the HTTP server without waiting, which also cut requests that were being read and responses that were not sent.

Change: DrainSchedule, the rule of the gateway, decides. (1) Until kept addresses have lapsed all requests are served. Later a request is started only if its own time limit ends before the daemon must have responded; any other gets 503 draining, not run, with Retry-After and Connection: close. The limit is checked again when the body of a call has been read. (2) The listening socket is closed first and the connections are awaited, so that requests that are being read get a response and responses are sent. (3) A call that is active at the end gets 503 draining with not_run=false, or the connection is aborted if a response has begun. What is left 3 s later is logged one by one as request_cut_off. Access events and request_cut_off have leaving_ms, the time from the signal to the request.

Why it works: after the kept addresses have lapsed, the set of running requests can only lose those whose time limits end before the exit, and nothing that a connection has brought to the server depends on being counted.

CallerServerTest.advisesOtherDaemonsWhileDraining calls leave(...) in place of setDraining(true), which no longer exists; what it asserts is the same.

Not changed: a program operation that was accepted while addresses were kept may wait 21 s for an owner.

--- a/src/main/java/org/heathercourse/daemon/Daemon.java
+++ b/src/main/java/org/heathercourse/daemon/Daemon.java
@@ -11,6 +11,7 @@
 import javax.inject.Singleton;
 import org.heathercourse.core.config.DeploymentConfig;
 import org.heathercourse.core.config.VmSpec;
+import org.heathercourse.core.drain.DrainSchedule;
 import org.heathercourse.core.error.ErrorKind;
 import org.heathercourse.core.error.HeathercourseException;
 import org.heathercourse.core.time.Ticker;
@@ -41,6 +42,12 @@
     private static final EventLog LOG = EventLog.of(Daemon.class);
     private static final long POLL_MILLIS = 50;
 
+    /**
+     * Time in milliseconds in which requests that have not ended are answered with an error before
+     * the exit.
+     */
+    private static final long ERROR_MILLIS = 3_000;
+
     private final Settings mSettings;
     private final HttpSettings mHttpSettings;
     private final Ticker mTicker;
@@ -153,24 +160,25 @@
 
     /**
      * Shuts down gracefully: directs callers to other daemons, hands over the shards, waits for
-     * running requests and closes all components. Each wait is limited by {@link
-     * Setting#DRAIN_TIMEOUT_SECONDS}.
+     * running requests and closes all components.
      *
-     * <p>Requests that arrive in the meantime are served, because callers may keep an address for
-     * some time.
+     * <p>Requests that arrive in the meantime are served until callers have dropped the address,
+     * and afterwards if they end in time. {@link Setting#DRAIN_TIMEOUT_SECONDS} limits the time for
+     * which running requests may continue then.
      */
     public void drainAndStop() {
         mLeaveTriggered.set(true);
-        mCallerServer.setDraining(true);
-        long timeoutMillis =
-                TimeUnit.SECONDS.toMillis(mSettings.number(Setting.DRAIN_TIMEOUT_SECONDS));
-        long startMillis = mTicker.readMillis();
-        boolean released = awaitShardHandover(timeoutMillis);
-        // Callers that received this address earlier may use it until their keep time expires.
-        long addressExpiryMillis =
-                startMillis + TimeUnit.SECONDS.toMillis(mHttpSettings.keepSeconds() + 1);
-        awaitUntil(() -> mTicker.readMillis() >= addressExpiryMillis, timeoutMillis);
-        boolean idle = awaitUntil(() -> mCallerServer.activeRequests() == 0, timeoutMillis);
+        DrainSchedule schedule = startLeaving();
+        boolean released = awaitShardHandover(schedule.millisToResponseEnd(mTicker.readMillis()));
+        awaitUntil(
+                () -> schedule.millisToServeEnd(mTicker.readMillis()) == 0,
+                schedule.millisToServeEnd(mTicker.readMillis()));
+        boolean idle =
+                awaitUntil(
+                        () -> mCallerServer.activeRequests() == 0,
+                        schedule.millisToResponseEnd(mTicker.readMillis()));
+        mCallerServer.endResponses(
+                schedule.millisToResponseEnd(mTicker.readMillis()) + ERROR_MILLIS);
         LOG.info("daemon_drained", "vm", mSettings.vm(), "released", released, "idle", idle);
         mCallerServer.close();
         mOperatorServer.close();
@@ -179,6 +187,28 @@
         mAdminServer.close();
     }
 
+    private DrainSchedule startLeaving() {
+        long timeoutMillis =
+                TimeUnit.SECONDS.toMillis(mSettings.number(Setting.DRAIN_TIMEOUT_SECONDS));
+        // Callers that received this address earlier may use it until their keep time expires.
+        long addressExpiryMillis = TimeUnit.SECONDS.toMillis(mHttpSettings.keepSeconds() + 1);
+        long serveMillis = Math.min(addressExpiryMillis, timeoutMillis);
+        DrainSchedule schedule =
+                DrainSchedule.of(mTicker.readMillis(), serveMillis, serveMillis + timeoutMillis);
+        mCallerServer.leave(schedule);
+        LOG.info(
+                "daemon_draining",
+                "vm",
+                mSettings.vm(),
+                "active_requests",
+                mCallerServer.activeRequests(),
+                "serve_ms",
+                serveMillis,
+                "response_ms",
+                serveMillis + timeoutMillis);
+        return schedule;
+    }
+
     private boolean awaitUntil(BooleanSupplier condition, long timeoutMillis) {
         long deadlineMillis = mTicker.readMillis() + timeoutMillis;
         while (!condition.getAsBoolean() && mTicker.readMillis() < deadlineMillis) {
--- a/src/main/java/org/heathercourse/daemon/call/ProgramRouter.java
+++ b/src/main/java/org/heathercourse/daemon/call/ProgramRouter.java
@@ -32,6 +32,7 @@
     private static final ObjectMapper MAPPER = new ObjectMapper();
     private static final long POLL_MILLIS = 50;
     private static final long REPLY_TIMEOUT_MILLIS = 8000;
+    private static final long MAX_REPLY_WAIT_MILLIS = REPLY_TIMEOUT_MILLIS + 1000;
 
     private final PeerNetwork mNetwork;
     private final ShardDirectory mShards;
@@ -102,6 +103,11 @@
         }
     }
 
+    /** Returns the time in milliseconds after which {@link #run} returns or fails in any case. */
+    public long maxDurationMillis() {
+        return mSettings.ownerTimeoutMillis() + MAX_REPLY_WAIT_MILLIS + POLL_MILLIS;
+    }
+
     /**
      * Runs an idempotent operation at the owner of a program.
      *
@@ -146,7 +152,7 @@
         try {
             return Optional.of(
                     mNetwork.request(owner, message, ProgramOpReply.class, REPLY_TIMEOUT_MILLIS)
-                            .get(REPLY_TIMEOUT_MILLIS + 1000, TimeUnit.MILLISECONDS)
+                            .get(MAX_REPLY_WAIT_MILLIS, TimeUnit.MILLISECONDS)
                             .json());
         } catch (ExecutionException e) {
             if (e.getCause() instanceof HeathercourseException cause) {
--- a/src/main/java/org/heathercourse/daemon/http/AnswerWriter.java
+++ b/src/main/java/org/heathercourse/daemon/http/AnswerWriter.java
@@ -54,7 +54,7 @@
      * @param request request of the caller
      * @param response response to the caller
      * @param answer answer to stream
-     * @param recheck returns an error if the key of the request is no longer valid
+     * @param recheck returns the error that ends the response if the request may not continue
      * @param ticker monotonic clock
      * @param idleTimeoutMillis time in milliseconds after which an idle connection is closed
      */
@@ -76,7 +76,7 @@
     }
 
     /**
-     * Writes the answer until it ends or the caller's key is rejected, and closes it.
+     * Writes the answer until it ends or the request may not continue, and closes it.
      *
      * @return wire name of the error kind, or {@code ok}
      * @throws IOException if the caller disconnected
@@ -91,7 +91,7 @@
                     flush();
                     message = mAnswer.next(Math.min(RECHECK_MILLIS, mKeepAliveMillis));
                 }
-                ended = recheckKey() || message != null && handleMessage(message);
+                ended = recheck() || message != null && handleMessage(message);
                 writeKeepAlive();
             }
             return mOutcome;
@@ -124,10 +124,10 @@
     }
 
     /**
-     * Checks the caller's key again if it is due; ends the stream with an error if the key is
-     * rejected. Returns whether the stream has ended.
+     * Checks again whether the request may continue, if the check is due; ends the stream with an
+     * error if it may not. Returns whether the stream has ended.
      */
-    private boolean recheckKey() throws IOException {
+    private boolean recheck() throws IOException {
         long nowMillis = mTicker.readMillis();
         if (nowMillis - mLastRecheckMillis < RECHECK_MILLIS) {
             return false;
@@ -137,22 +137,10 @@
         if (refusal.isEmpty()) {
             return false;
         }
-        writeError(PeerErrors.toMessage(duringCall(refusal.get())));
+        writeError(PeerErrors.toMessage(refusal.get()));
         return true;
     }
 
-    /**
-     * Returns an error that ends this connection only. The call continues, so the error does not
-     * state that the request was not run.
-     */
-    private static HeathercourseException duringCall(HeathercourseException refusal) {
-        return HeathercourseException.builder(refusal.kind())
-                .message(refusal.getMessage() + " (during the call)")
-                .remedy("read the answer with the same request identity and a valid key")
-                .notRun(false)
-                .build();
-    }
-
     private boolean handleMessage(PeerMessage message) throws IOException {
         if (message instanceof CallHead head) {
             writeHead(head);
--- a/src/main/java/org/heathercourse/daemon/http/CallerHandlers.java
+++ b/src/main/java/org/heathercourse/daemon/http/CallerHandlers.java
@@ -52,6 +52,9 @@
     static final String WORKSPACE_ATTRIBUTE = "workspace";
     static final String ADMITTED_ATTRIBUTE = "admitted";
 
+    /** Name of the attribute with the identity of a request, for the log. */
+    static final String REQUEST_ATTRIBUTE = "request";
+
     private static final String SERVICES_PATH = "/v1/services/";
     // Covers the round trip in which a new rate share is requested from its grantor.
     private static final long MAX_RATE_WAIT_MILLIS = 1500;
@@ -94,6 +97,30 @@
         mRandom = random;
     }
 
+    // Time limits. Each method returns the time in milliseconds after which a request ends in any
+    // case, apart from the time in which the caller sends its body.
+
+    /** Returns the time limit of a call. */
+    static long callLimitMillis(Context context) {
+        return CallerRequest.deadlineMillis(
+                context.req(), CallerRequest.requestClass(context.req()));
+    }
+
+    /** Returns the time limit of a request for the answer of an earlier call. */
+    static long resumeLimitMillis(Context context) {
+        return CallerRequest.deadlineMillis(context.req(), RequestClass.BATCH);
+    }
+
+    /** Returns the time limit of an operation of a program. */
+    long operationLimitMillis(Context context) {
+        return mPrograms.maxDurationMillis();
+    }
+
+    /** Returns the time limit of the start of a program, which may need two operations. */
+    long startLimitMillis(Context context) {
+        return MAX_RATE_WAIT_MILLIS + 2 * mPrograms.maxDurationMillis();
+    }
+
     // Addresses and models
 
     // Each handler writes the response and returns the wire name of the error kind, or ok. Errors
@@ -202,7 +229,7 @@
     // Calls
 
     /** Returns the answer of an earlier call of a program. */
-    String resumeAnswer(Context context) throws IOException, InterruptedException {
+    String resumeAnswer(Context context, DrainGate gate) throws IOException, InterruptedException {
         Principal principal = authenticate(context);
         ProgramId program = pathProgram(context);
         String identity = context.pathParam("request");
@@ -211,27 +238,24 @@
                         .workspace(principal.workspace())
                         .program(program)
                         .request(CallerRequest.parse("request", identity, RequestId::new))
-                        .deadlineMillis(
-                                CallerRequest.deadlineMillis(context.req(), RequestClass.BATCH))
+                        .deadlineMillis(resumeLimitMillis(context))
                         .build();
-        return writeAnswer(context, principal, mCalls.open(call, new byte[0]));
+        return writeAnswer(context, principal, gate, mCalls.open(call, new byte[0]));
     }
 
     /** Runs a chat completion call. */
-    String completeChat(Context context) throws IOException, InterruptedException {
+    String completeChat(Context context, DrainGate gate) throws IOException, InterruptedException {
         Principal principal = authenticateAndAdmit(context);
         byte[] body = CallerRequest.readBody(context.req(), mSettings.bodyLimitBytes());
         mConfig.current()
                 .serviceOfModel(ChatCompletionRequest.parse(body).model())
                 .ifPresent(s -> context.attribute(SERVICE_ATTRIBUTE, s.service()));
         CallRequest call = newCallRequest(context, CallRequest.Kind.MODEL, principal).build();
-        Answer answer =
-                call.ephemeral() ? mCalls.openEphemeral(call, body, null) : mCalls.open(call, body);
-        return writeAnswer(context, principal, answer);
+        return writeAnswer(context, principal, gate, open(call, body, gate));
     }
 
     /** Runs a call of a plain service. */
-    String callService(Context context) throws IOException, InterruptedException {
+    String callService(Context context, DrainGate gate) throws IOException, InterruptedException {
         HttpServletRequest request = context.req();
         ServiceId service =
                 CallerRequest.parse("service", context.pathParam("service"), ServiceId::new);
@@ -262,19 +286,26 @@
                                 PlainHeaders.filterRequestHeaders(
                                         CallerRequest.headers(request), key))
                         .build();
-        return writeAnswer(context, principal, openCall(call, request));
+        return writeAnswer(context, principal, gate, openCall(call, request, gate));
     }
 
-    private Answer openCall(CallRequest call, HttpServletRequest request) throws IOException {
+    private Answer openCall(CallRequest call, HttpServletRequest request, DrainGate gate)
+            throws IOException {
         long length = request.getContentLengthLong();
         boolean buffered =
                 length >= 0 && length <= MAX_BUFFERED_BODY_BYTES
                         || length < 0 && request.getHeader("Transfer-Encoding") == null;
         if (call.ephemeral() && !buffered) {
+            gate.requireTime(call.deadlineMillis());
             InputStream stream = CallerRequest.limitedBody(request, mSettings.bodyLimitBytes());
             return mCalls.openEphemeral(call, null, stream);
         }
-        byte[] body = CallerRequest.readBody(request, mSettings.bodyLimitBytes());
+        return open(call, CallerRequest.readBody(request, mSettings.bodyLimitBytes()), gate);
+    }
+
+    /** Starts a call unless too little time is left after its body was read. */
+    private Answer open(CallRequest call, byte[] body, DrainGate gate) {
+        gate.requireTime(call.deadlineMillis());
         return call.ephemeral() ? mCalls.openEphemeral(call, body, null) : mCalls.open(call, body);
     }
 
@@ -341,6 +372,7 @@
             answerRequestId = requestId.value();
         }
         context.res().setHeader("X-Request-Id", answerRequestId);
+        context.attribute(REQUEST_ATTRIBUTE, answerRequestId);
         return call;
     }
 
@@ -354,21 +386,36 @@
         return HexFormat.of().formatHex(bytes);
     }
 
-    private String writeAnswer(Context context, Principal principal, Answer answer)
+    private String writeAnswer(Context context, Principal principal, DrainGate gate, Answer answer)
             throws IOException, InterruptedException {
         return new AnswerWriter(
                         context.req(),
                         context.res(),
                         answer,
-                        () ->
-                                principal == null
-                                        ? Optional.empty()
-                                        : mAuthenticator.recheck(principal),
+                        () -> gate.cutOff().or(() -> recheckKey(principal)),
                         mTicker,
                         mSettings.idleTimeoutMillis())
                 .write();
     }
 
+    /**
+     * Returns an error if the key of a running call is no longer valid. The call continues, so the
+     * error does not state that the request was not run.
+     */
+    private Optional<HeathercourseException> recheckKey(Principal principal) {
+        return Optional.ofNullable(principal)
+                .flatMap(mAuthenticator::recheck)
+                .map(
+                        refusal ->
+                                HeathercourseException.builder(refusal.kind())
+                                        .message(refusal.getMessage() + " (during the call)")
+                                        .remedy(
+                                                "read the answer with the same request identity"
+                                                        + " and a valid key")
+                                        .notRun(false)
+                                        .build());
+    }
+
     // Authentication and rate limit
 
     /** Authenticates the caller; throws if it has no valid key. */
--- a/src/test/java/org/heathercourse/daemon/http/CallerServerTest.java
+++ b/src/test/java/org/heathercourse/daemon/http/CallerServerTest.java
@@ -5,6 +5,7 @@
 
 import io.vavr.control.Either;
 import java.io.BufferedReader;
+import java.io.IOException;
 import java.io.InputStream;
 import java.io.InputStreamReader;
 import java.net.InetAddress;
@@ -35,6 +36,7 @@
 import javax.net.ssl.SSLContext;
 import javax.net.ssl.TrustManagerFactory;
 import org.heathercourse.core.config.DeploymentConfig;
+import org.heathercourse.core.drain.DrainSchedule;
 import org.heathercourse.core.error.ErrorKind;
 import org.heathercourse.core.error.HeathercourseException;
 import org.heathercourse.core.model.Usage;
@@ -473,13 +475,70 @@
     void advisesOtherDaemonsWhileDraining() throws Exception {
         DaemonInfo other = FakeShards.daemon("vm-2", 4);
         mFixture.shards.daemons = List.of(mFixture.shards.self(), other);
-        mServer.setDraining(true);
+        mServer.leave(DrainSchedule.of(Ticker.system().readMillis(), 60_000, 60_000));
         HttpResponse<String> advice = get("/v1/address");
         assertThat(advice.body()).contains("\"keep_seconds\":30").contains("\"alternatives\":[]");
         String raw = raw("GET /v1/address HTTP/1.1\r\nHost: a\r\n\r\n");
         assertThat(raw).contains("200 OK").containsIgnoringCase("connection: close");
     }
 
+    /** Guards against requests that are started or cut off because they are read during a stop. */
+    @Test
+    void refusesRequestsThatAreBeingReadWhenItStops() throws Exception {
+        String first = "GET /v1/address HTTP/1.1\r\nHost: a\r\n\r\n";
+        String head = "POST /v1/services/orders/open HTTP/1.1\r\nHost: a\r\nContent-Length: 2\r\n";
+        try (Socket withoutHead = new Socket(InetAddress.getLoopbackAddress(), mPort);
+                Socket withoutBody = new Socket(InetAddress.getLoopbackAddress(), mPort)) {
+            withoutHead.getOutputStream().write((first + head).getBytes());
+            withoutBody.getOutputStream().write((first + head + "\r\n").getBytes());
+            await().until(() -> mEndedRequests.size() == 2 && mServer.activeRequests() == 1);
+            mServer.leave(DrainSchedule.of(Ticker.system().readMillis(), 0, 5_000));
+            CompletableFuture<Void> stop =
+                    CompletableFuture.runAsync(() -> mServer.endResponses(5_000));
+            await().until(this::isRefusingConnections);
+            withoutHead.getOutputStream().write("\r\n{}".getBytes());
+            withoutBody.getOutputStream().write("{}".getBytes());
+            for (Socket socket : List.of(withoutHead, withoutBody)) {
+                String answers = new String(socket.getInputStream().readAllBytes());
+                assertThat(answers).contains("200 OK", " 503 ", "draining", "\"not_run\":true");
+            }
+            stop.get(5, TimeUnit.SECONDS);
+            assertThat(mFixture.targets.plainRequests).isEmpty();
+        }
+    }
+
+    private boolean isRefusingConnections() {
+        try (Socket socket = new Socket(InetAddress.getLoopbackAddress(), mPort)) {
+            return !socket.isConnected();
+        } catch (IOException e) {
+            return true;
+        }
+    }
+
+    /** Guards against calls that end without a response because the daemon exits. */
+    @Test
+    void answersCallsThatRunAtTheEndOfTheStop() throws Exception {
+        CountDownLatch never = new CountDownLatch(1);
+        mFixture.targets.plainScript =
+                (address, r) -> {
+                    try {
+                        never.await(20, TimeUnit.SECONDS);
+                    } catch (InterruptedException e) {
+                        Thread.currentThread().interrupt();
+                    }
+                    throw FakeTargets.failure(address, TargetFailure.Kind.BROKEN);
+                };
+        HttpRequest call = request("/v1/services/orders/x").build();
+        CompletableFuture<HttpResponse<String>> answer =
+                mClient.sendAsync(call, BodyHandlers.ofString());
+        await().until(() -> mFixture.targets.plainRequests.size() == 1);
+        mServer.leave(DrainSchedule.of(Ticker.system().readMillis(), 0, 500));
+        mServer.endResponses(3_500);
+        assertThat(mServer.activeRequests()).isZero();
+        assertThat(answer.get(5, TimeUnit.SECONDS).statusCode()).isEqualTo(503);
+        assertThat(answer.get().body()).contains("draining").contains("\"not_run\":false");
+    }
+
     /** Guards against serving plain HTTP although TLS files are configured. */
     @Test
     void servesTls() throws Exception {
