Say 502 and not 503 for a call that a leaving daemon may have run

Cause: the error that ends a running call at the end of a stop had the status 503, which callers take for a request that has not run; only its body said not_run false. Change: outcome_unknown, 502.

--- a/src/main/java/org/heathercourse/daemon/http/DrainGate.java
+++ b/src/main/java/org/heathercourse/daemon/http/DrainGate.java
@@ -72,10 +72,9 @@
             return Optional.empty();
         }
         return Optional.of(
-                HeathercourseException.builder(ErrorKind.DRAINING)
+                HeathercourseException.builder(ErrorKind.OUTCOME_UNKNOWN)
                         .message("the daemon stops before the request has ended")
                         .remedy("repeat a request with an identity at another daemon")
-                        .notRun(false)
                         .build());
     }
 }
