Add a command that lists and clears requests that crash engines

Cause: gateways quarantine a request by themselves, but an operator could neither see which requests are quarantined nor end a quarantine before its 10 minutes are over.

It has the gateway's settings for the store and the platform; to share them, the settings file and the search for the adapter move from GatewayMain into PlatformSettings.

--- a/src/main/java/org/heathercourse/cli/Main.java
+++ b/src/main/java/org/heathercourse/cli/Main.java
@@ -1,5 +1,7 @@
 package org.heathercourse.cli;
 
+import java.security.SecureRandom;
+import java.time.Clock;
 import java.util.Arrays;
 import java.util.List;
 import java.util.Locale;
@@ -7,6 +9,8 @@
 import org.heathercourse.daemon.DaemonMain;
 import org.heathercourse.gateway.GatewayMain;
 import org.heathercourse.log.KeepingLogManager;
+import org.heathercourse.log.LogLevel;
+import org.heathercourse.log.LogSetup;
 import org.heathercourse.ops.ctl.Ctl;
 import org.heathercourse.testing.hosted.HostedDemo;
 import org.heathercourse.testing.standin.StandInMain;
@@ -41,6 +45,14 @@
                 System.exit(Ctl.run(arguments, System.getenv(), System.out, System.err).code());
             }
         },
+        CRASHES("list or clear requests that crash the engines of a hosted platform") {
+            @Override
+            void run(String[] arguments) {
+                LogSetup.configure(LogLevel.WARN);
+                CrashesCommand command = new CrashesCommand(Clock.systemUTC(), new SecureRandom());
+                System.exit(command.run(arguments, System.getenv(), System.out, System.err));
+            }
+        },
         HOSTED_DEMO("run gateways against stand-ins of a hosted platform") {
             @Override
             void run(String[] arguments) throws Exception {
--- a/src/main/java/org/heathercourse/daemon/settings/Setting.java
+++ b/src/main/java/org/heathercourse/daemon/settings/Setting.java
@@ -12,8 +12,8 @@
  * with an empty default is optional.
  */
 public enum Setting {
-    VM_ID(ValueType.NAME, null, "identity of the VM that this process runs on", Program.ALL),
-    ZONE(ValueType.NAME, null, "zone (data centre) of the VM", Program.ALL),
+    VM_ID(ValueType.NAME, null, "identity of the VM that this process runs on", Program.SERVERS),
+    ZONE(ValueType.NAME, null, "zone (data centre) of the VM", Program.SERVERS),
     HOST(ValueType.IP_ADDRESS, null, "address of the VM for callers and other daemons"),
     CALLER_PORT(ValueType.PORT, "8080", "port for callers"),
     PEER_PORT(ValueType.PORT, "8081", "port for other daemons"),
@@ -45,8 +45,8 @@
             ValueType.ENDPOINT, null, "address for directory lookups", Program.ONLY_GATEWAY),
     PEER_ADDRESS(ValueType.ENDPOINT, null, "address for other gateways", Program.ONLY_GATEWAY),
     METRICS_ADDRESS(ValueType.ENDPOINT, null, "address for metrics", Program.ONLY_GATEWAY),
-    STORE_ADDRESS(ValueType.ENDPOINT, null, "address of the store", Program.ONLY_GATEWAY),
-    PLATFORM(ValueType.NAME, null, "platform that the gateway runs on", Program.ONLY_GATEWAY),
+    STORE_ADDRESS(ValueType.ENDPOINT, null, "address of the store", Program.STORE_CLIENTS),
+    PLATFORM(ValueType.NAME, null, "platform that the gateway runs on", Program.STORE_CLIENTS),
     KEY_WITHDRAWAL_MS(
             ValueType.DECIMAL,
             "5000",
@@ -62,7 +62,7 @@
             "2",
             "time for which callers may keep the addresses that they received",
             Program.ONLY_GATEWAY),
-    LOG_LEVEL(ValueType.LOG_LEVEL, "info", "minimum level of log lines", Program.ALL);
+    LOG_LEVEL(ValueType.LOG_LEVEL, "info", "minimum level of log lines", Program.SERVERS);
 
     private static final String ENVIRONMENT_PREFIX = "HEATHERCOURSE_";
 
--- a/src/main/java/org/heathercourse/gateway/GatewayMain.java
+++ b/src/main/java/org/heathercourse/gateway/GatewayMain.java
@@ -1,16 +1,9 @@
 package org.heathercourse.gateway;
 
 import io.vavr.control.Either;
-import java.io.IOException;
-import java.nio.file.Files;
-import java.nio.file.Path;
 import java.security.SecureRandom;
 import java.time.Clock;
-import java.util.HashMap;
 import java.util.List;
-import java.util.Map;
-import java.util.Optional;
-import java.util.ServiceLoader;
 import java.util.concurrent.CountDownLatch;
 import org.heathercourse.core.error.HeathercourseException;
 import org.heathercourse.core.time.Ticker;
@@ -20,7 +13,6 @@
 import org.heathercourse.daemon.settings.Settings;
 import org.heathercourse.log.EventLog;
 import org.heathercourse.log.LogSetup;
-import org.heathercourse.platform.entry.HostedPlatform;
 import sun.misc.Signal;
 
 /** Entry point of the gateway process. */
@@ -55,43 +47,7 @@
     // Settings
 
     private static Either<List<SettingProblem>, Settings> readSettings(String[] arguments) {
-        Map<String, String> environment = new HashMap<>(System.getenv());
-        for (HostedPlatform platform : ServiceLoader.load(HostedPlatform.class)) {
-            String path = System.getenv(platform.settingsFileVariable());
-            if (path != null) {
-                try {
-                    environment.putAll(parseVariables(Files.readAllLines(Path.of(path))));
-                } catch (IOException e) {
-                    return Either.left(
-                            List.of(
-                                    new SettingProblem(
-                                            platform.settingsFileVariable(),
-                                            "\"" + path + "\" (" + e.getMessage() + ")",
-                                            "a readable file",
-                                            "set the path of the settings file")));
-                }
-            }
-        }
-        return Settings.parse(Program.GATEWAY, arguments, environment);
-    }
-
-    /** Parses lines of the form NAME=value; ignores other lines and those that start with #. */
-    static Map<String, String> parseVariables(List<String> lines) {
-        Map<String, String> variables = new HashMap<>();
-        for (String line : lines) {
-            int equals = line.indexOf('=');
-            if (equals > 0 && !line.startsWith("#")) {
-                variables.put(line.substring(0, equals).trim(), line.substring(equals + 1).trim());
-            }
-        }
-        return variables;
-    }
-
-    private static Optional<HostedPlatform> findPlatform(Settings settings) {
-        return ServiceLoader.load(HostedPlatform.class).stream()
-                .map(ServiceLoader.Provider::get)
-                .filter(platform -> platform.name().equals(settings.text(Setting.PLATFORM)))
-                .findFirst();
+        return PlatformSettings.read(Program.GATEWAY, arguments, System.getenv());
     }
 
     /** Reloads the settings; only the log level can change while the process runs. */
@@ -108,15 +64,6 @@
     // Life cycle
 
     private static void run(Settings settings, String[] arguments) throws InterruptedException {
-        Optional<HostedPlatform> platform = findPlatform(settings);
-        if (platform.isEmpty()) {
-            System.err.println(
-                    "error: platform \""
-                            + settings.text(Setting.PLATFORM)
-                            + "\" has no adapter; set the name of an installed platform adapter");
-            System.exit(BAD_SETTING_EXIT_CODE);
-            return;
-        }
         CountDownLatch stopRequested = new CountDownLatch(1);
         Signal.handle(new Signal("HUP"), signal -> reloadLogLevel(arguments));
         Signal.handle(new Signal("TERM"), signal -> stopRequested.countDown());
@@ -125,7 +72,7 @@
             Gateway gateway =
                     new Gateway(
                             settings,
-                            platform.get(),
+                            PlatformSettings.findPlatform(settings),
                             Ticker.system(),
                             Clock.systemUTC(),
                             new SecureRandom());
