Recognize a crashing request by its path when its body changes

Each body crashed three to five engines before it was quarantined.

Change: crashes are recorded for the path as well. A path is quarantined when three engines ended under it, no request to it succeeded in between, and no single request explains the crashes. It is remembered for one minute only, as its quarantine refuses requests that never ran. A success at a path clears it, so a path that serves other requests is not refused. CrashQuarantineTest, CrashTableTest, CrashSimulationTest, CrashRecordServiceTest, CrashTableEditorTest, CrashesCommandTest pass. Entries are bounded at 256 with six targets each, and the text of a target's incarnation is shorter, so that the row stays below its maximum size.

--- a/src/main/java/org/heathercourse/core/crash/CrashEntry.java
+++ b/src/main/java/org/heathercourse/core/crash/CrashEntry.java
@@ -17,7 +17,7 @@
      * Maximum number of targets of an entry. Larger than the number of crashes until a request is
      * refused, as copies of it may be running at that moment.
      */
-    static final int MAX_TARGETS = 8;
+    static final int MAX_TARGETS = 6;
 
     /**
      * Sorts the targets and keeps the first ones, so that the result does not depend on the order
@@ -44,7 +44,13 @@
 
     /** Returns the wall-clock time in milliseconds at which the entry expires. */
     long endMillis() {
-        return lastCrashMillis + CrashTable.EXPIRY_MILLIS;
+        return lastCrashMillis
+                + (isPath() ? CrashTable.PATH_EXPIRY_MILLIS : CrashTable.EXPIRY_MILLIS);
+    }
+
+    /** Returns whether the entry stands for all requests to a path. */
+    boolean isPath() {
+        return new RequestDigest(digest).isPath();
     }
 
     /** Returns an entry without the given targets, which may have none left. */
--- a/src/main/java/org/heathercourse/core/crash/CrashTable.java
+++ b/src/main/java/org/heathercourse/core/crash/CrashTable.java
@@ -19,17 +19,27 @@
  * gateway. All requests that ran on the target are suspects; a sound one may be so several times. A
  * request is quarantined once it has {@link #CRASH_LIMIT} crashes, unless another one ran in all of
  * these and in further ones, which then explains them.
+ *
+ * <p>Crashes are recorded for the request itself and for its path. A path at which requests with
+ * different bodies crash targets, and none succeeds in between, is quarantined too; crashes that
+ * one request explains do not count for it.
  */
 public final class CrashTable {
     /** Number of crashes from which a request is quarantined. */
     public static final int CRASH_LIMIT = 3;
 
     /** Maximum number of entries. */
-    public static final int MAX_ENTRIES = 128;
+    public static final int MAX_ENTRIES = 256;
 
     /** Time in milliseconds after its last crash for which a request is remembered. */
     public static final long EXPIRY_MILLIS = 600_000;
 
+    /**
+     * Time in milliseconds after its last crash for which a path is remembered. Shorter, because
+     * the quarantine of a path also refuses requests that never ran.
+     */
+    public static final long PATH_EXPIRY_MILLIS = 60_000;
+
     private static final Comparator<CrashEntry> MOST_CRASHES_THEN_LATEST_FIRST =
             Comparator.comparingInt(CrashEntry::crashCount)
                     .thenComparingLong(CrashEntry::lastCrashMillis)
@@ -72,10 +82,16 @@
         return Set.copyOf(quarantined);
     }
 
-    /** Returns whether a request ran in all crashes of another one and in further ones. */
+    /**
+     * Returns whether a request ran in all crashes of another one and in further ones. A request
+     * also explains the same crashes of a path, and a path explains none of a request.
+     */
     private static boolean explains(CrashEntry entry, CrashEntry other) {
-        return entry.crashCount() > other.crashCount()
-                && entry.targets().containsAll(other.targets());
+        boolean ranInAll = entry.targets().containsAll(other.targets());
+        if (entry.isPath() == other.isPath()) {
+            return ranInAll && entry.crashCount() > other.crashCount();
+        }
+        return ranInAll && other.isPath();
     }
 
     /** Returns whether there are no entries. */
--- a/src/main/java/org/heathercourse/core/crash/RequestDigest.java
+++ b/src/main/java/org/heathercourse/core/crash/RequestDigest.java
@@ -9,14 +9,16 @@
 
 /**
  * Identifies a request by its content, so that it is recognized when it comes again under another
- * request id. Immutable.
+ * request id, or all requests of a workspace to one path. Immutable.
  *
- * @param text digest in lower-case hexadecimal digits
+ * @param text digest in lower-case hexadecimal digits; that of a path starts with {@code path-}
  */
 public record RequestDigest(String text) {
     /** Length in bytes; too long for two requests to have the same digest by chance. */
     private static final int DIGEST_BYTES = 16;
 
+    private static final String PATH_PREFIX = "path-";
+
     /** Length that stands for an absent part, which differs from an empty one. */
     private static final int ABSENT_LENGTH = -1;
 
@@ -46,6 +48,24 @@
         return new RequestDigest(HexFormat.of().formatHex(digest));
     }
 
+    /**
+     * Returns the digest of all requests of a workspace to one path, whatever their query and body.
+     *
+     * @param workspace workspace of the caller, or null for an anonymous caller
+     * @param method HTTP method
+     * @param uri path with query
+     */
+    public static RequestDigest ofPath(String workspace, String method, String uri) {
+        int queryStart = uri.indexOf('?');
+        String path = queryStart < 0 ? uri : uri.substring(0, queryStart);
+        return new RequestDigest(PATH_PREFIX + of(workspace, method, path, new byte[0]).text());
+    }
+
+    /** Returns whether this is the digest of a path. */
+    boolean isPath() {
+        return text.startsWith(PATH_PREFIX);
+    }
+
     private static void updateText(MessageDigest sha256, String text) {
         updatePart(sha256, text == null ? null : text.getBytes(StandardCharsets.UTF_8));
     }
--- a/src/main/java/org/heathercourse/core/target/Target.java
+++ b/src/main/java/org/heathercourse/core/target/Target.java
@@ -31,7 +31,7 @@
 
     /** Returns a text that differs for each start of a target. */
     public String incarnation() {
-        return id + "@" + startedMillis + "@" + address();
+        return id + "@" + Long.toString(startedMillis, Character.MAX_RADIX);
     }
 
     /** Returns whether another row describes the same target since the same start. */
--- a/src/main/java/org/heathercourse/gateway/call/CrashGuard.java
+++ b/src/main/java/org/heathercourse/gateway/call/CrashGuard.java
@@ -17,6 +17,7 @@
     private final CallRequest mRequest;
     private final String mWorkspace;
     private RequestDigest mDigest;
+    private RequestDigest mPathDigest;
 
     /**
      * Creates a guard.
@@ -41,9 +42,17 @@
         return mDigest;
     }
 
+    private RequestDigest pathDigest() {
+        if (mPathDigest == null) {
+            mPathDigest = RequestDigest.ofPath(mWorkspace, mRequest.method(), mRequest.uri());
+        }
+        return mPathDigest;
+    }
+
     /** Returns whether the request must not be sent to a target. */
     boolean isQuarantined() {
-        return !mRecords.table().isEmpty() && mRecords.isQuarantined(digest());
+        return !mRecords.table().isEmpty()
+                && (mRecords.isQuarantined(digest()) || mRecords.isQuarantined(pathDigest()));
     }
 
     /**
@@ -52,13 +61,16 @@
      * @return completes when {@link #isQuarantined} takes the crash into account, on any thread
      */
     CompletableFuture<Void> recordCrash(Target target) {
-        return mRecords.recordCrash(digest(), target.incarnation());
+        String incarnation = target.incarnation();
+        return mRecords.recordCrash(digest(), incarnation)
+                .thenCompose(recorded -> mRecords.recordCrash(pathDigest(), incarnation));
     }
 
     /** Records that a target has responded to the request completely, so it survived it. */
     void recordSuccess() {
         if (!mRecords.table().isEmpty()) {
             mRecords.recordSuccess(digest());
+            mRecords.recordSuccess(pathDigest());
         }
     }
 
@@ -68,13 +80,17 @@
                 ErrorKind.QUARANTINED,
                 "the request has not run: " + reason(),
                 "change the request, or ask the operator to clear its digest",
-                mRecords.remainingQuarantineMillis(digest()));
+                mRecords.remainingQuarantineMillis(quarantinedDigest()));
     }
 
     /** Returns why the request is quarantined. */
     String reason() {
         return CrashTable.CRASH_LIMIT
                 + " targets or more ended while they ran requests with digest "
-                + digest();
+                + quarantinedDigest();
+    }
+
+    private RequestDigest quarantinedDigest() {
+        return mRecords.isQuarantined(digest()) ? digest() : pathDigest();
     }
 }
--- a/src/test/java/org/heathercourse/core/crash/CrashTableTest.java
+++ b/src/test/java/org/heathercourse/core/crash/CrashTableTest.java
@@ -88,6 +88,24 @@
                 .containsExactlyInAnyOrder(KILLER.text(), SOUND.text());
     }
 
+    /** Guards against a crashing request that comes again with another body each time. */
+    @Test
+    void quarantinesPathOfRequestsWithDifferentBodies() {
+        RequestDigest path = RequestDigest.ofPath("w", "POST", "/x?query");
+        assertThat(path)
+                .isEqualTo(RequestDigest.ofPath("w", "POST", "/x"))
+                .isNotEqualTo(RequestDigest.ofPath("v", "POST", "/x"))
+                .isNotEqualTo(RequestDigest.of("w", "POST", "/x", new byte[0]));
+        CrashTable table = crashes(crashes(CrashTable.EMPTY, KILLER, "a", "b"), path, "a", "b");
+        assertThat(crashes(table, path, "c").isQuarantined(path)).as("two bodies").isTrue();
+        table = crashes(crashes(table, KILLER, "c"), path, "c");
+        assertThat(table.isQuarantined(path)).as("one body explains all").isFalse();
+        assertThat(table.isQuarantined(KILLER)).as("the path does not release it").isTrue();
+        assertThat(crashes(table, path, "d").isQuarantined(path)).as("another body").isTrue();
+        assertThat(crashes(table, path, "d").isQuarantined(KILLER)).isTrue();
+        assertThat(crashes(table, path, "d").quarantineEndMillis(path)).isEqualTo(61_000);
+    }
+
     @Test
     void forgetsRequestThatSucceededOrExpired() {
         CrashTable table = crashes(CrashTable.EMPTY, KILLER, "a", "b", "c");
--- a/src/test/java/org/heathercourse/gateway/CrashQuarantineTest.java
+++ b/src/test/java/org/heathercourse/gateway/CrashQuarantineTest.java
@@ -31,6 +31,7 @@
 
     private static final String DEADLY = "deadly prompt";
     private static final String SOUND = "sound prompt";
+    private static final String DEADLY_PATH = "/stream/deadly";
 
     private final HostedDeployment mDeployment = new HostedDeployment();
     private int mRequestCount;
@@ -54,8 +55,14 @@
     }
 
     private Response call(int gateway, String body) throws IOException {
+        return call(gateway, "/stream/turn", body);
+    }
+
+    private Response call(int gateway, String path, String body) throws IOException {
         String request =
-                "POST /stream/turn HTTP/1.1\r\nHost: "
+                "POST "
+                        + path
+                        + " HTTP/1.1\r\nHost: "
                         + HostedDeployment.HOST
                         + "\r\nApi-Key: "
                         + HostedDeployment.KEY
@@ -75,7 +82,7 @@
         return List.of(mDeployment.engineA(), mDeployment.engineB()).stream()
                 .map(TargetStandIn::executedRequests)
                 .flatMap(List::stream)
-                .filter(request -> request.body().equals(DEADLY))
+                .filter(request -> request.body().startsWith(DEADLY))
                 .count();
     }
 
@@ -102,6 +109,22 @@
         assertThat(call(1, SOUND).status()).isEqualTo(200);
     }
 
+    /** Guards against a crashing request that is not recognized because its body changes. */
+    @Test
+    void requestWithAnotherBodyEachTimeIsRecognizedByItsPath() throws Exception {
+        for (int i = 0; i < 10; i++) {
+            assertThat(call(0, DEADLY_PATH, DEADLY + i).status()).isIn(502, 503);
+            Thread.sleep(400);
+        }
+        // The first body is quarantined by itself; one crash more shows that it is the path.
+        assertThat(deadlyRuns()).isLessThanOrEqualTo(MAX_CRASHES + 1);
+        long runs = deadlyRuns();
+        Thread.sleep(CONTACT_MILLIS);
+        assertThat(call(1, DEADLY_PATH, DEADLY + 10).status()).isEqualTo(503);
+        assertThat(deadlyRuns()).isEqualTo(runs);
+        assertThat(call(0, SOUND).status()).as("at another path").isEqualTo(200);
+    }
+
     /** Guards against sound requests that are refused because engines ended under them. */
     @Test
     void requestThatSucceedsInBetweenIsNeverRefused() throws Exception {
