Send nothing for half a second to a target that refuses connections

A target that does not run was only less preferred, and a wait for capacity made all targets eligible again, so that the twelve attempts of a request were used up on processes that do not run.

TargetSelectorTest.selectsNoTargetThatHasEnded guards the selection; CrashQuarantineTest and GatewayTest pass.

Change: a refused connection marks the target as ended for 0.5 s; it is not selected, and requests wait for the others within the time that they may wait. A restarted target has a new record and is used at once.

--- a/src/main/java/org/heathercourse/core/target/TargetLoad.java
+++ b/src/main/java/org/heathercourse/core/target/TargetLoad.java
@@ -9,6 +9,7 @@
     private double mMeanRunMillis;
     private long mBackoffUntilMillis = Long.MIN_VALUE;
     private int mConsecutiveFailures;
+    private long mEndedUntilMillis = Long.MIN_VALUE;
 
     /** Records that a request was sent. */
     public void recordStart() {
@@ -59,6 +60,21 @@
         extendBackoff(nowMillis + (backoffMillis << (mConsecutiveFailures - 1)));
     }
 
+    /**
+     * Records that the target's process does not run.
+     *
+     * @param nowMillis current timestamp of the ticker
+     * @param endedMillis time in milliseconds until the target is tried again
+     */
+    public void recordEnd(long nowMillis, long endedMillis) {
+        mEndedUntilMillis = nowMillis + endedMillis;
+    }
+
+    /** Returns whether the target's process does not run as far as is known. */
+    public boolean hasEnded(long nowMillis) {
+        return nowMillis < mEndedUntilMillis;
+    }
+
     private void extendBackoff(long untilMillis) {
         mBackoffUntilMillis = Math.max(mBackoffUntilMillis, untilMillis);
     }
--- a/src/main/java/org/heathercourse/core/target/TargetSelector.java
+++ b/src/main/java/org/heathercourse/core/target/TargetSelector.java
@@ -64,7 +64,7 @@
      * @param excluded identities of targets that must not be selected
      * @param loads returns the load of a target
      * @param context properties of the request
-     * @return the selected target, or empty if all are excluded
+     * @return the selected target, or empty if all are excluded or have ended
      */
     public Optional<Target> select(
             List<Target> usable,
@@ -75,11 +75,11 @@
         Target best = null;
         double bestCost = Double.POSITIVE_INFINITY;
         for (Target target : usable) {
-            if (excluded.contains(target.id())) {
+            TargetLoad load = loads.apply(target);
+            if (excluded.contains(target.id()) || load.hasEnded(context.nowMillis())) {
                 continue;
             }
-            double cost =
-                    cost(target, loads.apply(target), target.id().equals(preferredId), context);
+            double cost = cost(target, load, target.id().equals(preferredId), context);
             cost += mRandom.nextDouble();
             if (cost < bestCost) {
                 best = target;
--- a/src/main/java/org/heathercourse/gateway/call/Attempt.java
+++ b/src/main/java/org/heathercourse/gateway/call/Attempt.java
@@ -18,6 +18,12 @@
 final class Attempt implements TargetPool.AcquireListener, ResponseListener {
     private static final int MIN_FAILURE_STATUS = 300;
 
+    /**
+     * Time in milliseconds for which a target that refused a connection gets no request. A restart
+     * takes seconds, and the new process has a load record of its own.
+     */
+    private static final long ENDED_TARGET_MILLIS = 500;
+
     private final Call mCall;
     private final TargetPool mPool;
     private Exchange mExchange;
@@ -56,6 +62,9 @@
             return;
         }
         mEnded = true;
+        if (cause.isTargetGone()) {
+            mPool.load().recordEnd(now(), ENDED_TARGET_MILLIS);
+        }
         if (cause.isTargetFailure()) {
             mPool.load().recordFailure(now(), mCall.failureBackoffMillis());
         } else {
@@ -183,6 +192,7 @@
 
     private void onEndChecked(boolean targetEnded, String reason) {
         if (targetEnded) {
+            mPool.load().recordEnd(now(), ENDED_TARGET_MILLIS);
             mCall.onTargetCrashed(this, reason);
         } else {
             mCall.onAttemptFailed(this, Delivery.MAY_HAVE_RUN, reason, false);
--- a/src/test/java/org/heathercourse/core/target/TargetSelectorTest.java
+++ b/src/test/java/org/heathercourse/core/target/TargetSelectorTest.java
@@ -50,6 +50,17 @@
         assertThat(used).hasSize(1).isSubsetOf("a", "b");
     }
 
+    /** Guards against attempts that are used up on targets whose processes do not run. */
+    @Test
+    void selectsNoTargetThatHasEnded() {
+        TARGETS.subList(0, 3).forEach(target -> load(target).recordEnd(0, 500));
+        assertThat(select("program", Set.of()).id()).isEqualTo("d");
+        load(TARGETS.get(3)).recordEnd(0, 500);
+        assertThat(select("program", Set.of())).isNull();
+        load(TARGETS.get(0)).recordEnd(-500, 500);
+        assertThat(select("program", Set.of()).id()).isEqualTo("a");
+    }
+
     @Test
     void gatewaysInZoneSelectSameTarget() {
         TargetSelector other = new TargetSelector(HERE, new SplittableRandom(99));
