Wait in a planned stop until budget tokens are back in the store

Callers: a program whose turns ended shortly before its gateway exited was charged for tokens that it had not used. Near the end of its budget it could then get 402 although the rest covered the turn.

Cause: Gateway.stop() only queued the return of unused tokens on the control loop; the links to peers were closed and the process exited before the store had the writes. Settlements at another gateway were lost in the same way, and so were reservations granted after their call had ended. A return also passed over programs with a store call under way, and was given up after a conflict.

Change: the return of tokens completes a future once the store has them. It waits for store calls under way and returns what they leave, and repeats itself after a conflict. BudgetService counts a turn from its request for a reservation until the reply to its settlement (OpenTurns). The stop returns the tokens of the turns that are settled, and again when no turn is open, so that a silent owner does not delay the others. It waits for both for at most 300 ms, and no longer than until 100 ms before the end of the grace period; then it closes the links. gateway_stopped says tokensReturned.

Why it works: no call is active when the wait begins, so that no turn begins any more; the process does not exit before the store and the owners have replied, or the time is over. If the store is down, the tokens count as spent, as before.

Not covered: a program's store call that waits for its retry after an error (1 s later) is not repeated within the 300 ms; turns that another gateway settles at this one after its exit count as spent.

--- a/src/main/java/org/heathercourse/gateway/Gateway.java
+++ b/src/main/java/org/heathercourse/gateway/Gateway.java
@@ -303,9 +303,10 @@
 
     /**
      * Stops listening and waits until all responses are written. Calls that are still active after
-     * the timeout are answered with an error, if no response has begun.
+     * the timeout are answered with an error, if no response has begun. Then waits briefly until
+     * the unused budget tokens are returned.
      *
-     * @param timeoutMillis maximum time to wait, in milliseconds
+     * @param timeoutMillis maximum time to wait for the responses, in milliseconds
      * @return whether all responses were written within the timeout
      */
     public boolean stop(long timeoutMillis) {
@@ -318,18 +319,27 @@
         if (!quiet) {
             await(drained, FINAL_RESPONSE_MILLIS);
         }
-        mControl.returnRemainingTokens();
+        boolean tokensReturned =
+                await(
+                        mControl.returnRemainingTokens(),
+                        GatewayDrain.maxTokenReturnMillis(leavingMillis(), mSettings));
         LOG.info(
                 "gateway_stopped",
                 "quiet",
                 quiet,
+                "tokensReturned",
+                tokensReturned,
                 "leavingMillis",
-                mDrainSchedule.millisSinceStart(mTicker.readMillis()),
+                leavingMillis(),
                 "running",
                 interruptedCalls);
         return quiet;
     }
 
+    private long leavingMillis() {
+        return mDrainSchedule.millisSinceStart(mTicker.readMillis());
+    }
+
     /** Returns whether the future has completed within the timeout. */
     private static boolean await(CompletableFuture<?> future, long timeoutMillis) {
         try {
--- a/src/main/java/org/heathercourse/gateway/GatewayDrain.java
+++ b/src/main/java/org/heathercourse/gateway/GatewayDrain.java
@@ -27,6 +27,15 @@
     /** The same as a fraction of the stop grace period, for short ones. */
     private static final double MAX_RESPONSE_MARGIN_FRACTION = 0.15;
 
+    /**
+     * Maximum time in milliseconds after the last response in which turns are settled and unused
+     * budget tokens are returned.
+     */
+    static final long MAX_TOKEN_RETURN_MILLIS = 300;
+
+    /** Time in milliseconds that the process has to exit before the stop grace period ends. */
+    private static final long EXIT_MILLIS = 100;
+
     private static final long POLL_MILLIS = 100;
     private static final double MILLIS_PER_SECOND = 1e3;
 
@@ -51,8 +60,7 @@
      * @param settings settings of the gateway, which have the grace period
      */
     static DrainSchedule schedule(long startMillis, Settings settings) {
-        long graceMillis =
-                (long) (settings.decimal(Setting.STOP_GRACE_SECONDS) * MILLIS_PER_SECOND);
+        long graceMillis = graceMillis(settings);
         long marginMillis =
                 (long)
                         Math.min(
@@ -62,6 +70,21 @@
         return DrainSchedule.of(startMillis, serveMillis, graceMillis - marginMillis);
     }
 
+    private static long graceMillis(Settings settings) {
+        return (long) (settings.decimal(Setting.STOP_GRACE_SECONDS) * MILLIS_PER_SECOND);
+    }
+
+    /**
+     * Returns the time in milliseconds that a stop may wait for the return of budget tokens.
+     *
+     * @param leavingMillis time since the stop signal, in milliseconds
+     * @param settings settings of the gateway, which have the grace period
+     */
+    static long maxTokenReturnMillis(long leavingMillis, Settings settings) {
+        long leftMillis = graceMillis(settings) - EXIT_MILLIS - leavingMillis;
+        return Math.max(0, Math.min(MAX_TOKEN_RETURN_MILLIS, leftMillis));
+    }
+
     /**
      * Stops the gateway; returns when the process may exit.
      *
--- a/src/main/java/org/heathercourse/gateway/control/BudgetLedger.java
+++ b/src/main/java/org/heathercourse/gateway/control/BudgetLedger.java
@@ -3,6 +3,7 @@
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
@@ -87,6 +88,9 @@
         private long mRowReadMillis;
         private long mLastUsedMillis;
 
+        /** The return that is under way or waits for a store call; null if there is none. */
+        private CompletableFuture<Void> mReturn;
+
         Account(String program) {
             mProgram = program;
             int part = (int) (Rendezvous.unitHash(program) * TABLE_PARTS);
@@ -174,6 +178,7 @@
                 default -> rejectOrReread(account);
             }
         }
+        continueReturn(account);
     }
 
     private void completeFirst(Account account, BudgetOutcome outcome) {
@@ -323,24 +328,63 @@
     // Return of unused tokens
 
     /**
-     * Returns unused tokens to the programs' rows, so that other gateways can acquire them.
+     * Returns unused tokens to the programs' rows, so that other gateways can acquire them. Waits
+     * for the store calls under way and for the turns that wait for them; what they leave is
+     * returned too.
      *
      * @param filter selects programs by key
+     * @return completes when the store has the tokens of all selected programs; not while the store
+     *     is unavailable
      */
-    void returnUnusedTokens(Predicate<String> filter) {
-        for (Account account : mAccounts.values()) {
-            boolean isReturnable =
-                    !account.mStoreCallPending
-                            && account.mRowKnown
-                            && account.mBudget.availableTokens() > 0
-                            && account.mWaitingTurns.isEmpty();
-            if (isReturnable && filter.test(account.mProgram)) {
-                long tokens = account.mBudget.beginReturn();
-                account.mStoreCallPending = true;
-                write(
-                        account,
-                        new Write(account.mBudget.afterReturn(tokens, nextWriterId()), tokens));
-            }
+    CompletableFuture<Void> returnUnusedTokens(Predicate<String> filter) {
+        return CompletableFuture.allOf(beginReturns(filter).toArray(new CompletableFuture<?>[0]));
+    }
+
+    /**
+     * Begins the returns of {@link #returnUnusedTokens}, for callers that do not wait. May be
+     * called repeatedly while the store is unavailable; this uses no further memory.
+     *
+     * @param filter selects programs by key
+     */
+    void beginReturnOfUnusedTokens(Predicate<String> filter) {
+        beginReturns(filter);
+    }
+
+    private List<CompletableFuture<Void>> beginReturns(Predicate<String> filter) {
+        return List.copyOf(mAccounts.values()).stream()
+                .filter(account -> filter.test(account.mProgram))
+                .map(this::beginReturn)
+                .toList();
+    }
+
+    private CompletableFuture<Void> beginReturn(Account account) {
+        if (account.mReturn == null) {
+            account.mReturn = new CompletableFuture<>();
+        }
+        CompletableFuture<Void> returned = account.mReturn;
+        continueReturn(account);
+        return returned;
+    }
+
+    /** Writes the return that was requested, if any, or completes it if no tokens are left. */
+    private void continueReturn(Account account) {
+        if (account.mReturn == null
+                || account.mStoreCallPending
+                || !account.mWaitingTurns.isEmpty()) {
+            return;
         }
+        if (account.mRowKnown && account.mBudget.availableTokens() > 0) {
+            writeReturn(account);
+            return;
+        }
+        CompletableFuture<Void> returned = account.mReturn;
+        account.mReturn = null;
+        returned.complete(null);
+    }
+
+    private void writeReturn(Account account) {
+        long tokens = account.mBudget.beginReturn();
+        account.mStoreCallPending = true;
+        write(account, new Write(account.mBudget.afterReturn(tokens, nextWriterId()), tokens));
     }
 }
--- a/src/main/java/org/heathercourse/gateway/control/BudgetService.java
+++ b/src/main/java/org/heathercourse/gateway/control/BudgetService.java
@@ -33,6 +33,7 @@
     private final Executor mControl;
     private final Member mSelf;
     private final Zone mZone;
+    private final OpenTurns mOpenTurns = new OpenTurns();
 
     /**
      * The result of a reservation of tokens for a turn.
@@ -66,11 +67,19 @@
      * @param program key of the program
      * @param limitTokens the program's budget in tokens
      * @param needTokens maximum number of tokens that the turn can generate
-     * @return the reservation; never completes exceptionally
+     * @return the reservation, which {@link #settle} must end if it is granted; never completes
+     *     exceptionally
      */
     public CompletableFuture<Reservation> reserve(
             String program, long limitTokens, long needTokens) {
-        return reserve(new BudgetReserve(program, limitTokens, needTokens), MAX_TRIES);
+        mOpenTurns.begin();
+        return reserve(new BudgetReserve(program, limitTokens, needTokens), MAX_TRIES)
+                .whenComplete(
+                        (reservation, error) -> {
+                            if (error != null || reservation.outcome() != BudgetOutcome.GRANTED) {
+                                mOpenTurns.end();
+                            }
+                        });
     }
 
     private CompletableFuture<Reservation> reserve(BudgetReserve request, int tries) {
@@ -138,18 +147,9 @@
      * @param ran whether a target generated tokens for the turn
      */
     public void settle(Reservation reservation, long unusedTokens, boolean ran) {
-        if (reservation.owner() == null) {
-            mControl.execute(() -> mLedger.settle(reservation.program(), unusedTokens, ran));
-            return;
-        }
-        BudgetSettle message = new BudgetSettle(reservation.program(), unusedTokens, ran);
-        mPeers.request(
-                        PeerAddress.of(reservation.owner()),
-                        message,
-                        BudgetReply.class,
-                        OWNER_TIMEOUT_MILLIS)
+        settleAtOwner(reservation, unusedTokens, ran)
                 .whenComplete(
-                        (reply, error) -> {
+                        (done, error) -> {
                             if (error != null) {
                                 // The tokens count as spent, so that the budget is never exceeded.
                                 LOG.info(
@@ -159,12 +159,26 @@
                                         "unusedTokens",
                                         unusedTokens);
                             }
+                            mOpenTurns.end();
                         });
     }
 
+    private CompletableFuture<?> settleAtOwner(
+            Reservation reservation, long unusedTokens, boolean ran) {
+        if (reservation.owner() == null) {
+            return CompletableFuture.runAsync(
+                    () -> mLedger.settle(reservation.program(), unusedTokens, ran), mControl);
+        }
+        return mPeers.request(
+                PeerAddress.of(reservation.owner()),
+                new BudgetSettle(reservation.program(), unusedTokens, ran),
+                BudgetReply.class,
+                OWNER_TIMEOUT_MILLIS);
+    }
+
     /** Returns the unused tokens of programs that another gateway owns now. */
     void returnUnownedTokens() {
-        mLedger.returnUnusedTokens(
+        mLedger.beginReturnOfUnusedTokens(
                 program ->
                         mClusterView
                                 .fleet()
@@ -173,9 +187,34 @@
                                 .isPresent());
     }
 
-    /** Returns all unused tokens. */
-    void returnAllTokens() {
-        mLedger.returnUnusedTokens(program -> true);
+    /**
+     * Returns all unused tokens.
+     *
+     * @return completes when the store has them
+     */
+    CompletableFuture<Void> returnAllTokens() {
+        return mLedger.returnUnusedTokens(program -> true);
+    }
+
+    /**
+     * Returns all unused tokens, also those of turns that are being settled. Requires that no turn
+     * begins any more.
+     *
+     * @return completes when the owners have the settlements of all turns, and the store has the
+     *     unused tokens; not while the store is unavailable
+     */
+    CompletableFuture<Void> settleAndReturnTokens() {
+        // Runs after the settlements that are already queued. The tokens of programs whose turns
+        // are settled are returned even if the owner of another program does not reply.
+        CompletableFuture<Void> settledNow = returnAllTokensOnControlThread();
+        CompletableFuture<Void> settledLater =
+                mOpenTurns.whenNone().thenCompose(none -> returnAllTokensOnControlThread());
+        return CompletableFuture.allOf(settledNow, settledLater);
+    }
+
+    private CompletableFuture<Void> returnAllTokensOnControlThread() {
+        return CompletableFuture.supplyAsync(this::returnAllTokens, mControl)
+                .thenCompose(returned -> returned);
     }
 
     private CompletableFuture<BudgetReply> onReserve(BudgetReserve request) {
--- a/src/main/java/org/heathercourse/gateway/control/ControlPlane.java
+++ b/src/main/java/org/heathercourse/gateway/control/ControlPlane.java
@@ -222,9 +222,18 @@
                 });
     }
 
-    /** Returns the unused tokens of calls that have ended since {@link #leave}. */
-    public void returnRemainingTokens() {
-        mControl.execute(() -> mBudgetService.thenAccept(BudgetService::returnAllTokens));
+    /**
+     * Returns the unused tokens of calls that have ended since {@link #leave}. Requires that no
+     * call is active.
+     *
+     * @return completes when the calls are settled and the store has the tokens; not while the
+     *     store is unavailable
+     */
+    public CompletableFuture<Void> returnRemainingTokens() {
+        // Without the service no turn has begun.
+        return mBudgetService.isDone()
+                ? mBudgetService.thenCompose(BudgetService::settleAndReturnTokens)
+                : CompletableFuture.completedFuture(null);
     }
 
     /** Stops the heartbeat and closes the peer network. */
--- a/src/test/java/org/heathercourse/gateway/GatewayDrainTest.java
+++ b/src/test/java/org/heathercourse/gateway/GatewayDrainTest.java
@@ -1,5 +1,6 @@
 package org.heathercourse.gateway;
 
+import static java.nio.charset.StandardCharsets.UTF_8;
 import static org.assertj.core.api.Assertions.assertThat;
 import static org.awaitility.Awaitility.await;
 
@@ -14,13 +15,17 @@
 import org.heathercourse.daemon.settings.Setting;
 import org.heathercourse.gateway.RawCaller.Response;
 import org.heathercourse.testing.hosted.HostedDeployment;
+import org.heathercourse.testing.hosted.StoreStandIn;
 import org.heathercourse.testing.hosted.TargetStandIn;
 import org.heathercourse.testing.hosted.TargetStandIn.ReceivedRequest;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 
-/** Guards against requests that a planned stop cuts off, whenever and however they arrive. */
+/**
+ * Guards against requests that a planned stop cuts off, whenever and however they arrive, and
+ * against budget tokens that it loses.
+ */
 class GatewayDrainTest {
     private static final Duration MAX_WAIT = Duration.ofSeconds(12);
 
@@ -33,6 +38,14 @@
     private static final long GRACE_MILLIS = 3_000;
     private static final long SEND_INTERVAL_MILLIS = 60;
 
+    /** Number of programs; more than the connections to the store that a gateway keeps open. */
+    private static final int PROGRAMS = 12;
+
+    /** Tokens that a turn reserves; it uses 10 for each of its events. */
+    private static final int MAX_TURN_TOKENS = 100;
+
+    private static final int USED_TOKENS = 10 * TargetStandIn.EVENT_COUNT;
+
     private final HostedDeployment mDeployment = new HostedDeployment();
     private Gateway mGateway;
     private int mRequestCount;
@@ -62,6 +75,20 @@
     }
 
     private String request(String path, String body) {
+        return request(path, "", body);
+    }
+
+    private String turn(String program) {
+        String headers =
+                "\r\nX-Heathercourse-Program-Id: "
+                        + program
+                        + "\r\nX-Heathercourse-Token-Budget: 1000"
+                        + "\r\nX-Heathercourse-Token-Usage: 100,"
+                        + MAX_TURN_TOKENS;
+        return request("/stream/turn", headers, "");
+    }
+
+    private String request(String path, String headers, String body) {
         return "POST "
                 + path
                 + " HTTP/1.1\r\nHost: "
@@ -70,7 +97,9 @@
                 + HostedDeployment.KEY
                 + "\r\nX-Heathercourse-Request-Id: r"
                 + ++mRequestCount
-                + "\r\nX-Heathercourse-Request-Deadline: 2500\r\nContent-Length: "
+                + "\r\nX-Heathercourse-Request-Deadline: 2500"
+                + headers
+                + "\r\nContent-Length: "
                 + body.length()
                 + "\r\n\r\n"
                 + body;
@@ -172,4 +201,71 @@
             drained.get(GRACE_MILLIS, TimeUnit.MILLISECONDS);
         }
     }
+
+    /** Starts a turn of each program, each on a connection of its own. */
+    private List<RawCaller> startTurns() throws IOException {
+        mDeployment.engineA().setEventIntervalMillis(200);
+        mDeployment.engineB().setEventIntervalMillis(200);
+        int warmUpTurns = executedIds().size();
+        List<RawCaller> callers = new ArrayList<>();
+        for (int i = 0; i < PROGRAMS; i++) {
+            callers.add(caller());
+            callers.get(i).send(turn("p" + i));
+        }
+        await().atMost(MAX_WAIT).until(() -> executedIds().size() == warmUpTurns + PROGRAMS);
+        return callers;
+    }
+
+    private static void readTurns(List<RawCaller> callers) throws IOException {
+        for (RawCaller caller : callers) {
+            try (caller) {
+                assertThat(caller.readResponse().isComplete()).isTrue();
+            }
+        }
+    }
+
+    /** Returns the budget rows in the store as text. */
+    private List<String> budgetRows() {
+        List<String> rows = new ArrayList<>();
+        for (int part = 0; part < 16; part++) {
+            mDeployment.store().rows().read("budget", "" + part, "").join().rows().stream()
+                    .map(row -> row.key().key() + " " + new String(row.value(), UTF_8))
+                    .forEach(rows::add);
+        }
+        return rows;
+    }
+
+    /** Guards against tokens that stay taken because the process exits before their return. */
+    @Test
+    void storeHasUnusedTokensBeforeTheExit() throws Exception {
+        List<RawCaller> callers = startTurns();
+        CompletableFuture<Void> drained = drain();
+        readTurns(callers);
+        drained.get(GRACE_MILLIS, TimeUnit.MILLISECONDS);
+        assertThat(budgetRows())
+                .hasSize(PROGRAMS)
+                .allMatch(row -> row.contains("\"takenTokens\":" + USED_TOKENS + ","));
+    }
+
+    /** Guards against a return of tokens that leaves the process no time to exit. */
+    @Test
+    void returnOfTokensEndsBeforeTheGracePeriod() {
+        var settings = mDeployment.settings(0);
+        assertThat(GatewayDrain.maxTokenReturnMillis(1_000, settings))
+                .isEqualTo(GatewayDrain.MAX_TOKEN_RETURN_MILLIS);
+        assertThat(GatewayDrain.maxTokenReturnMillis(GRACE_MILLIS - 250, settings)).isEqualTo(150);
+        assertThat(GatewayDrain.maxTokenReturnMillis(GRACE_MILLIS + 1, settings)).isZero();
+    }
+
+    /** Guards against a stop that exceeds the grace period because the store does not reply. */
+    @Test
+    void stopDoesNotWaitLongForStoreThatIsDown() throws Exception {
+        List<RawCaller> callers = startTurns();
+        long startMillis = Ticker.system().readMillis();
+        CompletableFuture<Void> drained = drain();
+        mDeployment.store().setMode(StoreStandIn.Mode.UNRESPONSIVE);
+        readTurns(callers);
+        drained.get(GRACE_MILLIS, TimeUnit.MILLISECONDS);
+        assertThat(Ticker.system().readMillis() - startMillis).isLessThan(GRACE_MILLIS);
+    }
 }
--- a/src/test/java/org/heathercourse/gateway/control/BudgetLedgerTest.java
+++ b/src/test/java/org/heathercourse/gateway/control/BudgetLedgerTest.java
@@ -2,11 +2,14 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.Deque;
 import java.util.List;
 import java.util.SplittableRandom;
 import java.util.concurrent.CompletableFuture;
 import org.heathercourse.core.budget.BudgetOutcome;
+import org.heathercourse.core.budget.BudgetRow;
 import org.heathercourse.core.time.TestTime;
 import org.heathercourse.platform.StoreException;
 import org.heathercourse.platform.rows.RowCommit;
@@ -45,14 +48,26 @@
         return grant.join().outcome();
     }
 
-    /** A store that can lose replies, fail or not reply at all, and delay writes. */
+    private long takenTokens() {
+        long tokens = 0;
+        for (int part = 0; part < BudgetLedger.TABLE_PARTS; part++) {
+            for (StoredRow row : mStore.mRows.read("budget", "" + part, "").join().rows()) {
+                tokens += JsonRowCodec.decode(row, BudgetRow.class).orElseThrow().takenTokens();
+            }
+        }
+        return tokens;
+    }
+
+    /** A store that can lose replies, fail or not reply at all, and delay or hold writes. */
     private static final class FaultyRowStore implements RowStore {
         private final MemoryRows mRows = new MemoryRows();
         private final List<RowTransaction> mDelayedWrites = new ArrayList<>();
+        private final Deque<Runnable> mHeldWrites = new ArrayDeque<>();
         private SplittableRandom mRandom;
         private int mLostReplies;
         private boolean mDown;
         private boolean mUnresponsive;
+        private boolean mHoldsWrites;
         private int mCommitCount;
 
         @Override
@@ -82,6 +97,11 @@
             if (mDown) {
                 return unavailable();
             }
+            if (mHoldsWrites) {
+                CompletableFuture<RowCommit> reply = new CompletableFuture<>();
+                mHeldWrites.add(() -> reply.complete(mRows.commit(transaction).join()));
+                return reply;
+            }
             int fault = mRandom == null ? 9 : mRandom.nextInt(10);
             if (fault == 0) {
                 mDelayedWrites.add(transaction);
@@ -98,6 +118,13 @@
             return result;
         }
 
+        /** Executes the writes that are held, and those that follow from their replies. */
+        void executeHeldWrites() {
+            while (!mHeldWrites.isEmpty()) {
+                mHeldWrites.remove().run();
+            }
+        }
+
         private static <T> CompletableFuture<T> unavailable() {
             return CompletableFuture.failedFuture(StoreException.unavailable("down", null));
         }
@@ -167,6 +194,66 @@
         assertThat(granted).isEqualTo((int) (LIMIT_TOKENS / MAX_TURN_TOKENS) - 1);
     }
 
+    /** Guards against an exit before the store has the return of the unused tokens. */
+    @Test
+    void returnCompletesOnceStoreHasIt() {
+        BudgetLedger ledger = createLedger();
+        reserve(ledger);
+        ledger.settle("w/p", MAX_TURN_TOKENS / 2, true);
+        mStore.mHoldsWrites = true;
+        CompletableFuture<Void> returned = ledger.returnUnusedTokens(program -> true);
+        assertThat(returned).as("the store has not replied").isNotDone();
+        mStore.executeHeldWrites();
+        assertThat(returned).isCompleted();
+        assertThat(takenTokens()).isEqualTo(MAX_TURN_TOKENS / 2);
+    }
+
+    /** Guards against the loss of a chunk whose write is under way when the return begins. */
+    @Test
+    void returnIncludesChunkOfPendingWrite() {
+        BudgetLedger ledger = createLedger();
+        mStore.mHoldsWrites = true;
+        CompletableFuture<BudgetLedger.Grant> grant =
+                ledger.reserve("w/p", LIMIT_TOKENS, MAX_TURN_TOKENS);
+        mExecutor.advance(BudgetLedger.MAX_STORE_WAIT_MILLIS);
+        assertThat(grant.join().outcome()).isEqualTo(BudgetOutcome.UNAVAILABLE);
+        CompletableFuture<Void> returned = ledger.returnUnusedTokens(program -> true);
+        assertThat(returned).as("the write is under way").isNotDone();
+        mStore.executeHeldWrites();
+        assertThat(returned).isCompleted();
+        assertThat(takenTokens()).isZero();
+    }
+
+    /** Guards against the loss of tokens that a turn releases while others are returned. */
+    @Test
+    void returnIncludesTokensReleasedMeanwhile() {
+        BudgetLedger ledger = createLedger();
+        reserve(ledger);
+        mStore.mHoldsWrites = true;
+        CompletableFuture<Void> returned = ledger.returnUnusedTokens(program -> true);
+        ledger.settle("w/p", MAX_TURN_TOKENS, false);
+        mStore.executeHeldWrites();
+        assertThat(returned).isCompleted();
+        assertThat(takenTokens()).isZero();
+    }
+
+    /** Guards against a return that is given up because another gateway wrote the row before. */
+    @Test
+    void returnIsRepeatedAfterConflict() {
+        BudgetLedger ledger = createLedger();
+        reserve(ledger);
+        ledger.settle("w/p", MAX_TURN_TOKENS, false);
+        mStore.mHoldsWrites = true;
+        CompletableFuture<Void> returned = ledger.returnUnusedTokens(program -> true);
+        mStore.mHoldsWrites = false;
+        BudgetLedger other = createLedger();
+        reserve(other);
+        other.returnUnusedTokens(program -> true);
+        mStore.executeHeldWrites();
+        assertThat(returned).isCompleted();
+        assertThat(takenTokens()).as("the other gateway's turn").isEqualTo(MAX_TURN_TOKENS);
+    }
+
     @Test
     void writeWithLostReplyCountsOnce() {
         BudgetLedger ledger = createLedger();
