Do not start the request queued behind an aborted response

What callers saw: a connection that ended within a response. The request behind that response was sent to its target after the connection had been closed, so its answer could reach nobody, and a caller that repeats it has its work done twice.

Cause: CallerConnection.abort() only closed the channel. channelInactive, which discards the queue, is reported later by the loop, while the end of the call starts the next queued request at once.

Fix: abort() records that the last response has ended. This is the state in which the connection starts nothing more, so it holds for all ways in which messages reach the connection.

Evidence: GatewayTest.requestBehindAbortedResponseIsNotStarted failed on the code before (the plain target received "warm" and "behind") and passes now. It configures no rate, because a call that waits for a rate is cancelled by channelInactive in time: with a rate the test passed on the code before.

--- a/src/main/java/org/heathercourse/gateway/http/CallerConnection.java
+++ b/src/main/java/org/heathercourse/gateway/http/CallerConnection.java
@@ -274,6 +274,8 @@
 
     @Override
     public void abort() {
+        // The close is reported later than the end of the call, which starts the next request.
+        mLastResponseEnded = true;
         mContext.close();
     }
 
--- a/src/test/java/org/heathercourse/gateway/GatewayTest.java
+++ b/src/test/java/org/heathercourse/gateway/GatewayTest.java
@@ -28,6 +28,7 @@
  */
 class GatewayTest {
     private static final Duration MAX_WAIT = Duration.ofSeconds(12);
+    private static final long CONFIGURATION_WAIT_MILLIS = 1_500;
 
     private static HostedDeployment sShared;
 
@@ -217,6 +218,32 @@
         }
     }
 
+    /** Guards against a request that is started although its connection was closed before it. */
+    @Test
+    void requestBehindAbortedResponseIsNotStarted() throws Exception {
+        useNewDeployment();
+        mDeployment.engineA().setEventIntervalMillis(1_000);
+        mDeployment.engineB().setEventIntervalMillis(1_000);
+        // Without a rate to reserve, a call is sent to its target as soon as it starts.
+        mDeployment.configure(HostedDeployment.KEY, 0);
+        Thread.sleep(CONFIGURATION_WAIT_MILLIS);
+        try (RawCaller caller = caller()) {
+            caller.send(turn("aborted", 1_000, 100));
+            Thread.sleep(100);
+            caller.send(post("/order/yarn", "behind", ""));
+            Thread.sleep(1_900);
+            // Leaves an open connection to the target.
+            assertThat(call(post("/order/yarn", "warm", "")).status()).isEqualTo(200);
+            assertThat(caller.readResponse().isComplete()).isFalse();
+            Thread.sleep(300);
+            assertThat(mDeployment.plain().receivedRequests())
+                    .extracting(ReceivedRequest::body)
+                    .containsExactly("warm");
+        } finally {
+            useNewDeployment();
+        }
+    }
+
     @Test
     void convertsChunkedBodyToContentLength() throws IOException {
         String request =
