Do not cut a running call by the time limit for request heads

What callers saw: the connection closed without a response while the second of several pipelined requests ran, or while a request ran whose body came in parts behind the response before it.

Cause: the end of a call makes the next byte start the timeout for a head. If the next request had been read already and waited in the queue, its head was reported after that, so a later byte (the rest of its body, or a third request) started a timeout that no head cancelled.

Fix: when a head is reported, later bytes start no timeout until that request has ended.

A head that is half read behind a call is bounded as before: the bytes after the end of the call start its timeout, and without any the idle timeout closes the connection. closesConnectionWhoseNextHeadIsNotCompletedInTime guards the first; it passed before and after.

Evidence: GatewayTest.thirdPipelinedRequestDoesNotCutSecond and bodyBehindResponseDoesNotCutItsRequest failed on the code before ("the connection was closed within a line") and pass now, each run once.

--- a/src/main/java/org/heathercourse/gateway/http/HeaderTimeoutHandler.java
+++ b/src/main/java/org/heathercourse/gateway/http/HeaderTimeoutHandler.java
@@ -30,15 +30,22 @@
         context.fireChannelRead(message);
     }
 
-    /** Cancels the timeout of the current head; the next head's starts with its first byte. */
+    /**
+     * Cancels the timeout of the current head. The bytes that follow belong to the body, or wait
+     * behind the call; they start no timeout until {@link #onRequestEnded}.
+     */
     void onHeadRead() {
+        mAwaitingFirstByte = false;
         if (mTimeout != null) {
             mTimeout.cancel(false);
             mTimeout = null;
         }
     }
 
-    /** Called when a response has ended; the next byte starts a new timeout. */
+    /**
+     * Called when a response has ended; the next byte starts a new timeout, unless the head of the
+     * next request was read before and is reported first.
+     */
     void onRequestEnded() {
         mAwaitingFirstByte = true;
     }
--- a/src/test/java/org/heathercourse/gateway/GatewayTest.java
+++ b/src/test/java/org/heathercourse/gateway/GatewayTest.java
@@ -4,6 +4,7 @@
 import static org.awaitility.Awaitility.await;
 
 import java.io.IOException;
+import java.net.SocketException;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
@@ -244,6 +245,66 @@
         }
     }
 
+    /** Guards against a running call that is cut by the time limit for heads of requests. */
+    @Test
+    void thirdPipelinedRequestDoesNotCutSecond() throws Exception {
+        try (RawCaller caller = caller()) {
+            caller.send(post("/order/yarn?answer_delay_ms=300", "1", ""));
+            Thread.sleep(100);
+            caller.send(post("/order/yarn?answer_delay_ms=1700", "2", ""));
+            Thread.sleep(500);
+            caller.send(post("/order/yarn", "3", ""));
+            for (int i = 0; i < 3; i++) {
+                assertThat(caller.readResponse().status()).isEqualTo(200);
+            }
+        }
+    }
+
+    /** Guards against the same cut by the rest of the body of the running call's request. */
+    @Test
+    void bodyBehindResponseDoesNotCutItsRequest() throws Exception {
+        try (RawCaller caller = caller()) {
+            caller.send(post("/order/yarn?answer_delay_ms=300", "1", ""));
+            Thread.sleep(100);
+            String second = post("/order/yarn?answer_delay_ms=1700", "22", "");
+            caller.send(second.substring(0, second.length() - 1));
+            Thread.sleep(500);
+            caller.send("2");
+            assertThat(caller.readResponse().status()).isEqualTo(200);
+            assertThat(caller.readResponse().status()).isEqualTo(200);
+        }
+    }
+
+    /** Guards against a head without a time limit because its first bytes came behind a call. */
+    @Test
+    void closesConnectionWhoseNextHeadIsNotCompletedInTime() throws Exception {
+        try (RawCaller caller = caller()) {
+            caller.send(post("/order/yarn?answer_delay_ms=300", "1", ""));
+            Thread.sleep(100);
+            caller.send("POST /order/yarn HTTP/1.1\r\nHost: ");
+            assertThat(caller.readResponse().status()).isEqualTo(200);
+            // Keeps the connection from being idle; the time limit for heads is 1 s.
+            CompletableFuture<Boolean> closed =
+                    CompletableFuture.supplyAsync(() -> isEndedByPeer(caller));
+            for (int i = 0; i < 13 && !closed.isDone(); i++) {
+                caller.send("x");
+                Thread.sleep(150);
+            }
+            assertThat(closed).isCompletedWithValue(true);
+        }
+    }
+
+    /** Returns whether the gateway ends the connection without a response. */
+    private static boolean isEndedByPeer(RawCaller caller) {
+        try {
+            return caller.isClosedByPeer();
+        } catch (SocketException e) {
+            return true;
+        } catch (IOException e) {
+            return false;
+        }
+    }
+
     @Test
     void convertsChunkedBodyToContentLength() throws IOException {
         String request =
