Close a connection only when all of its responses are written

What callers saw: nothing that was reported. A caller that reads slowly and has pipelined requests could lose its last response.

Cause: once the last response of a connection had ended, the connection was closed when any response was written, also one before the last. The last one was then still in the gateway.

Fix: close when no response is unwritten.

Evidence: CallerServerDrainTest.responseBeforeTheLastOneDoesNotCloseTheConnection failed on the code before (the channel was closed after the first of two responses was written) and passes now. It was not reproduced with a socket.

--- a/src/main/java/org/heathercourse/gateway/http/CallerConnection.java
+++ b/src/main/java/org/heathercourse/gateway/http/CallerConnection.java
@@ -266,7 +266,7 @@
 
     private void onResponseWritten() {
         mUnwrittenResponses--;
-        if (mLastResponseEnded) {
+        if (mLastResponseEnded && mUnwrittenResponses == 0) {
             mContext.close();
         }
         mServer.closeIfStopping(this);
--- a/src/test/java/org/heathercourse/gateway/http/CallerServerDrainTest.java
+++ b/src/test/java/org/heathercourse/gateway/http/CallerServerDrainTest.java
@@ -129,6 +129,23 @@
         assertThat(responseCount()).isEqualTo(1);
     }
 
+    /** Guards against a last response that is cut when the response before it is written. */
+    @Test
+    void responseBeforeTheLastOneDoesNotCloseTheConnection() {
+        open();
+        receive(REQUEST);
+        int firstWrites = mHeldWrites.size();
+        receive(REQUEST.replace("\r\n\r\n", "\r\nConnection: close\r\n\r\n"));
+        assertThat(responseCount()).isEqualTo(2);
+        List.copyOf(mHeldWrites.subList(0, firstWrites)).forEach(ChannelPromise::setSuccess);
+        mChannel.runPendingTasks();
+        assertThat(mChannel.isOpen()).isTrue();
+        List.copyOf(mHeldWrites.subList(firstWrites, mHeldWrites.size()))
+                .forEach(ChannelPromise::setSuccess);
+        mChannel.runPendingTasks();
+        assertThat(mChannel.isOpen()).isFalse();
+    }
+
     /** Records what is written and completes the writes only when the test says so. */
     private final class WriteHolder extends ChannelOutboundHandlerAdapter {
         @Override
