Let callers receive the last response of a connection

What callers saw: a connection reset within a complete response of 400,000 bytes, when they had sent another request on the connection before they read the end of the first response.

Cause: the connection was closed in both directions as soon as the last response was written to the socket. Bytes that reach a closed socket draw a reset, and a reset discards what the caller's system has not yet received. The response counted as sent.

Fix: after the last response only the output is shut down. Input is read and discarded until the caller closes the connection, or for 1 s, then the connection is closed. The queue is discarded at the end of the last response, so that a full queue does not stop the reading.

A lingering connection counts as busy, so the exit waits for it: the end of the process would draw the same reset. The exit is bounded as before by the time of the last response; a caller that keeps its connection open delays it by 1 s at most. In that case gateway_stopped may say quiet=false although all responses were written.

--- a/src/main/java/org/heathercourse/gateway/http/CallerConnection.java
+++ b/src/main/java/org/heathercourse/gateway/http/CallerConnection.java
@@ -4,6 +4,7 @@
 import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.socket.DuplexChannel;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.DefaultHttpContent;
 import io.netty.handler.codec.http.DefaultHttpResponse;
@@ -23,6 +24,7 @@
 import java.io.ByteArrayOutputStream;
 import java.util.ArrayDeque;
 import java.util.Queue;
+import java.util.concurrent.TimeUnit;
 import org.heathercourse.core.error.ErrorKind;
 import org.heathercourse.core.routing.CallerLimits;
 import org.heathercourse.gateway.call.Call;
@@ -41,6 +43,12 @@
     /** Number of HTTP messages queued behind a running call from which on no more are read. */
     private static final int MAX_PENDING_MESSAGES = 64;
 
+    /**
+     * Maximum time in milliseconds between the last response and the close of the connection: a few
+     * round trips, in which the caller receives the response and closes the connection itself.
+     */
+    private static final long LINGER_MILLIS = 1_000;
+
     private final CallerServer mServer;
     private final CallerLimits mLimits;
     private final Queue<Object> mPendingMessages = new ArrayDeque<>();
@@ -52,6 +60,7 @@
     private int mUnwrittenResponses;
     private boolean mKeepAlive;
     private boolean mLastResponseEnded;
+    private boolean mLingering;
     private boolean mSupportsChunked;
     private boolean mIsHeadRequest;
 
@@ -85,6 +94,11 @@
         mContext.channel().config().setAutoRead(mPendingMessages.size() < MAX_PENDING_MESSAGES);
     }
 
+    private void discardPendingMessages() {
+        mPendingMessages.forEach(ReferenceCountUtil::release);
+        mPendingMessages.clear();
+    }
+
     private void process(Object message) {
         try {
             if (message instanceof HttpRequest head) {
@@ -202,9 +216,12 @@
         mServer.closeIfStopping(this);
     }
 
-    /** Returns whether a request is being read, a call is running or a response being written. */
+    /**
+     * Returns whether a request is being read, a call is running, a response is being written or
+     * the caller may still receive the last one; the latter ends after {@link #LINGER_MILLIS}.
+     */
     boolean isBusy() {
-        return mCall != null || mHead != null || mUnwrittenResponses > 0;
+        return mCall != null || mHead != null || mUnwrittenResponses > 0 || mLingering;
     }
 
     void close() {
@@ -258,7 +275,10 @@
 
     @Override
     public void end() {
-        mLastResponseEnded = !mKeepAlive;
+        if (!mKeepAlive) {
+            mLastResponseEnded = true;
+            discardPendingMessages();
+        }
         mUnwrittenResponses++;
         mContext.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT)
                 .addListener(done -> onResponseWritten());
@@ -267,11 +287,27 @@
     private void onResponseWritten() {
         mUnwrittenResponses--;
         if (mLastResponseEnded && mUnwrittenResponses == 0) {
-            mContext.close();
+            closeAfterLastResponse();
         }
         mServer.closeIfStopping(this);
     }
 
+    /**
+     * Closes the connection in a way that lets the caller receive the last response: bytes that
+     * reach a closed socket, or that it has not read, make the system reset the connection, and a
+     * reset discards what the caller has not yet received. So only the output is shut down at
+     * first, and input is discarded.
+     */
+    private void closeAfterLastResponse() {
+        if (mContext.channel() instanceof DuplexChannel channel) {
+            mLingering = true;
+            channel.shutdownOutput();
+            mContext.executor().schedule(this::close, LINGER_MILLIS, TimeUnit.MILLISECONDS);
+        } else {
+            mContext.close();
+        }
+    }
+
     @Override
     public void abort() {
         // The close is reported later than the end of the call, which starts the next request.
@@ -302,8 +338,7 @@
 
     @Override
     public void channelInactive(ChannelHandlerContext context) {
-        mPendingMessages.forEach(ReferenceCountUtil::release);
-        mPendingMessages.clear();
+        discardPendingMessages();
         mServer.onClosed(this);
         if (mCall != null) {
             mCall.onCallerDisconnected();
--- a/src/main/java/org/heathercourse/gateway/http/CallerServer.java
+++ b/src/main/java/org/heathercourse/gateway/http/CallerServer.java
@@ -123,8 +123,8 @@
     }
 
     /**
-     * Returns whether a request is being read, a call is active or a response is being written;
-     * must be called on the traffic loop.
+     * Returns whether a request is being read, a call is active, a response is being written or a
+     * connection waits for its caller to receive one; must be called on the traffic loop.
      */
     public boolean isBusy() {
         return mConnections.stream().anyMatch(CallerConnection::isBusy);
@@ -138,7 +138,8 @@
     /**
      * Stops listening and closes the connections without a request.
      *
-     * @return completes when no call is active and all responses are written
+     * @return completes when no call is active, all responses are written, and their connections
+     *     are closed or have lingered
      */
     public CompletableFuture<Void> close() {
         mClosing = true;
--- a/src/test/java/org/heathercourse/gateway/GatewayDrainTest.java
+++ b/src/test/java/org/heathercourse/gateway/GatewayDrainTest.java
@@ -1,6 +1,7 @@
 package org.heathercourse.gateway;
 
 import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
 import static org.awaitility.Awaitility.await;
 
 import java.io.IOException;
@@ -32,6 +33,11 @@
 
     private static final long GRACE_MILLIS = 3_000;
     private static final long SEND_INTERVAL_MILLIS = 60;
+    private static final int LARGE_BODY_BYTES = 400_000;
+    private static final int SMALL_BUFFER_BYTES = 8_192;
+
+    /** Time after its last response in which a connection is closed, with a margin. */
+    private static final Duration MAX_LINGER = Duration.ofSeconds(2);
 
     private final HostedDeployment mDeployment = new HostedDeployment();
     private Gateway mGateway;
@@ -172,4 +178,70 @@
             drained.get(GRACE_MILLIS, TimeUnit.MILLISECONDS);
         }
     }
+
+    // End of a connection
+
+    /** Guards against late bytes of a caller that destroy a response which it has not yet read. */
+    @Test
+    void lateBytesDoNotDestroyLastResponse() throws Exception {
+        mGateway.leave();
+        try (RawCaller caller = slowReader()) {
+            caller.send(request("/read/large?body_bytes=" + LARGE_BODY_BYTES, ""));
+            Thread.sleep(600);
+            caller.send(request("/read/notice", ""));
+            Thread.sleep(200);
+            Response response = caller.readResponse();
+            assertThat(response.status()).isEqualTo(200);
+            assertThat(response.isComplete()).isTrue();
+        }
+    }
+
+    /** Guards against the same loss while the gateway no longer listens and is about to exit. */
+    @Test
+    void lateBytesInTheLastPartOfStopDoNotDestroyLastResponse() throws Exception {
+        mGateway.leave();
+        try (RawCaller caller = slowReader()) {
+            caller.send(request("/read/large?body_bytes=" + LARGE_BODY_BYTES, ""));
+            Thread.sleep(100);
+            CompletableFuture<Boolean> stopped =
+                    CompletableFuture.supplyAsync(() -> mGateway.stop(GRACE_MILLIS));
+            Thread.sleep(500);
+            caller.send(request("/read/notice", ""));
+            Thread.sleep(200);
+            assertThat(caller.readResponse().isComplete()).isTrue();
+            assertThat(stopped.get(GRACE_MILLIS, TimeUnit.MILLISECONDS)).isTrue();
+        }
+    }
+
+    /** Guards against callers that hold a connection, and the exit, by sending without end. */
+    @Test
+    void callerThatKeepsSendingAfterTheLastResponseIsCutOff() throws Exception {
+        mGateway.leave();
+        try (RawCaller caller = caller()) {
+            assertThat(caller.call(request("/read/notice", "")).status()).isEqualTo(200);
+            await().atMost(MAX_LINGER)
+                    .pollInterval(Duration.ofMillis(20))
+                    .untilAsserted(
+                            () ->
+                                    assertThatThrownBy(() -> caller.send("x"))
+                                            .isInstanceOf(IOException.class));
+        }
+    }
+
+    /** Guards against an exit that waits longer for callers that never close their connection. */
+    @Test
+    void callerThatNeverClosesDoesNotHoldTheExitBeyondTheGracePeriod() throws Exception {
+        try (RawCaller caller = caller()) {
+            CompletableFuture<Void> drained = drain();
+            // The response is sent just before the time by which all responses must have ended.
+            caller.send(request("/order/yarn?answer_delay_ms=2300", ""));
+            assertThat(caller.readResponse().status()).isEqualTo(200);
+            drained.get(GRACE_MILLIS - 2_300, TimeUnit.MILLISECONDS);
+        }
+    }
+
+    private RawCaller slowReader() throws IOException {
+        return new RawCaller(
+                mDeployment.settings(0).endpoint(Setting.CALLER_ADDRESS), SMALL_BUFFER_BYTES);
+    }
 }
