Answer requests that were read behind a call when a gateway leaves

What callers saw: the connection of a leaving gateway closed without an answer to a request that the gateway had read in full while the request before it on the connection ran.

Cause: each response of a leaving gateway said "Connection: close", and what was queued behind it was discarded. Callers of HTTP/1.1 may send again what was not answered, but cannot know whether it has run, and the rule is that a request that was read is answered.

Fix: a response of a leaving gateway says so only if nothing is queued when it begins. The queued requests are then served or refused by the rule of admission, and the response to the last of them closes the connection. A request that arrives after that announcement is still dropped.

Evidence: GatewayDrainTest.requestQueuedBehindCallIsAnswered failed on the code before (the first response said close) and passes now: the first request gets 200, the second one 503 with "Connection: close", then the connection ends.

Not changed: of two requests that come in one read, of which the first is refused at once, the second is still dropped, because it is decoded after the response to the first one has begun (CallerServerDrainTest.requestBehindTheLastResponseOfConnectionIsNotStarted).

--- a/src/main/java/org/heathercourse/gateway/http/CallerConnection.java
+++ b/src/main/java/org/heathercourse/gateway/http/CallerConnection.java
@@ -251,7 +251,8 @@
                         : new HttpResponseStatus(status, reason);
         HttpResponse response = new DefaultHttpResponse(HttpVersion.HTTP_1_1, responseStatus);
         response.headers().set(headers);
-        boolean keepAlive = mKeepAlive && !mServer.isLeaving();
+        // A request that was read behind this one is answered; the response to the last one closes.
+        boolean keepAlive = mKeepAlive && !(mServer.isLeaving() && mPendingMessages.isEmpty());
         if (lengthBytes != UNKNOWN_LENGTH) {
             response.headers().set(HttpHeaderNames.CONTENT_LENGTH, lengthBytes);
         } else if (mSupportsChunked) {
--- a/src/main/java/org/heathercourse/gateway/http/CallerServer.java
+++ b/src/main/java/org/heathercourse/gateway/http/CallerServer.java
@@ -130,7 +130,7 @@
         return mConnections.stream().anyMatch(CallerConnection::isBusy);
     }
 
-    /** Closes each connection after its next response. */
+    /** Closes each connection after the response to the last request that was read from it. */
     public void leave() {
         mLeaving = true;
     }
--- a/src/test/java/org/heathercourse/gateway/GatewayDrainTest.java
+++ b/src/test/java/org/heathercourse/gateway/GatewayDrainTest.java
@@ -179,6 +179,27 @@
         }
     }
 
+    /**
+     * Guards against a request that was read behind a call and then dropped with its connection.
+     */
+    @Test
+    void requestQueuedBehindCallIsAnswered() throws Exception {
+        mGateway.leave();
+        try (RawCaller caller = caller()) {
+            caller.send(request("/order/yarn?answer_delay_ms=1500", "1"));
+            Thread.sleep(50);
+            caller.send(request("/order/yarn", "2"));
+            Response first = caller.readResponse();
+            assertThat(first.status()).isEqualTo(200);
+            assertThat(first.headers()).doesNotContainKey("connection");
+            Response second = caller.readResponse();
+            // Its time limit ends later than the process.
+            assertThat(second.status()).isEqualTo(503);
+            assertThat(second.headers()).containsEntry("connection", "close");
+            assertThat(caller.isClosedByPeer()).isTrue();
+        }
+    }
+
     // End of a connection
 
     /** Guards against late bytes of a caller that destroy a response which it has not yet read. */
