Leave a leaving gateway out of its own directory

What callers saw: a gateway that had received its stop signal still named its own address in directory responses, until its change of state came back from the store. Callers that had just asked went to a gateway that was about to exit.

Cause: the directory lists the members as the store has them; that this gateway leaves is known in the process earlier.

Fix: once it leaves, the gateway leaves its own address out if another one is listed. If none is, its own is better than none.

Evidence: GatewayTest.directoryOfLeavingGatewayNamesOnlyOthers failed on the code before (both addresses right after leave()) and passes now.

--- a/src/main/java/org/heathercourse/gateway/Gateway.java
+++ b/src/main/java/org/heathercourse/gateway/Gateway.java
@@ -153,13 +153,12 @@
     }
 
     private static Member describeSelf(Settings settings, Clock clock) {
-        InetSocketAddress callers = settings.endpoint(Setting.CALLER_ADDRESS);
         InetSocketAddress peers = settings.endpoint(Setting.PEER_ADDRESS);
         return new Member(
                 settings.vm(),
                 clock.millis(),
                 settings.zone(),
-                callers.getHostString() + ":" + callers.getPort(),
+                callerAddress(settings),
                 peers.getHostString(),
                 peers.getPort(),
                 MemberState.STARTING,
@@ -167,6 +166,11 @@
                 0);
     }
 
+    private static String callerAddress(Settings settings) {
+        InetSocketAddress callers = settings.endpoint(Setting.CALLER_ADDRESS);
+        return callers.getHostString() + ":" + callers.getPort();
+    }
+
     private CompletableFuture<RateGrant> reserveRate(String workspace, RateRequest request) {
         return CompletableFuture.supplyAsync(
                 () ->
@@ -255,9 +259,10 @@
         }
         Zone zone = query.get().zone().isEmpty() ? mSettings.zone() : new Zone(query.get().zone());
         List<String> addresses =
-                mControl.clusterView()
-                        .fleet()
-                        .recommendedAddresses(zone, MAX_ADDRESSES, mTrafficRandom);
+                withoutLeaving(
+                        mControl.clusterView()
+                                .fleet()
+                                .recommendedAddresses(zone, MAX_ADDRESSES, mTrafficRandom));
         if (addresses.isEmpty()
                 || !mControl.configurationAge().isYoungerThan(mMaxConfigurationAgeMillis)) {
             return Response.empty(UNAVAILABLE);
@@ -266,6 +271,15 @@
         return Response.json(mEntryFormat.encodeAddresses(addresses, keepSeconds));
     }
 
+    /** Leaves out this gateway once it leaves, if callers can use others. */
+    private List<String> withoutLeaving(List<String> addresses) {
+        if (!mDrainSchedule.isLeaving() || addresses.size() < 2) {
+            return addresses;
+        }
+        String own = callerAddress(mSettings);
+        return addresses.stream().filter(address -> !address.equals(own)).toList();
+    }
+
     private Response respondMetrics(String uri) {
         byte[] text = PrometheusText.write(mMetrics).getBytes(StandardCharsets.UTF_8);
         return new Response(OK, "text/plain; version=0.0.4", text);
--- a/src/test/java/org/heathercourse/gateway/GatewayTest.java
+++ b/src/test/java/org/heathercourse/gateway/GatewayTest.java
@@ -550,20 +550,38 @@
     void directoryListsLiveGateways() throws IOException {
         useNewDeployment();
         mDeployment.addGateway("vm-2");
-        String request = "GET /api/resolve?name=h&zone=zone-a HTTP/1.1\r\nHost: x\r\n\r\n";
-        await().atMost(MAX_WAIT)
-                .untilAsserted(
-                        () -> {
-                            try (RawCaller caller =
-                                    new RawCaller(mSettings.endpoint(Setting.DIRECTORY_ADDRESS))) {
-                                assertThat(caller.call(request).body())
-                                        .contains(mSettings.text(Setting.CALLER_ADDRESS))
-                                        .contains(
-                                                mDeployment
-                                                        .settings(1)
-                                                        .text(Setting.CALLER_ADDRESS));
-                            }
-                        });
+        await().atMost(MAX_WAIT).untilAsserted(this::assertDirectoryListsBothGateways);
+    }
+
+    private void assertDirectoryListsBothGateways() throws IOException {
+        assertThat(directory())
+                .contains(mSettings.text(Setting.CALLER_ADDRESS))
+                .contains(mDeployment.settings(1).text(Setting.CALLER_ADDRESS));
+    }
+
+    private String directory() throws IOException {
+        try (RawCaller caller = new RawCaller(mSettings.endpoint(Setting.DIRECTORY_ADDRESS))) {
+            return caller.call("GET /api/resolve?name=h&zone=zone-a HTTP/1.1\r\nHost: x\r\n\r\n")
+                    .body();
+        }
+    }
+
+    /** Guards against callers that a leaving gateway directs to itself. */
+    @Test
+    void directoryOfLeavingGatewayNamesOnlyOthers() throws IOException {
+        useNewDeployment();
+        mDeployment.addGateway("vm-2");
+        try {
+            await().atMost(MAX_WAIT).untilAsserted(this::assertDirectoryListsBothGateways);
+            mDeployment.gateways().get(0).leave();
+            for (int i = 0; i < 20; i++) {
+                assertThat(directory())
+                        .contains(mDeployment.settings(1).text(Setting.CALLER_ADDRESS))
+                        .doesNotContain(mSettings.text(Setting.CALLER_ADDRESS));
+            }
+        } finally {
+            useNewDeployment();
+        }
     }
 
     @Test
