Count the times of a gateway's stop from its signal

What callers saw: nothing that was measured. The grace period runs from the signal, but the gateway counted its times from the moment at which its main thread ran leave(). On a busy VM that is later, and the exit moves towards the end of the grace period.

Cause: the signal handler only woke the main thread, which read the clock.

Fix: the handler reads the clock and the time is passed to leave(). The first of several signals counts. The maximum serving time is 2,900 ms instead of 3,000 ms, because the signal itself takes a moment to arrive.

Evidence: GatewayDrainTest.timesOfTheStopCountFromTheSignal failed on the code before (200 instead of 503 for a request 2 s after the signal, grace period 3 s) and passes now. How late the main thread was in a real stop was not measured.

--- a/src/main/java/org/heathercourse/gateway/Gateway.java
+++ b/src/main/java/org/heathercourse/gateway/Gateway.java
@@ -291,10 +291,11 @@
      * Directs callers to other gateways; requests that still arrive are served, later only if they
      * end before the process exits.
      *
-     * @return times of the stop that begins now
+     * @param signalMillis ticker time at which the stop signal was received
+     * @return times of the stop
      */
-    public DrainSchedule leave() {
-        DrainSchedule schedule = GatewayDrain.schedule(mTicker.readMillis(), mSettings);
+    public DrainSchedule leave(long signalMillis) {
+        DrainSchedule schedule = GatewayDrain.schedule(signalMillis, mSettings);
         mDrainSchedule = schedule;
         mControl.leave();
         mTraffic.execute(mCallerServer::leave);
--- a/src/main/java/org/heathercourse/gateway/GatewayDrain.java
+++ b/src/main/java/org/heathercourse/gateway/GatewayDrain.java
@@ -12,9 +12,10 @@
 final class GatewayDrain {
     /**
      * Maximum time in milliseconds for which a leaving gateway admits all requests: callers keep an
-     * address for two seconds, and learn within another one that a gateway leaves.
+     * address for two seconds, and learn within another one that a gateway leaves. It is 100 ms
+     * shorter than that, because the signal takes a moment to arrive.
      */
-    private static final long MAX_SERVE_MILLIS = 3_000;
+    private static final long MAX_SERVE_MILLIS = 2_900;
 
     /** The same as a fraction of the stop grace period, for short ones. */
     private static final double MAX_SERVE_FRACTION = 3.0 / 8;
@@ -65,10 +66,11 @@
     /**
      * Stops the gateway; returns when the process may exit.
      *
+     * @param signalMillis ticker time at which the stop signal was received
      * @throws InterruptedException if the thread is interrupted
      */
-    void run() throws InterruptedException {
-        DrainSchedule schedule = mGateway.leave();
+    void run(long signalMillis) throws InterruptedException {
+        DrainSchedule schedule = mGateway.leave(signalMillis);
         Thread.sleep(schedule.millisToServeEnd(mTicker.readMillis()));
         while (mGateway.isBusy()
                 && schedule.millisToResponseEnd(mTicker.readMillis()) > POLL_MILLIS) {
--- a/src/main/java/org/heathercourse/gateway/GatewayMain.java
+++ b/src/main/java/org/heathercourse/gateway/GatewayMain.java
@@ -4,7 +4,7 @@
 import java.security.SecureRandom;
 import java.time.Clock;
 import java.util.List;
-import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.CompletableFuture;
 import org.heathercourse.core.error.HeathercourseException;
 import org.heathercourse.core.time.Ticker;
 import org.heathercourse.daemon.settings.Program;
@@ -14,6 +14,7 @@
 import org.heathercourse.log.EventLog;
 import org.heathercourse.log.LogSetup;
 import sun.misc.Signal;
+import sun.misc.SignalHandler;
 
 /** Entry point of the gateway process. */
 public final class GatewayMain {
@@ -64,21 +65,22 @@
     // Life cycle
 
     private static void run(Settings settings, String[] arguments) throws InterruptedException {
-        CountDownLatch stopRequested = new CountDownLatch(1);
+        Ticker ticker = Ticker.system();
+        CompletableFuture<Long> stopMillis = new CompletableFuture<>();
+        SignalHandler onStop = signal -> stopMillis.complete(ticker.readMillis());
         Signal.handle(new Signal("HUP"), signal -> reloadLogLevel(arguments));
-        Signal.handle(new Signal("TERM"), signal -> stopRequested.countDown());
-        Signal.handle(new Signal("INT"), signal -> stopRequested.countDown());
+        Signal.handle(new Signal("TERM"), onStop);
+        Signal.handle(new Signal("INT"), onStop);
         try {
             Gateway gateway =
                     new Gateway(
                             settings,
                             PlatformSettings.findPlatform(settings),
-                            Ticker.system(),
+                            ticker,
                             Clock.systemUTC(),
                             new SecureRandom());
             gateway.start();
-            stopRequested.await();
-            new GatewayDrain(gateway, Ticker.system()).run();
+            new GatewayDrain(gateway, ticker).run(stopMillis.join());
             System.exit(0);
         } catch (HeathercourseException e) {
             System.err.println("error: " + e.getMessage() + "; " + e.remedy());
--- a/src/test/java/org/heathercourse/gateway/GatewayDrainTest.java
+++ b/src/test/java/org/heathercourse/gateway/GatewayDrainTest.java
@@ -83,10 +83,14 @@
     }
 
     private CompletableFuture<Void> drain() {
+        return drain(Ticker.system().readMillis());
+    }
+
+    private CompletableFuture<Void> drain(long signalMillis) {
         return CompletableFuture.runAsync(
                 () -> {
                     try {
-                        new GatewayDrain(mGateway, Ticker.system()).run();
+                        new GatewayDrain(mGateway, Ticker.system()).run(signalMillis);
                     } catch (InterruptedException e) {
                         throw new IllegalStateException(e);
                     }
@@ -184,7 +188,7 @@
      */
     @Test
     void requestQueuedBehindCallIsAnswered() throws Exception {
-        mGateway.leave();
+        mGateway.leave(Ticker.system().readMillis());
         try (RawCaller caller = caller()) {
             caller.send(request("/order/yarn?answer_delay_ms=1500", "1"));
             Thread.sleep(50);
@@ -200,12 +204,22 @@
         }
     }
 
+    /** Guards against a stop whose times count from a later moment than that of the signal. */
+    @Test
+    void timesOfTheStopCountFromTheSignal() throws Exception {
+        long lateMillis = 2_000;
+        long signalMillis = Ticker.system().readMillis() - lateMillis;
+        CompletableFuture<Void> drained = drain(signalMillis);
+        assertThat(call(request("/order/yarn", "a")).status()).isEqualTo(503);
+        drained.get(GRACE_MILLIS - lateMillis, TimeUnit.MILLISECONDS);
+    }
+
     // End of a connection
 
     /** Guards against late bytes of a caller that destroy a response which it has not yet read. */
     @Test
     void lateBytesDoNotDestroyLastResponse() throws Exception {
-        mGateway.leave();
+        mGateway.leave(Ticker.system().readMillis());
         try (RawCaller caller = slowReader()) {
             caller.send(request("/read/large?body_bytes=" + LARGE_BODY_BYTES, ""));
             Thread.sleep(600);
@@ -220,7 +234,7 @@
     /** Guards against the same loss while the gateway no longer listens and is about to exit. */
     @Test
     void lateBytesInTheLastPartOfStopDoNotDestroyLastResponse() throws Exception {
-        mGateway.leave();
+        mGateway.leave(Ticker.system().readMillis());
         try (RawCaller caller = slowReader()) {
             caller.send(request("/read/large?body_bytes=" + LARGE_BODY_BYTES, ""));
             Thread.sleep(100);
@@ -237,7 +251,7 @@
     /** Guards against callers that hold a connection, and the exit, by sending without end. */
     @Test
     void callerThatKeepsSendingAfterTheLastResponseIsCutOff() throws Exception {
-        mGateway.leave();
+        mGateway.leave(Ticker.system().readMillis());
         try (RawCaller caller = caller()) {
             assertThat(caller.call(request("/read/notice", "")).status()).isEqualTo(200);
             await().atMost(MAX_LINGER)
--- a/src/test/java/org/heathercourse/gateway/GatewayTest.java
+++ b/src/test/java/org/heathercourse/gateway/GatewayTest.java
@@ -573,7 +573,7 @@
         mDeployment.addGateway("vm-2");
         try {
             await().atMost(MAX_WAIT).untilAsserted(this::assertDirectoryListsBothGateways);
-            mDeployment.gateways().get(0).leave();
+            mDeployment.gateways().get(0).leave(Ticker.system().readMillis());
             for (int i = 0; i < 20; i++) {
                 assertThat(directory())
                         .contains(mDeployment.settings(1).text(Setting.CALLER_ADDRESS))
@@ -593,7 +593,7 @@
             caller.send(turn("p1", 1_000, 100));
             await().atMost(MAX_WAIT).until(() -> engineRuns().size() == 1);
             Gateway gateway = mDeployment.gateways().get(0);
-            gateway.leave();
+            gateway.leave(Ticker.system().readMillis());
             await().atMost(MAX_WAIT).until(() -> readinessStatus() == 503);
             Response late = call(get("/read/late", ""));
             assertThat(late.status()).isEqualTo(200);
