--- a/src/test/java/org/heathercourse/gateway/GatewayDrainTest.java
+++ b/src/test/java/org/heathercourse/gateway/GatewayDrainTest.java
@@ -2,6 +2,7 @@
 
 import static java.nio.charset.StandardCharsets.UTF_8;
 import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
 import static org.awaitility.Awaitility.await;
 
 import java.io.IOException;
@@ -37,6 +38,11 @@
 
     private static final long GRACE_MILLIS = 3_000;
     private static final long SEND_INTERVAL_MILLIS = 60;
+    private static final int LARGE_BODY_BYTES = 400_000;
+    private static final int SMALL_BUFFER_BYTES = 8_192;
+
+    /** Time after its last response in which a connection is closed, with a margin. */
+    private static final Duration MAX_LINGER = Duration.ofSeconds(2);
 
     /** Number of programs; more than the connections to the store that a gateway keeps open. */
     private static final int PROGRAMS = 12;
@@ -106,10 +112,14 @@
     }
 
     private CompletableFuture<Void> drain() {
+        return drain(Ticker.system().readMillis());
+    }
+
+    private CompletableFuture<Void> drain(long signalMillis) {
         return CompletableFuture.runAsync(
                 () -> {
                     try {
-                        new GatewayDrain(mGateway, Ticker.system()).run();
+                        new GatewayDrain(mGateway, Ticker.system()).run(signalMillis);
                     } catch (InterruptedException e) {
                         throw new IllegalStateException(e);
                     }
@@ -268,4 +278,101 @@
         drained.get(GRACE_MILLIS, TimeUnit.MILLISECONDS);
         assertThat(Ticker.system().readMillis() - startMillis).isLessThan(GRACE_MILLIS);
     }
+
+    /**
+     * Guards against a request that was read behind a call and then dropped with its connection.
+     */
+    @Test
+    void requestQueuedBehindCallIsAnswered() throws Exception {
+        mGateway.leave(Ticker.system().readMillis());
+        try (RawCaller caller = caller()) {
+            caller.send(request("/order/yarn?answer_delay_ms=1500", "1"));
+            Thread.sleep(50);
+            caller.send(request("/order/yarn", "2"));
+            Response first = caller.readResponse();
+            assertThat(first.status()).isEqualTo(200);
+            assertThat(first.headers()).doesNotContainKey("connection");
+            Response second = caller.readResponse();
+            // Its time limit ends later than the process.
+            assertThat(second.status()).isEqualTo(503);
+            assertThat(second.headers()).containsEntry("connection", "close");
+            assertThat(caller.isClosedByPeer()).isTrue();
+        }
+    }
+
+    /** Guards against a stop whose times count from a later moment than that of the signal. */
+    @Test
+    void timesOfTheStopCountFromTheSignal() throws Exception {
+        long lateMillis = 2_000;
+        long signalMillis = Ticker.system().readMillis() - lateMillis;
+        CompletableFuture<Void> drained = drain(signalMillis);
+        assertThat(call(request("/order/yarn", "a")).status()).isEqualTo(503);
+        drained.get(GRACE_MILLIS - lateMillis, TimeUnit.MILLISECONDS);
+    }
+
+    // End of a connection
+
+    /** Guards against late bytes of a caller that destroy a response which it has not yet read. */
+    @Test
+    void lateBytesDoNotDestroyLastResponse() throws Exception {
+        mGateway.leave(Ticker.system().readMillis());
+        try (RawCaller caller = slowReader()) {
+            caller.send(request("/read/large?body_bytes=" + LARGE_BODY_BYTES, ""));
+            Thread.sleep(600);
+            caller.send(request("/read/notice", ""));
+            Thread.sleep(200);
+            Response response = caller.readResponse();
+            assertThat(response.status()).isEqualTo(200);
+            assertThat(response.isComplete()).isTrue();
+        }
+    }
+
+    /** Guards against the same loss while the gateway no longer listens and is about to exit. */
+    @Test
+    void lateBytesInTheLastPartOfStopDoNotDestroyLastResponse() throws Exception {
+        mGateway.leave(Ticker.system().readMillis());
+        try (RawCaller caller = slowReader()) {
+            caller.send(request("/read/large?body_bytes=" + LARGE_BODY_BYTES, ""));
+            Thread.sleep(100);
+            CompletableFuture<Boolean> stopped =
+                    CompletableFuture.supplyAsync(() -> mGateway.stop(GRACE_MILLIS));
+            Thread.sleep(500);
+            caller.send(request("/read/notice", ""));
+            Thread.sleep(200);
+            assertThat(caller.readResponse().isComplete()).isTrue();
+            assertThat(stopped.get(GRACE_MILLIS, TimeUnit.MILLISECONDS)).isTrue();
+        }
+    }
+
+    /** Guards against callers that hold a connection, and the exit, by sending without end. */
+    @Test
+    void callerThatKeepsSendingAfterTheLastResponseIsCutOff() throws Exception {
+        mGateway.leave(Ticker.system().readMillis());
+        try (RawCaller caller = caller()) {
+            assertThat(caller.call(request("/read/notice", "")).status()).isEqualTo(200);
+            await().atMost(MAX_LINGER)
+                    .pollInterval(Duration.ofMillis(20))
+                    .untilAsserted(
+                            () ->
+                                    assertThatThrownBy(() -> caller.send("x"))
+                                            .isInstanceOf(IOException.class));
+        }
+    }
+
+    /** Guards against an exit that waits longer for callers that never close their connection. */
+    @Test
+    void callerThatNeverClosesDoesNotHoldTheExitBeyondTheGracePeriod() throws Exception {
+        try (RawCaller caller = caller()) {
+            CompletableFuture<Void> drained = drain();
+            // The response is sent just before the time by which all responses must have ended.
+            caller.send(request("/order/yarn?answer_delay_ms=2300", ""));
+            assertThat(caller.readResponse().status()).isEqualTo(200);
+            drained.get(GRACE_MILLIS - 2_300, TimeUnit.MILLISECONDS);
+        }
+    }
+
+    private RawCaller slowReader() throws IOException {
+        return new RawCaller(
+                mDeployment.settings(0).endpoint(Setting.CALLER_ADDRESS), SMALL_BUFFER_BYTES);
+    }
 }
--- a/src/test/java/org/heathercourse/gateway/GatewayTest.java
+++ b/src/test/java/org/heathercourse/gateway/GatewayTest.java
@@ -4,6 +4,7 @@
 import static org.awaitility.Awaitility.await;
 
 import java.io.IOException;
+import java.net.SocketException;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
@@ -28,6 +29,7 @@
  */
 class GatewayTest {
     private static final Duration MAX_WAIT = Duration.ofSeconds(12);
+    private static final long CONFIGURATION_WAIT_MILLIS = 1_500;
 
     private static HostedDeployment sShared;
 
@@ -217,6 +219,92 @@
         }
     }
 
+    /** Guards against a request that is started although its connection was closed before it. */
+    @Test
+    void requestBehindAbortedResponseIsNotStarted() throws Exception {
+        useNewDeployment();
+        mDeployment.engineA().setEventIntervalMillis(1_000);
+        mDeployment.engineB().setEventIntervalMillis(1_000);
+        // Without a rate to reserve, a call is sent to its target as soon as it starts.
+        mDeployment.configure(HostedDeployment.KEY, 0);
+        Thread.sleep(CONFIGURATION_WAIT_MILLIS);
+        try (RawCaller caller = caller()) {
+            caller.send(turn("aborted", 1_000, 100));
+            Thread.sleep(100);
+            caller.send(post("/order/yarn", "behind", ""));
+            Thread.sleep(1_900);
+            // Leaves an open connection to the target.
+            assertThat(call(post("/order/yarn", "warm", "")).status()).isEqualTo(200);
+            assertThat(caller.readResponse().isComplete()).isFalse();
+            Thread.sleep(300);
+            assertThat(mDeployment.plain().receivedRequests())
+                    .extracting(ReceivedRequest::body)
+                    .containsExactly("warm");
+        } finally {
+            useNewDeployment();
+        }
+    }
+
+    /** Guards against a running call that is cut by the time limit for heads of requests. */
+    @Test
+    void thirdPipelinedRequestDoesNotCutSecond() throws Exception {
+        try (RawCaller caller = caller()) {
+            caller.send(post("/order/yarn?answer_delay_ms=300", "1", ""));
+            Thread.sleep(100);
+            caller.send(post("/order/yarn?answer_delay_ms=1700", "2", ""));
+            Thread.sleep(500);
+            caller.send(post("/order/yarn", "3", ""));
+            for (int i = 0; i < 3; i++) {
+                assertThat(caller.readResponse().status()).isEqualTo(200);
+            }
+        }
+    }
+
+    /** Guards against the same cut by the rest of the body of the running call's request. */
+    @Test
+    void bodyBehindResponseDoesNotCutItsRequest() throws Exception {
+        try (RawCaller caller = caller()) {
+            caller.send(post("/order/yarn?answer_delay_ms=300", "1", ""));
+            Thread.sleep(100);
+            String second = post("/order/yarn?answer_delay_ms=1700", "22", "");
+            caller.send(second.substring(0, second.length() - 1));
+            Thread.sleep(500);
+            caller.send("2");
+            assertThat(caller.readResponse().status()).isEqualTo(200);
+            assertThat(caller.readResponse().status()).isEqualTo(200);
+        }
+    }
+
+    /** Guards against a head without a time limit because its first bytes came behind a call. */
+    @Test
+    void closesConnectionWhoseNextHeadIsNotCompletedInTime() throws Exception {
+        try (RawCaller caller = caller()) {
+            caller.send(post("/order/yarn?answer_delay_ms=300", "1", ""));
+            Thread.sleep(100);
+            caller.send("POST /order/yarn HTTP/1.1\r\nHost: ");
+            assertThat(caller.readResponse().status()).isEqualTo(200);
+            // Keeps the connection from being idle; the time limit for heads is 1 s.
+            CompletableFuture<Boolean> closed =
+                    CompletableFuture.supplyAsync(() -> isEndedByPeer(caller));
+            for (int i = 0; i < 13 && !closed.isDone(); i++) {
+                caller.send("x");
+                Thread.sleep(150);
+            }
+            assertThat(closed).isCompletedWithValue(true);
+        }
+    }
+
+    /** Returns whether the gateway ends the connection without a response. */
+    private static boolean isEndedByPeer(RawCaller caller) {
+        try {
+            return caller.isClosedByPeer();
+        } catch (SocketException e) {
+            return true;
+        } catch (IOException e) {
+            return false;
+        }
+    }
+
     @Test
     void convertsChunkedBodyToContentLength() throws IOException {
         String request =
@@ -462,20 +550,38 @@
     void directoryListsLiveGateways() throws IOException {
         useNewDeployment();
         mDeployment.addGateway("vm-2");
-        String request = "GET /api/resolve?name=h&zone=zone-a HTTP/1.1\r\nHost: x\r\n\r\n";
-        await().atMost(MAX_WAIT)
-                .untilAsserted(
-                        () -> {
-                            try (RawCaller caller =
-                                    new RawCaller(mSettings.endpoint(Setting.DIRECTORY_ADDRESS))) {
-                                assertThat(caller.call(request).body())
-                                        .contains(mSettings.text(Setting.CALLER_ADDRESS))
-                                        .contains(
-                                                mDeployment
-                                                        .settings(1)
-                                                        .text(Setting.CALLER_ADDRESS));
-                            }
-                        });
+        await().atMost(MAX_WAIT).untilAsserted(this::assertDirectoryListsBothGateways);
+    }
+
+    private void assertDirectoryListsBothGateways() throws IOException {
+        assertThat(directory())
+                .contains(mSettings.text(Setting.CALLER_ADDRESS))
+                .contains(mDeployment.settings(1).text(Setting.CALLER_ADDRESS));
+    }
+
+    private String directory() throws IOException {
+        try (RawCaller caller = new RawCaller(mSettings.endpoint(Setting.DIRECTORY_ADDRESS))) {
+            return caller.call("GET /api/resolve?name=h&zone=zone-a HTTP/1.1\r\nHost: x\r\n\r\n")
+                    .body();
+        }
+    }
+
+    /** Guards against callers that a leaving gateway directs to itself. */
+    @Test
+    void directoryOfLeavingGatewayNamesOnlyOthers() throws IOException {
+        useNewDeployment();
+        mDeployment.addGateway("vm-2");
+        try {
+            await().atMost(MAX_WAIT).untilAsserted(this::assertDirectoryListsBothGateways);
+            mDeployment.gateways().get(0).leave(Ticker.system().readMillis());
+            for (int i = 0; i < 20; i++) {
+                assertThat(directory())
+                        .contains(mDeployment.settings(1).text(Setting.CALLER_ADDRESS))
+                        .doesNotContain(mSettings.text(Setting.CALLER_ADDRESS));
+            }
+        } finally {
+            useNewDeployment();
+        }
     }
 
     @Test
@@ -487,7 +593,7 @@
             caller.send(turn("p1", 1_000, 100));
             await().atMost(MAX_WAIT).until(() -> engineRuns().size() == 1);
             Gateway gateway = mDeployment.gateways().get(0);
-            gateway.leave();
+            gateway.leave(Ticker.system().readMillis());
             await().atMost(MAX_WAIT).until(() -> readinessStatus() == 503);
             Response late = call(get("/read/late", ""));
             assertThat(late.status()).isEqualTo(200);
