Take only a success as a sign that a target survived a request, and look again before the send

Besides, each request was hashed while any crash was on record, and not only while something was quarantined.

Change: answers below 300 clear, the check stands before the send too, and nothing is hashed without a quarantine. CrashQuarantineTest and GatewayTest (32) pass; the error answers have no test of their own yet.

--- a/src/main/java/org/heathercourse/gateway/call/Call.java
+++ b/src/main/java/org/heathercourse/gateway/call/Call.java
@@ -236,6 +236,11 @@
     void send(Attempt attempt, Exchange exchange) {
         Target target = attempt.target();
         long remainingMillis = remainingMillis();
+        if (!mEnded && mCrashGuard.isQuarantined()) {
+            exchange.closeUnused();
+            attempt.failUnsent("the request was quarantined while its connection opened", false);
+            return;
+        }
         boolean isTargetUsable = isUsable(target);
         if (mEnded || remainingMillis <= 0 || !isTargetUsable) {
             exchange.closeUnused();
@@ -274,7 +279,7 @@
     /** Called when an attempt has returned a complete response. */
     void onAnswered(Attempt attempt, int status) {
         mAttempt = null;
-        mCrashGuard.recordSuccess();
+        mCrashGuard.recordAnswer(status);
         long now = mDependencies.ticker().readMillis();
         long firstByteMillis = mRelay.firstByteMillis(mArrivedMillis, now);
         mDependencies.metrics().recordAnswered(firstByteMillis, now - mArrivedMillis);
--- a/src/main/java/org/heathercourse/gateway/call/CrashGuard.java
+++ b/src/main/java/org/heathercourse/gateway/call/CrashGuard.java
@@ -13,6 +13,8 @@
  * Confined to the traffic loop.
  */
 final class CrashGuard {
+    private static final int MIN_FAILURE_STATUS = 300;
+
     private final CrashRecordService mRecords;
     private final CallRequest mRequest;
     private final String mWorkspace;
@@ -51,7 +53,7 @@
 
     /** Returns whether the request must not be sent to a target. */
     boolean isQuarantined() {
-        return !mRecords.table().isEmpty()
+        return !mRecords.table().quarantinedDigests().isEmpty()
                 && (mRecords.isQuarantined(digest()) || mRecords.isQuarantined(pathDigest()));
     }
 
@@ -66,9 +68,12 @@
                 .thenCompose(recorded -> mRecords.recordCrash(pathDigest(), incarnation));
     }
 
-    /** Records that a target has responded to the request completely, so it survived it. */
-    void recordSuccess() {
-        if (!mRecords.table().isEmpty()) {
+    /**
+     * Records that a target has responded to the request completely. Only a success shows that the
+     * target has run it; errors may come before that, or from something in front of the target.
+     */
+    void recordAnswer(int status) {
+        if (status < MIN_FAILURE_STATUS && !mRecords.table().isEmpty()) {
             mRecords.recordSuccess(digest());
             mRecords.recordSuccess(pathDigest());
         }
