Let a success remove only the crashes that came before it

Causes: a success that waited for the store removed crashes that other gateways recorded in the meantime (trial: a quarantined entry became empty); an unreadable row emptied the record; an entry kept six targets, so that a request with more crashes no longer explained those of others.

Change: a success removes the crashes known at its time; an unreadable row leaves the record as it was; entries keep twelve targets. CrashTableTest.successRemovesTheCrashesBeforeItOnly guards the first. CrashTableTest, CrashSimulationTest, CrashRecordServiceTest pass.

--- a/src/main/java/org/heathercourse/core/crash/CrashEntry.java
+++ b/src/main/java/org/heathercourse/core/crash/CrashEntry.java
@@ -17,7 +17,7 @@
      * Maximum number of targets of an entry. Larger than the number of crashes until a request is
      * refused, as copies of it may be running at that moment.
      */
-    static final int MAX_TARGETS = 6;
+    static final int MAX_TARGETS = 12;
 
     /**
      * Sorts the targets and keeps the first ones, so that the result does not depend on the order
--- a/src/main/java/org/heathercourse/core/crash/CrashTable.java
+++ b/src/main/java/org/heathercourse/core/crash/CrashTable.java
@@ -3,6 +3,7 @@
 import com.fasterxml.jackson.annotation.JsonCreator;
 import com.fasterxml.jackson.annotation.JsonIgnore;
 import com.fasterxml.jackson.annotation.JsonProperty;
+import java.util.ArrayList;
 import java.util.Collection;
 import java.util.Comparator;
 import java.util.HashSet;
@@ -172,6 +173,28 @@
         return new CrashTable(entries.values());
     }
 
+    /**
+     * Returns a table without the crashes of a request that an earlier table has.
+     *
+     * @param digest the request, which succeeded or was cleared after those crashes
+     * @param known table with the crashes that are removed
+     */
+    public CrashTable withoutKnownCrashes(RequestDigest digest, CrashTable known) {
+        CrashEntry knownEntry = known.mEntries.get(digest.text());
+        CrashEntry entry = mEntries.get(digest.text());
+        if (knownEntry == null || entry == null) {
+            return this;
+        }
+        CrashTable without = withoutDigest(digest);
+        CrashEntry remaining = entry.withoutTargets(knownEntry.targets());
+        if (remaining.crashCount() == 0) {
+            return without;
+        }
+        List<CrashEntry> entries = new ArrayList<>(without.mEntries.values());
+        entries.add(remaining);
+        return new CrashTable(entries);
+    }
+
     /**
      * Returns a table without the entries that have expired. Crashes that an expired quarantined
      * request explained are removed from the other entries too: otherwise a sound request would be
--- a/src/main/java/org/heathercourse/gateway/control/CrashRecordService.java
+++ b/src/main/java/org/heathercourse/gateway/control/CrashRecordService.java
@@ -170,7 +170,9 @@
     private void removeEntry(RequestDigest digest, String reason) {
         if (mTable.contains(digest)) {
             int crashes = mTable.crashCount(digest);
-            addChange(table -> table.withoutDigest(digest));
+            // Crashes that are recorded later, possibly before this change is written, stay.
+            CrashTable known = mTable;
+            addChange(table -> table.withoutKnownCrashes(digest, known));
             LOG.info(
                     "request_crashes_removed",
                     "digest",
@@ -259,9 +261,10 @@
 
     private void adopt(StoredRow row) {
         mStoredVersion = row.version();
+        // An unreadable row must not release what is known to crash targets.
         mStored =
                 row.exists()
-                        ? JsonRowCodec.decode(row, CrashTable.class).orElse(CrashTable.EMPTY)
+                        ? JsonRowCodec.decode(row, CrashTable.class).orElse(mStored)
                         : CrashTable.EMPTY;
     }
 
--- a/src/test/java/org/heathercourse/core/crash/CrashTableTest.java
+++ b/src/test/java/org/heathercourse/core/crash/CrashTableTest.java
@@ -106,6 +106,16 @@
         assertThat(crashes(table, path, "d").quarantineEndMillis(path)).isEqualTo(61_000);
     }
 
+    /** Guards against a success whose late record removes crashes that came after it. */
+    @Test
+    void successRemovesTheCrashesBeforeItOnly() {
+        CrashTable before = crashes(CrashTable.EMPTY, KILLER, "a");
+        CrashTable after = crashes(before, KILLER, "b", "c", "d");
+        assertThat(after.withoutKnownCrashes(KILLER, before).crashCount(KILLER)).isEqualTo(3);
+        assertThat(before.withoutKnownCrashes(KILLER, before).isEmpty()).isTrue();
+        assertThat(after.withoutKnownCrashes(SOUND, before)).isSameAs(after);
+    }
+
     @Test
     void forgetsRequestThatSucceededOrExpired() {
         CrashTable table = crashes(CrashTable.EMPTY, KILLER, "a", "b", "c");
