Log how the body of a target's response was delimited

The log could not tell whether an answer that looked complete had a length, chunks or neither: the lines call and attempt_failed name the framing now, and the metric target_responses counts responses by it. The head of a response is one value (ResponseHead) instead of four parameters.

--- a/src/main/java/org/heathercourse/gateway/call/Attempt.java
+++ b/src/main/java/org/heathercourse/gateway/call/Attempt.java
@@ -1,15 +1,15 @@
 package org.heathercourse.gateway.call;
 
 import io.netty.handler.codec.http.HttpHeaderNames;
-import io.netty.handler.codec.http.HttpHeaders;
 import org.heathercourse.core.attempt.Delivery;
 import org.heathercourse.core.stream.EventSplitter;
 import org.heathercourse.core.target.Target;
+import org.heathercourse.gateway.target.BodyFraming;
 import org.heathercourse.gateway.target.Exchange;
 import org.heathercourse.gateway.target.ResponseFailure;
+import org.heathercourse.gateway.target.ResponseHead;
 import org.heathercourse.gateway.target.ResponseListener;
 import org.heathercourse.gateway.target.TargetPool;
-import org.heathercourse.platform.entry.AnswerFacts;
 
 /**
  * One attempt to run a call at one target. Reports with a failure whether the target may have run
@@ -29,6 +29,7 @@
     private Exchange mExchange;
     private long mSentMillis;
     private int mStatus;
+    private BodyFraming mFraming;
     private boolean mReportedNotRun;
     private boolean mEnded;
 
@@ -41,6 +42,11 @@
         return mPool.target();
     }
 
+    /** Returns how the end of the response's body is found; null before the response's head. */
+    BodyFraming framing() {
+        return mFraming;
+    }
+
     boolean hasBeenSent() {
         return mExchange != null;
     }
@@ -113,19 +119,20 @@
     // Response
 
     @Override
-    public void onHead(int status, String reason, HttpHeaders headers, AnswerFacts facts) {
-        mStatus = status;
-        if (facts.notRun()) {
+    public void onHead(ResponseHead head) {
+        mStatus = head.status();
+        mFraming = head.framing();
+        if (head.facts().notRun()) {
             mReportedNotRun = true;
             return;
         }
-        boolean success = status < MIN_FAILURE_STATUS;
-        if (success && !facts.hasSignature()) {
+        boolean success = head.status() < MIN_FAILURE_STATUS;
+        if (success && !head.facts().hasSignature()) {
             rejectResponse("the success response has no signature");
-        } else if (headers.contains(HttpHeaderNames.CONTENT_ENCODING)) {
+        } else if (head.headers().contains(HttpHeaderNames.CONTENT_ENCODING)) {
             rejectResponse("the response has a Content-Encoding, which is not supported");
-        } else if (!mCall.relay().onHead(status, reason, headers)) {
-            rejectResponse("the stream cannot resume with status " + status);
+        } else if (!mCall.relay().onHead(head.status(), head.reason(), head.headers())) {
+            rejectResponse("the stream cannot resume with status " + head.status());
         }
     }
 
--- a/src/main/java/org/heathercourse/gateway/call/Call.java
+++ b/src/main/java/org/heathercourse/gateway/call/Call.java
@@ -283,7 +283,8 @@
         long now = mDependencies.ticker().readMillis();
         long firstByteMillis = mRelay.firstByteMillis(mArrivedMillis, now);
         mDependencies.metrics().recordAnswered(firstByteMillis, now - mArrivedMillis);
-        mLogEntry.recordAnswered(status, firstByteMillis, mRelay.eventCount());
+        mDependencies.metrics().recordFraming(attempt.framing());
+        mLogEntry.recordAnswered(status, firstByteMillis, mRelay.eventCount(), attempt.framing());
         finish();
     }
 
@@ -319,7 +320,7 @@
         Target target = attempt.target();
         boolean isTargetGone =
                 targetGone || !mDependencies.clusterView().targets().contains(target);
-        mLogEntry.logFailedAttempt(target, delivery, reason);
+        mLogEntry.logFailedAttempt(target, delivery, reason, attempt.framing());
         switch (mHistory.recordAttempt(target.id(), delivery, isTargetGone)) {
             case OTHER_TARGET -> {
                 mDependencies.metrics().recordRetry();
--- a/src/main/java/org/heathercourse/gateway/call/CallLogEntry.java
+++ b/src/main/java/org/heathercourse/gateway/call/CallLogEntry.java
@@ -4,6 +4,7 @@
 import org.heathercourse.core.crash.RequestDigest;
 import org.heathercourse.core.target.Target;
 import org.heathercourse.gateway.control.BudgetService.Reservation;
+import org.heathercourse.gateway.target.BodyFraming;
 import org.heathercourse.log.EventLog;
 import org.heathercourse.platform.entry.CallFacts;
 
@@ -24,6 +25,7 @@
     private int mFailedAttempts;
     private String mOutcome = "open";
     private int mStatus;
+    private String mFraming = "";
     private String mReason = "";
     private long mFirstByteMillis = -1;
     private long mEventCount;
@@ -71,7 +73,7 @@
     }
 
     /** Logs a failed attempt; the line at the end of the call names the last target only. */
-    void logFailedAttempt(Target target, Delivery delivery, String reason) {
+    void logFailedAttempt(Target target, Delivery delivery, String reason, BodyFraming framing) {
         mFailedAttempts++;
         LOG.info(
                 "attempt_failed",
@@ -83,6 +85,8 @@
                 target.service(),
                 "delivery",
                 delivery,
+                "framing",
+                logName(framing),
                 "reason",
                 reason);
     }
@@ -101,13 +105,18 @@
                 target.service());
     }
 
-    void recordAnswered(int status, long firstByteMillis, long eventCount) {
+    void recordAnswered(int status, long firstByteMillis, long eventCount, BodyFraming framing) {
         mOutcome = "answered";
         mStatus = status;
+        mFraming = logName(framing);
         mFirstByteMillis = firstByteMillis;
         mEventCount = eventCount;
     }
 
+    private static String logName(BodyFraming framing) {
+        return framing == null ? "" : framing.logName();
+    }
+
     void recordErrorResponse(ErrorResponse error) {
         mOutcome = "refused";
         mStatus = error.kind().httpStatus();
@@ -178,6 +187,8 @@
                 mOutcome,
                 "status",
                 mStatus,
+                "framing",
+                mFraming,
                 "events",
                 mEventCount,
                 "firstByteMillis",
--- a/src/main/java/org/heathercourse/gateway/call/CallMetrics.java
+++ b/src/main/java/org/heathercourse/gateway/call/CallMetrics.java
@@ -4,6 +4,7 @@
 import com.codahale.metrics.Meter;
 import com.codahale.metrics.MetricRegistry;
 import org.heathercourse.core.error.ErrorKind;
+import org.heathercourse.gateway.target.BodyFraming;
 import org.heathercourse.gateway.target.TargetPool;
 
 /** Metrics of calls and of connections to targets. Safe for use by several threads. */
@@ -49,6 +50,11 @@
         mTotalMillis.update(totalMillis);
     }
 
+    /** Counts a response of a target by the framing of its body. */
+    void recordFraming(BodyFraming framing) {
+        mRegistry.meter("target_responses{framing=\"" + framing.logName() + "\"}").mark();
+    }
+
     void recordErrorResponse(ErrorKind kind) {
         mRegistry.meter("calls_refused{kind=\"" + kind.wireName() + "\"}").mark();
     }
--- a/src/main/java/org/heathercourse/gateway/target/ResponseListener.java
+++ b/src/main/java/org/heathercourse/gateway/target/ResponseListener.java
@@ -1,19 +1,13 @@
 package org.heathercourse.gateway.target;
 
-import io.netty.handler.codec.http.HttpHeaders;
-import org.heathercourse.platform.entry.AnswerFacts;
-
 /** Receives the response of a target. Called on the traffic loop. */
 public interface ResponseListener {
     /**
      * Called once when the head of the response was received.
      *
-     * @param status HTTP status
-     * @param reason reason phrase
-     * @param headers headers as received
-     * @param facts platform headers, parsed
+     * @param head the head
      */
-    void onHead(int status, String reason, HttpHeaders headers, AnswerFacts facts);
+    void onHead(ResponseHead head);
 
     /**
      * Called for each part of the body.
--- a/src/main/java/org/heathercourse/gateway/target/TargetConnection.java
+++ b/src/main/java/org/heathercourse/gateway/target/TargetConnection.java
@@ -6,6 +6,7 @@
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpUtil;
@@ -43,6 +44,7 @@
     private ChannelFuture mWriteFuture;
     private ResponseListener mListener;
     private String mRequestId;
+    private HttpMethod mRequestMethod;
     private boolean mSkippingResponse;
     private boolean mHeadDelivered;
     private boolean mSkippingInformational;
@@ -88,6 +90,7 @@
     void send(FullHttpRequest request, String requestId, ResponseListener listener) {
         mListener = listener;
         mRequestId = requestId;
+        mRequestMethod = request.method();
         mHeadDelivered = false;
         mSkippingResponse = false;
         mSkippedResponses = 0;
@@ -166,7 +169,13 @@
         mReusable = HttpUtil.isKeepAlive(response);
         parseKeepAlive(response.headers().get("Keep-Alive"));
         mHeadDelivered = true;
-        mListener.onHead(status, response.status().reasonPhrase(), response.headers(), facts);
+        mListener.onHead(
+                new ResponseHead(
+                        status,
+                        response.status().reasonPhrase(),
+                        response.headers(),
+                        facts,
+                        BodyFraming.of(mRequestMethod, response)));
     }
 
     private void countSkippedResponse() {
