Take a stream that ends inside an event for a broken one

What callers saw: the events up to a point, a part of the next event, and the last chunk, so that a broken stream looked complete.

Cause: an answer with neither a length nor chunks ends with its connection, and the codec reports the end of such a body as soon as the connection ends, whatever ended it. The gateway took that report for the end of the answer, forwarded what it held of an unfinished event and ended the caller's response.

Change: the end of a stream counts only between two events; otherwise the attempt has failed, and the stream is resumed or visibly broken off. This holds for each framing, as an end inside an event is never the end of a stream. A single carriage return ends a line now, and a success response of a streaming route with another content type is not read as events, since both would otherwise look like streams that end inside an event.

--- a/src/main/java/org/heathercourse/core/stream/EventSplitter.java
+++ b/src/main/java/org/heathercourse/core/stream/EventSplitter.java
@@ -16,11 +16,13 @@
     public static final int MAX_EVENT_BYTES = 256 * 1024;
 
     private static final byte[] ID_FIELD = "id:".getBytes(StandardCharsets.US_ASCII);
+    private static final byte COMMENT_START = ':';
 
     private final ByteArrayOutputStream mIncomplete = new ByteArrayOutputStream();
     private final ByteArrayOutputStream mLine = new ByteArrayOutputStream();
-    private boolean mLineHasBytes;
+    private boolean mPendingCarriageReturn;
     private boolean mEventHasLines;
+    private boolean mEventHasFields;
     private String mIncompleteEventId;
     private String mLastEventId;
     private long mEventCount;
@@ -32,42 +34,59 @@
      * @return bytes to pass on; empty if no event is complete
      */
     public byte[] add(byte[] bytes) {
-        int lastEventEnd = -1;
+        int completeLength = -1;
         for (int i = 0; i < bytes.length; i++) {
             byte b = bytes[i];
             if (b == '\n') {
+                // Ends the line, together with a carriage return before it.
+                mPendingCarriageReturn = false;
                 if (endLine()) {
-                    lastEventEnd = i;
+                    completeLength = i + 1;
                 }
-            } else if (b != '\r') {
-                mLineHasBytes = true;
+                continue;
+            }
+            if (endPendingLine()) {
+                completeLength = i;
+            }
+            if (b == '\r') {
+                mPendingCarriageReturn = true;
+            } else {
                 mLine.write(b);
             }
         }
-        if (lastEventEnd < 0) {
+        if (completeLength < 0) {
             mIncomplete.write(bytes, 0, bytes.length);
             return new byte[0];
         }
-        mIncomplete.write(bytes, 0, lastEventEnd + 1);
+        mIncomplete.write(bytes, 0, completeLength);
         byte[] complete = mIncomplete.toByteArray();
         mIncomplete.reset();
-        mIncomplete.write(bytes, lastEventEnd + 1, bytes.length - lastEventEnd - 1);
+        mIncomplete.write(bytes, completeLength, bytes.length - completeLength);
         return complete;
     }
 
+    /** Ends a line that a carriage return alone has ended; returns whether an event is complete. */
+    private boolean endPendingLine() {
+        boolean pending = mPendingCarriageReturn;
+        mPendingCarriageReturn = false;
+        return pending && endLine();
+    }
+
     /** Processes the end of a line; returns whether it completes an event. */
     private boolean endLine() {
-        if (mLineHasBytes) {
+        if (mLine.size() > 0) {
+            byte[] line = mLine.toByteArray();
             mEventHasLines = true;
-            parseId(mLine.toByteArray());
+            mEventHasFields |= line[0] != COMMENT_START;
+            parseId(line);
             mLine.reset();
-            mLineHasBytes = false;
             return false;
         }
         if (!mEventHasLines) {
             return false;
         }
         mEventHasLines = false;
+        mEventHasFields = false;
         mEventCount++;
         if (mIncompleteEventId != null) {
             mLastEventId = mIncompleteEventId;
@@ -76,6 +95,16 @@
         return true;
     }
 
+    /**
+     * Ends the stream.
+     *
+     * @return whether it ended between two events; if not, it was broken off
+     */
+    public boolean endInput() {
+        endPendingLine();
+        return mLine.size() == 0 && !mEventHasFields;
+    }
+
     private void parseId(byte[] line) {
         if (line.length < ID_FIELD.length) {
             return;
@@ -105,8 +134,9 @@
     public void discardIncomplete() {
         mIncomplete.reset();
         mLine.reset();
-        mLineHasBytes = false;
+        mPendingCarriageReturn = false;
         mEventHasLines = false;
+        mEventHasFields = false;
         mIncompleteEventId = null;
     }
 
--- a/src/main/java/org/heathercourse/gateway/call/Attempt.java
+++ b/src/main/java/org/heathercourse/gateway/call/Attempt.java
@@ -161,8 +161,8 @@
         if (mEnded) {
             return;
         }
-        mEnded = true;
         if (mReportedNotRun) {
+            mEnded = true;
             mPool.load().recordRejection(now(), mCall.rejectionBackoffMillis());
             mCall.onAttemptFailed(
                     this,
@@ -171,6 +171,15 @@
                     false);
             return;
         }
+        if (!mCall.relay().endBody()) {
+            onFailure(
+                    mFraming.keepsConnection()
+                            ? ResponseFailure.INVALID_RESPONSE
+                            : ResponseFailure.CONNECTION_LOST,
+                    "the stream ended inside an event");
+            return;
+        }
+        mEnded = true;
         mPool.load().recordSuccess(now() - mSentMillis);
         mCall.relay().onEnd(now());
         mCall.onAnswered(this, mStatus);
--- a/src/main/java/org/heathercourse/gateway/call/ResponseRelay.java
+++ b/src/main/java/org/heathercourse/gateway/call/ResponseRelay.java
@@ -1,6 +1,7 @@
 package org.heathercourse.gateway.call;
 
 import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
 import java.io.ByteArrayOutputStream;
 import org.heathercourse.core.routing.Route;
@@ -19,6 +20,7 @@
     private static final int MAX_BUFFERED_BYTES = 128 * 1024;
 
     private static final int MIN_FAILURE_STATUS = 300;
+    private static final String EVENT_STREAM_TYPE = "text/event-stream";
 
     private final ResponseWriter mWriter;
     private final Route mRoute;
@@ -51,10 +53,20 @@
         mHeaders = new DefaultHttpHeaders();
         mHeaders.set(headers);
         HopByHopHeaders.remove(mHeaders);
-        mStreaming = mRoute.kind() == RouteKind.STREAMING && status < MIN_FAILURE_STATUS;
+        mStreaming =
+                mRoute.kind() == RouteKind.STREAMING
+                        && status < MIN_FAILURE_STATUS
+                        && isEventStream(headers);
         return true;
     }
 
+    /** Returns whether the body consists of events; targets may omit its type. */
+    private static boolean isEventStream(HttpHeaders headers) {
+        String type = headers.get(HttpHeaderNames.CONTENT_TYPE);
+        return type == null
+                || type.regionMatches(true, 0, EVENT_STREAM_TYPE, 0, EVENT_STREAM_TYPE.length());
+    }
+
     /**
      * Forwards or buffers the next part of the body.
      *
@@ -89,6 +101,11 @@
         mWriter.write(bytes);
     }
 
+    /** Ends the body of the attempt; returns whether it may be complete. */
+    boolean endBody() {
+        return !mStreaming || mSplitter.endInput();
+    }
+
     /** Forwards what is left of the body and ends the caller's response. */
     void onEnd(long nowMillis) {
         byte[] remaining = mStreaming ? mSplitter.drainIncomplete() : mBuffer.toByteArray();
--- a/src/main/java/org/heathercourse/testing/hosted/TargetStandIn.java
+++ b/src/main/java/org/heathercourse/testing/hosted/TargetStandIn.java
@@ -64,6 +64,7 @@
     private final Ticker mTicker = Ticker.system();
     private final AtomicInteger mCancelledCount = new AtomicInteger();
     private volatile long mEventIntervalMillis;
+    private volatile boolean mUnframed;
     private volatile String mCrashText;
     private volatile Runnable mOnRestart = () -> {};
     private volatile int mStarts = 1;
@@ -128,6 +129,14 @@
         mEventIntervalMillis = millis;
     }
 
+    /**
+     * Sets whether success responses have neither a length nor chunks and end with their
+     * connection.
+     */
+    public void setUnframed(boolean unframed) {
+        mUnframed = unframed;
+    }
+
     /**
      * Makes the target crash at each request whose body contains a text.
      *
@@ -210,6 +219,10 @@
         mCancelledCount.incrementAndGet();
     }
 
+    boolean isUnframed() {
+        return mUnframed;
+    }
+
     long eventIntervalMillis() {
         return mEventIntervalMillis;
     }
--- a/src/main/java/org/heathercourse/testing/hosted/TargetStandInConnection.java
+++ b/src/main/java/org/heathercourse/testing/hosted/TargetStandInConnection.java
@@ -159,7 +159,14 @@
         if (status == 503 || status == 421) {
             response.headers().set("X-Heathercourse-Not-Executed", "1");
         }
-        context.writeAndFlush(response);
+        boolean unframed = status == 200 && mTarget.isUnframed();
+        if (unframed) {
+            response.headers().remove(HttpHeaderNames.CONTENT_LENGTH);
+        }
+        ChannelFuture written = context.writeAndFlush(response);
+        if (unframed) {
+            end(context, written);
+        }
     }
 
     private void sendExtraAnswer(ChannelHandlerContext context) {
@@ -187,7 +194,9 @@
     private void sendShortBody(ChannelHandlerContext context, FullHttpRequest request) {
         mRunning = false;
         DefaultHttpResponse head = head(request);
-        head.headers().set(HttpHeaderNames.CONTENT_LENGTH, 100);
+        if (!mTarget.isUnframed()) {
+            head.headers().set(HttpHeaderNames.CONTENT_LENGTH, 100);
+        }
         context.write(head);
         context.writeAndFlush(new DefaultHttpContent(Unpooled.wrappedBuffer(new byte[10])))
                 .addListener(done -> context.close());
@@ -204,8 +213,7 @@
         return head;
     }
 
-    private void startStream(
-            ChannelHandlerContext context, FullHttpRequest request, Fault fault) {
+    private void startStream(ChannelHandlerContext context, FullHttpRequest request, Fault fault) {
         sendStreamHead(context, request);
         String lastEventId = request.headers().get("Last-Event-Id");
         Stream stream =
@@ -219,9 +227,10 @@
 
     private void sendStreamHead(ChannelHandlerContext context, FullHttpRequest request) {
         DefaultHttpResponse head = head(request);
-        head.headers()
-                .set(HttpHeaderNames.CONTENT_TYPE, "text/event-stream")
-                .set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED);
+        head.headers().set(HttpHeaderNames.CONTENT_TYPE, "text/event-stream");
+        if (!mTarget.isUnframed()) {
+            head.headers().set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED);
+        }
         context.writeAndFlush(head);
     }
 
@@ -235,7 +244,7 @@
         if (number > TargetStandIn.EVENT_COUNT) {
             mRunning = false;
             mTarget.recordWorkEnd(stream.requestId());
-            context.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT);
+            end(context, context.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT));
             return;
         }
         write(context, "id: " + number + "\ndata: token " + number + "\n\n");
@@ -250,6 +259,13 @@
         }
     }
 
+    /** Closes the connection behind the last byte of a response without framing. */
+    private void end(ChannelHandlerContext context, ChannelFuture written) {
+        if (mTarget.isUnframed()) {
+            written.addListener(done -> context.close());
+        }
+    }
+
     private void write(ChannelHandlerContext context, String text) {
         byte[] bytes = text.getBytes(StandardCharsets.UTF_8);
         context.writeAndFlush(new DefaultHttpContent(Unpooled.wrappedBuffer(bytes)));
--- a/src/test/java/org/heathercourse/core/stream/EventSplitterTest.java
+++ b/src/test/java/org/heathercourse/core/stream/EventSplitterTest.java
@@ -52,6 +52,39 @@
                 .isEqualTo("rest");
     }
 
+    /** Guards against a stream that was broken off and is taken for a complete one. */
+    @Test
+    void streamThatEndsInsideEventIsNotComplete() {
+        for (String end : List.of("id: 2", "id: 2\n", "id: 2\ndata: b\n", ": com", "data: b\r")) {
+            assertThat(endsBetweenEvents("id: 1\ndata: a\n\n" + end)).as(end).isFalse();
+        }
+    }
+
+    /** Guards against complete streams that are resumed or broken off without need. */
+    @Test
+    void streamThatEndsBetweenEventsIsComplete() {
+        for (String end : List.of("", "\n", "\r\n", ": comment\n", "data: b\r\r")) {
+            assertThat(endsBetweenEvents("id: 1\ndata: a\n\n" + end)).as(end).isTrue();
+        }
+        assertThat(endsBetweenEvents("")).isTrue();
+    }
+
+    private static boolean endsBetweenEvents(String stream) {
+        EventSplitter splitter = new EventSplitter();
+        splitter.add(stream.getBytes(StandardCharsets.UTF_8));
+        return splitter.endInput();
+    }
+
+    /** Guards against streams with single carriage returns, whose events were never passed on. */
+    @Test
+    void carriageReturnEndsLine() {
+        assertThat(add("id: 1\rdata: a\r\rid: 2\r")).isEqualTo("id: 1\rdata: a\r\r");
+        assertThat(mSplitter.lastEventId()).isEqualTo("1");
+        assertThat(add("\r")).isEmpty();
+        assertThat(add("x")).isEqualTo("id: 2\r\r");
+        assertThat(mSplitter.lastEventId()).isEqualTo("2");
+    }
+
     /** Guards against an event without end, which would fill the memory. */
     @Test
     void reportsAnEventBeyondTheMaximumSize() {
