End an unframed response only when its target has ended its output

What callers would see: a response with neither a length nor chunks that looks complete although this process closed the connection (a failed write, the exit of the process, a retired pool).

Cause: the codec reports the end of such a body whenever the channel becomes inactive. Only a reset was told apart, by the exception that comes before it.

Evidence: TargetConnectionTest.unframedResponseIsIncompleteIfThisProcessCloses- Connection fails if each such report is accepted; the others pass either way.

Change: connections to targets allow half-closure, so that the end of input is an event of its own, seen before the codec. Without that event an unframed response has failed.

--- a/src/main/java/org/heathercourse/gateway/target/TargetConnection.java
+++ b/src/main/java/org/heathercourse/gateway/target/TargetConnection.java
@@ -4,6 +4,7 @@
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.socket.ChannelInputShutdownEvent;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpMethod;
@@ -50,7 +51,9 @@
     private boolean mSkippingInformational;
     private int mSkippedResponses;
     private long mSkippedBytes;
+    private BodyFraming mFraming = BodyFraming.NO_BODY;
     private boolean mReusable;
+    private boolean mInputEnded;
     private boolean mClosed;
     private long mIdleSinceMillis;
     private long mKeepAliveMillis = TargetPool.DEFAULT_KEEP_ALIVE_MILLIS;
@@ -166,7 +169,8 @@
             countSkippedResponse();
             return;
         }
-        mReusable = HttpUtil.isKeepAlive(response);
+        mFraming = BodyFraming.of(mRequestMethod, response);
+        mReusable = mFraming.keepsConnection() && HttpUtil.isKeepAlive(response);
         parseKeepAlive(response.headers().get("Keep-Alive"));
         mHeadDelivered = true;
         mListener.onHead(
@@ -175,7 +179,7 @@
                         response.status().reasonPhrase(),
                         response.headers(),
                         facts,
-                        BodyFraming.of(mRequestMethod, response)));
+                        mFraming));
     }
 
     private void countSkippedResponse() {
@@ -233,7 +237,13 @@
             mListener.onBody(ByteBufUtil.getBytes(content.content()));
         }
         if (last && mListener != null) {
-            completeResponse();
+            if (mFraming.keepsConnection() || mInputEnded) {
+                completeResponse();
+            } else {
+                fail(
+                        ResponseFailure.CONNECTION_LOST,
+                        "the connection was lost within a response that ends with it");
+            }
         }
     }
 
@@ -265,6 +275,21 @@
         }
     }
 
+    /**
+     * Called when the target has ended its output in order. The codec then ends a response that
+     * ends with its connection; it does so too if the connection is lost or closed here.
+     */
+    void onInputEnded() {
+        mInputEnded = true;
+    }
+
+    @Override
+    public void userEventTriggered(ChannelHandlerContext context, Object event) {
+        if (event instanceof ChannelInputShutdownEvent) {
+            fail(ResponseFailure.CONNECTION_LOST, "the target closed the connection");
+        }
+    }
+
     @Override
     public void channelInactive(ChannelHandlerContext context) {
         fail(ResponseFailure.CONNECTION_LOST, "the target closed the connection");
--- a/src/main/java/org/heathercourse/gateway/target/TargetPool.java
+++ b/src/main/java/org/heathercourse/gateway/target/TargetPool.java
@@ -4,6 +4,7 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
+import io.netty.channel.ChannelPipeline;
 import io.netty.channel.ConnectTimeoutException;
 import io.netty.channel.EventLoop;
 import io.netty.channel.socket.nio.NioSocketChannel;
@@ -188,17 +189,12 @@
                 .channel(NioSocketChannel.class)
                 .option(ChannelOption.TCP_NODELAY, true)
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS)
+                .option(ChannelOption.ALLOW_HALF_CLOSURE, true)
                 .handler(
                         new ChannelInitializer<>() {
                             @Override
                             protected void initChannel(Channel channel) {
-                                channel.pipeline()
-                                        .addLast(
-                                                new HttpClientCodec(
-                                                        MAX_LINE_BYTES,
-                                                        MAX_HEADER_BYTES,
-                                                        MAX_CHUNK_BYTES))
-                                        .addLast(connection);
+                                addHandlers(channel.pipeline(), connection);
                             }
                         })
                 .connect(mTarget.host(), mTarget.port())
@@ -218,6 +214,12 @@
                         });
     }
 
+    static void addHandlers(ChannelPipeline pipeline, TargetConnection connection) {
+        pipeline.addLast(new InputEndHandler(connection))
+                .addLast(new HttpClientCodec(MAX_LINE_BYTES, MAX_HEADER_BYTES, MAX_CHUNK_BYTES))
+                .addLast(connection);
+    }
+
     /**
      * Checks after the loss of a connection whether the target's process has ended: whether it
      * refuses a new connection. One check serves all listeners that wait at the same time.
--- a/src/main/java/org/heathercourse/testing/hosted/TargetStandIn.java
+++ b/src/main/java/org/heathercourse/testing/hosted/TargetStandIn.java
@@ -30,6 +30,10 @@
         LOSE_ANSWER,
         /** Closes the connection within the third event of a stream. */
         BREAK_STREAM,
+        /** Resets the connection of a stream after its second event. */
+        RESET_STREAM,
+        /** Ends its process after the second event of a stream, or within another body. */
+        CRASH_IN_BODY,
         /** Sends a body that is shorter than its content length. */
         SHORT_BODY,
         /** Sends the answer to an earlier request after its own answer. */
--- a/src/main/java/org/heathercourse/testing/hosted/TargetStandInConnection.java
+++ b/src/main/java/org/heathercourse/testing/hosted/TargetStandInConnection.java
@@ -3,6 +3,7 @@
 import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelOption;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.DefaultHttpContent;
@@ -83,7 +84,7 @@
                 mRunning = false;
                 context.close();
             }
-            case SHORT_BODY -> sendShortBody(context, request);
+            case SHORT_BODY -> sendShortBody(context, request, context::close);
             case UNSIGNED -> answer(context, 200, "unsigned", false, request);
             case FAIL -> answer(context, 500, "failed", true, request);
             case HANG -> {}
@@ -99,6 +100,8 @@
             default -> {
                 if (request.uri().contains("stream")) {
                     startStream(context, request, fault);
+                } else if (fault == Fault.CRASH_IN_BODY) {
+                    sendShortBody(context, request, mTarget::crash);
                 } else {
                     scheduleAnswer(context, request, fault);
                 }
@@ -191,7 +194,8 @@
                         });
     }
 
-    private void sendShortBody(ChannelHandlerContext context, FullHttpRequest request) {
+    private void sendShortBody(
+            ChannelHandlerContext context, FullHttpRequest request, Runnable end) {
         mRunning = false;
         DefaultHttpResponse head = head(request);
         if (!mTarget.isUnframed()) {
@@ -199,7 +203,7 @@
         }
         context.write(head);
         context.writeAndFlush(new DefaultHttpContent(Unpooled.wrappedBuffer(new byte[10])))
-                .addListener(done -> context.close());
+                .addListener(done -> end.run());
     }
 
     private DefaultHttpResponse head(FullHttpRequest request) {
@@ -235,10 +239,8 @@
     }
 
     private void sendEvent(ChannelHandlerContext context, int number, Stream stream) {
-        if (stream.fault() == Fault.BREAK_STREAM && number > EVENTS_BEFORE_BREAK) {
+        if (number > EVENTS_BEFORE_BREAK && breakOff(context, number, stream.fault())) {
             mRunning = false;
-            write(context, "id: " + number + "\nda");
-            context.close();
             return;
         }
         if (number > TargetStandIn.EVENT_COUNT) {
@@ -259,6 +261,25 @@
         }
     }
 
+    /** Breaks off a stream before an event if its fault says so; returns whether it does. */
+    private boolean breakOff(ChannelHandlerContext context, int number, Fault fault) {
+        switch (fault) {
+            case BREAK_STREAM -> {
+                write(context, "id: " + number + "\nda");
+                context.close();
+            }
+            case RESET_STREAM -> {
+                context.channel().config().setOption(ChannelOption.SO_LINGER, 0);
+                context.close();
+            }
+            case CRASH_IN_BODY -> mTarget.crash();
+            default -> {
+                return false;
+            }
+        }
+        return true;
+    }
+
     /** Closes the connection behind the last byte of a response without framing. */
     private void end(ChannelHandlerContext context, ChannelFuture written) {
         if (mTarget.isUnframed()) {
--- a/src/test/java/org/heathercourse/gateway/UnframedResponseTest.java
+++ b/src/test/java/org/heathercourse/gateway/UnframedResponseTest.java
@@ -121,4 +121,12 @@
         assertThat(response.status()).isEqualTo(200);
         assertThat(response.isComplete()).isFalse();
     }
+
+    /** A reset proves that the response is incomplete, also between two events. */
+    @Test
+    void streamThatIsResetBetweenEventsIsResumed() throws IOException {
+        enqueueAtEngines(Fault.RESET_STREAM);
+        assertThat(turn().body()).isEqualTo(ALL_EVENTS);
+        assertThat(engineRuns()).isEqualTo(2);
+    }
 }
--- /dev/null
+++ b/src/test/java/org/heathercourse/gateway/target/TargetConnectionTest.java
@@ -0,0 +1,184 @@
+package org.heathercourse.gateway.target;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.netty.buffer.Unpooled;
+import io.netty.channel.embedded.EmbeddedChannel;
+import io.netty.channel.socket.ChannelInputShutdownEvent;
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpVersion;
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import org.heathercourse.core.model.Zone;
+import org.heathercourse.core.target.Target;
+import org.heathercourse.core.time.TestTime;
+import org.heathercourse.platform.entry.AnswerFacts;
+import org.heathercourse.platform.entry.CallFacts;
+import org.heathercourse.platform.entry.CallFormat;
+import org.heathercourse.platform.entry.Dispatch;
+import org.junit.jupiter.api.Test;
+
+/**
+ * Guards against incomplete responses that are taken for complete ones, and responses to other
+ * requests that are taken for the response to the current one.
+ */
+class TargetConnectionTest {
+    private static final String UNFRAMED = "HTTP/1.1 200 OK\r\nRequest-Id: r1\r\n\r\n";
+    private static final Target TARGET =
+            new Target("t1", 1, "s", "127.0.0.1", 80, new Zone("z"), 1, false);
+
+    private final TestTime mTime = new TestTime();
+    private final EmbeddedChannel mChannel = new EmbeddedChannel();
+    private final TargetPool mPool =
+            new TargetPool(
+                    TARGET, mChannel.eventLoop(), mTime.ticker(), new Format(), new NoEvents());
+    private final TargetConnection mConnection = new TargetConnection(mPool, new Format());
+    private final Recorder mRecorder = new Recorder();
+
+    /** Reads the facts of responses from short headers. */
+    private static final class Format implements CallFormat {
+        @Override
+        public CallFacts read(HttpHeaders headers) {
+            throw new UnsupportedOperationException();
+        }
+
+        @Override
+        public void removeReserved(HttpHeaders headers) {
+            throw new UnsupportedOperationException();
+        }
+
+        @Override
+        public void write(HttpHeaders headers, Dispatch dispatch) {
+            throw new UnsupportedOperationException();
+        }
+
+        @Override
+        public AnswerFacts readAnswer(int status, HttpHeaders headers) {
+            boolean notRun = headers.contains("Not-Run");
+            return new AnswerFacts(headers.get("Request-Id"), true, notRun, false);
+        }
+    }
+
+    private static final class NoEvents implements TargetPool.PoolEvents {
+        @Override
+        public void onConnect() {}
+
+        @Override
+        public void onConnectFailed() {}
+
+        @Override
+        public void onResponseSkipped() {}
+    }
+
+    /** Records what a listener is told. */
+    private static final class Recorder implements ResponseListener {
+        private final StringBuilder mBody = new StringBuilder();
+        private ResponseHead mHead;
+        private ResponseFailure mFailure;
+        private boolean mEnded;
+
+        @Override
+        public void onHead(ResponseHead head) {
+            mHead = head;
+        }
+
+        @Override
+        public void onBody(byte[] bytes) {
+            mBody.append(new String(bytes, StandardCharsets.US_ASCII));
+        }
+
+        @Override
+        public void onEnd() {
+            mEnded = true;
+        }
+
+        @Override
+        public void onFailure(ResponseFailure failure, String reason) {
+            mFailure = failure;
+        }
+    }
+
+    private void send(String requestId) {
+        if (mChannel.pipeline().get(InputEndHandler.class) == null) {
+            TargetPool.addHandlers(mChannel.pipeline(), mConnection);
+        }
+        DefaultFullHttpRequest request =
+                new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.POST, "/");
+        mConnection.send(request, requestId, mRecorder);
+    }
+
+    private void receive(String text) {
+        mChannel.writeInbound(Unpooled.copiedBuffer(text, StandardCharsets.US_ASCII));
+    }
+
+    private void endInput() {
+        mChannel.pipeline().fireUserEventTriggered(ChannelInputShutdownEvent.INSTANCE);
+    }
+
+    @Test
+    void unframedResponseEndsWithOutputOfTarget() {
+        send("r1");
+        receive(UNFRAMED + "abc");
+        assertThat(mRecorder.mHead.framing()).isEqualTo(BodyFraming.CONNECTION_END);
+        assertThat(mRecorder.mEnded).isFalse();
+        endInput();
+        assertThat(mRecorder.mEnded).isTrue();
+        assertThat(mRecorder.mBody).hasToString("abc");
+        assertThat(mRecorder.mFailure).isNull();
+    }
+
+    /** Such a connection has ended; it must not be given to the next request. */
+    @Test
+    void connectionOfUnframedResponseIsNotReused() {
+        send("r1");
+        receive(UNFRAMED + "abc");
+        endInput();
+        assertThat(mConnection.isOpen()).isFalse();
+    }
+
+    @Test
+    void unframedResponseIsIncompleteIfThisProcessClosesConnection() {
+        send("r1");
+        receive(UNFRAMED + "abc");
+        mChannel.close();
+        assertThat(mRecorder.mEnded).isFalse();
+        assertThat(mRecorder.mFailure).isEqualTo(ResponseFailure.CONNECTION_LOST);
+    }
+
+    @Test
+    void unframedResponseIsIncompleteIfConnectionIsReset() {
+        send("r1");
+        receive(UNFRAMED + "abc");
+        mChannel.pipeline().fireExceptionCaught(new IOException("Connection reset"));
+        assertThat(mRecorder.mEnded).isFalse();
+        assertThat(mRecorder.mFailure).isEqualTo(ResponseFailure.CONNECTION_LOST);
+        assertThat(mConnection.isOpen()).isFalse();
+    }
+
+    @Test
+    void framedResponsesAreIncompleteIfInputEndsBeforeTheirEnd() {
+        for (String framing : new String[] {"Content-Length: 5", "Transfer-Encoding: chunked"}) {
+            TargetConnectionTest test = new TargetConnectionTest();
+            test.send("r1");
+            test.receive("HTTP/1.1 200 OK\r\nRequest-Id: r1\r\n" + framing + "\r\n\r\n");
+            test.receive("3\r\n\r");
+            test.endInput();
+            assertThat(test.mRecorder.mEnded).as(framing).isFalse();
+            assertThat(test.mRecorder.mFailure)
+                    .as(framing)
+                    .isEqualTo(ResponseFailure.CONNECTION_LOST);
+        }
+    }
+
+    @Test
+    void idleConnectionClosesWithOutputOfTarget() {
+        send("r1");
+        receive("HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nContent-Length: 2\r\n\r\nok");
+        assertThat(mRecorder.mEnded).isTrue();
+        assertThat(mConnection.isOpen()).isTrue();
+        endInput();
+        assertThat(mConnection.isOpen()).isFalse();
+    }
+}
