Check whether the target has ended before an unframed response counts

What callers would see: a response with neither a length nor chunks, cut between two events or anywhere in another body, that looks complete because its target's process had ended.

Cause: the end of a process ends its connections in the same way as its responses; nothing in the connection tells them apart.

Evidence: without the check two tests of UnframedResponseTest fail: the stream of a target that ends after its second event is complete with two events, and the order whose target ends within the body is answered 200 with 10 bytes.

Change: at the orderly end of an unframed response of a target that is listed as usable, the gateway looks whether the target still accepts connections, as it does after a lost connection. If not, the attempt has failed.

--- a/src/main/java/org/heathercourse/gateway/call/Attempt.java
+++ b/src/main/java/org/heathercourse/gateway/call/Attempt.java
@@ -177,8 +177,29 @@
                             ? ResponseFailure.INVALID_RESPONSE
                             : ResponseFailure.CONNECTION_LOST,
                     "the stream ended inside an event");
+        } else if (!mFraming.keepsConnection() && mCall.isUsable(target())) {
+            // The end of a process ends its connections in the same way as its responses.
+            mPool.checkEnded(this::onEndOfUnframedChecked);
+        } else {
+            complete();
+        }
+    }
+
+    private void onEndOfUnframedChecked(boolean targetEnded) {
+        if (mEnded) {
             return;
         }
+        if (targetEnded) {
+            mEnded = true;
+            mPool.load().recordFailure(now(), mCall.failureBackoffMillis());
+            mCall.relay().discardBuffered();
+            failAtEndOfTarget("the target ended within a response that ends with its connection");
+        } else {
+            complete();
+        }
+    }
+
+    private void complete() {
         mEnded = true;
         mPool.load().recordSuccess(now() - mSentMillis);
         mCall.relay().onEnd(now());
@@ -208,13 +229,17 @@
 
     private void onEndChecked(boolean targetEnded, String reason) {
         if (targetEnded) {
-            mPool.load().recordEnd(now(), ENDED_TARGET_MILLIS);
-            mCall.onTargetCrashed(this, reason);
+            failAtEndOfTarget(reason);
         } else {
             mCall.onAttemptFailed(this, Delivery.MAY_HAVE_RUN, reason, false);
         }
     }
 
+    private void failAtEndOfTarget(String reason) {
+        mPool.load().recordEnd(now(), ENDED_TARGET_MILLIS);
+        mCall.onTargetCrashed(this, reason);
+    }
+
     private long now() {
         return mCall.dependencies().ticker().readMillis();
     }
--- a/src/main/java/org/heathercourse/testing/hosted/TargetStandInConnection.java
+++ b/src/main/java/org/heathercourse/testing/hosted/TargetStandInConnection.java
@@ -224,7 +224,8 @@
                 new Stream(
                         requestId(request),
                         queryNumber(request, "event_interval_ms", mTarget.eventIntervalMillis()),
-                        fault);
+                        // Only one target ends: the one at which the stream begins.
+                        fault == Fault.CRASH_IN_BODY && lastEventId != null ? Fault.NONE : fault);
         int firstNumber = lastEventId == null ? 1 : Integer.parseInt(lastEventId) + 1;
         sendEvent(context, firstNumber, stream);
     }
--- a/src/test/java/org/heathercourse/gateway/UnframedResponseTest.java
+++ b/src/test/java/org/heathercourse/gateway/UnframedResponseTest.java
@@ -129,4 +129,25 @@
         assertThat(turn().body()).isEqualTo(ALL_EVENTS);
         assertThat(engineRuns()).isEqualTo(2);
     }
+
+    /** The end of a process closes its connections in order, so that only its port tells it. */
+    @Test
+    void streamWhoseTargetEndsBetweenEventsIsResumed() throws IOException {
+        enqueueAtEngines(Fault.CRASH_IN_BODY);
+        Response response = turn();
+        sDeployment.engineA().clearFaults();
+        sDeployment.engineB().clearFaults();
+        assertThat(response.body()).isEqualTo(ALL_EVENTS);
+        await().atMost(MAX_WAIT).until(() -> turn().isComplete());
+    }
+
+    /** Guards the same for a body that is not a stream and cannot be requested again. */
+    @Test
+    void bodyWhoseTargetEndsIsNotForwarded() throws IOException {
+        sDeployment.plain().enqueueFaults(Fault.CRASH_IN_BODY);
+        Response response = call("POST /order/1", "Content-Length: 0\r\n");
+        assertThat(response.status()).isEqualTo(502);
+        assertThat(response.body()).contains("\"not_run\":false");
+        await().atMost(MAX_WAIT).until(() -> call("GET /read/1", "").status() == 200);
+    }
 }
