Reset the connection of an HTTP/1.0 caller whose response is broken off

What callers saw: a broken stream that ends like a complete one, as a response to HTTP/1.0 ends with its connection.

Evidence: UnframedResponseTest.callerOfOldVersionSeesThatStreamIsBrokenOff gets a complete body without the reset.

Change: an aborted response that ends with its connection resets it. The reset may discard bytes that the caller has not read; it is only used where the close would pass for the end of the body.

--- a/src/main/java/org/heathercourse/gateway/http/CallerConnection.java
+++ b/src/main/java/org/heathercourse/gateway/http/CallerConnection.java
@@ -4,6 +4,7 @@
 import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelOption;
 import io.netty.channel.socket.DuplexChannel;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.DefaultHttpContent;
@@ -62,6 +63,7 @@
     private boolean mLastResponseEnded;
     private boolean mLingering;
     private boolean mSupportsChunked;
+    private boolean mBodyEndsWithConnection;
     private boolean mIsHeadRequest;
 
     CallerConnection(CallerServer server, CallerLimits limits) {
@@ -253,9 +255,10 @@
         response.headers().set(headers);
         // A request that was read behind this one is answered; the response to the last one closes.
         boolean keepAlive = mKeepAlive && !(mServer.isLeaving() && mPendingMessages.isEmpty());
+        mBodyEndsWithConnection = lengthBytes == UNKNOWN_LENGTH && !mSupportsChunked;
         if (lengthBytes != UNKNOWN_LENGTH) {
             response.headers().set(HttpHeaderNames.CONTENT_LENGTH, lengthBytes);
-        } else if (mSupportsChunked) {
+        } else if (!mBodyEndsWithConnection) {
             response.headers().set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED);
         } else {
             keepAlive = false;
@@ -313,6 +316,10 @@
     public void abort() {
         // The close is reported later than the end of the call, which starts the next request.
         mLastResponseEnded = true;
+        if (mBodyEndsWithConnection) {
+            // Only a reset shows a caller of HTTP/1.0 that the body is incomplete.
+            mContext.channel().config().setOption(ChannelOption.SO_LINGER, 0);
+        }
         mContext.close();
     }
 
--- a/src/test/java/org/heathercourse/gateway/RawCaller.java
+++ b/src/test/java/org/heathercourse/gateway/RawCaller.java
@@ -19,7 +19,8 @@
     private final InputStream mInput;
 
     /**
-     * A response; its body is null if the connection ended before the body was complete.
+     * A response; its body is null if the connection ended before the body was complete, or was
+     * reset.
      *
      * @param status HTTP status
      * @param headers HTTP headers by their names in lower case
@@ -123,7 +124,9 @@
 
     private String readBody(Map<String, String> headers) throws IOException {
         if (!"chunked".equals(headers.get("transfer-encoding"))) {
-            return readBytes(Integer.parseInt(headers.get("content-length")));
+            return headers.containsKey("content-length")
+                    ? readBytes(Integer.parseInt(headers.get("content-length")))
+                    : new String(mInput.readAllBytes(), StandardCharsets.ISO_8859_1);
         }
         StringBuilder body = new StringBuilder();
         while (true) {
--- a/src/test/java/org/heathercourse/gateway/UnframedResponseTest.java
+++ b/src/test/java/org/heathercourse/gateway/UnframedResponseTest.java
@@ -67,12 +67,17 @@
     }
 
     private static Response call(String method, String headers) throws IOException {
+        return call("HTTP/1.1", method, headers);
+    }
+
+    private static Response call(String version, String method, String headers) throws IOException {
         String request =
                 String.format(
-                        "%s HTTP/1.1\r\nHost: %s\r\nApi-Key: %s\r\n"
+                        "%s %s\r\nHost: %s\r\nApi-Key: %s\r\n"
                                 + "X-Heathercourse-Request-Id: r%d\r\n"
                                 + "X-Heathercourse-Request-Deadline: 2500\r\n%s\r\n",
                         method,
+                        version,
                         HostedDeployment.HOST,
                         HostedDeployment.KEY,
                         ++sRequestCount,
@@ -150,4 +155,16 @@
         assertThat(response.body()).contains("\"not_run\":false");
         await().atMost(MAX_WAIT).until(() -> call("GET /read/1", "").status() == 200);
     }
+
+    /** A caller of HTTP/1.0 knows no chunks: its response, too, ends with its connection. */
+    @Test
+    void callerOfOldVersionSeesThatStreamIsBrokenOff() throws IOException {
+        assertThat(call("HTTP/1.0", "POST /stream/turn", "Content-Length: 0\r\n").body())
+                .isEqualTo(ALL_EVENTS);
+        enqueueAtEngines(
+                Fault.BREAK_STREAM, Fault.BREAK_STREAM, Fault.BREAK_STREAM, Fault.BREAK_STREAM);
+        Response response = call("HTTP/1.0", "POST /stream/turn", "Content-Length: 0\r\n");
+        assertThat(response.status()).isEqualTo(200);
+        assertThat(response.isComplete()).isFalse();
+    }
 }
