Ignore rows of the target table with values out of range

What callers saw: with an entry of port 70000 as the only one of its service, the connection of each request closed without a response (an exception in the connection attempt, which no one caught); beside sound targets, requests were refused with 503. A host name was looked up on the traffic loop, an identity with a space or a line break failed each request to it, and slots beyond the range of an integer wrapped around.

Cause: the shape of an entry was checked, and not its values.

Deep nesting (900, 5,000 and 30,000 levels) and long numbers did no harm there: the parser refuses or skips them.

Change: TargetRow accepts an IP address of a host, a port of 1 to 65535, 1 to a million slots, a start time that is a whole number, and an identity that a header can carry. Any other row is not a target.

--- a/src/main/java/org/heathercourse/platform/hosted/OperatorRows.java
+++ b/src/main/java/org/heathercourse/platform/hosted/OperatorRows.java
@@ -10,7 +10,6 @@
 import java.util.Set;
 import org.heathercourse.core.error.ErrorKind;
 import org.heathercourse.core.error.HeathercourseException;
-import org.heathercourse.core.model.Zone;
 import org.heathercourse.core.routing.CallerLimits;
 import org.heathercourse.core.routing.Route;
 import org.heathercourse.core.routing.RouteKind;
@@ -150,41 +149,6 @@
 
     @Override
     public Optional<Target> target(StoredRow row) {
-        JsonNode entry;
-        try {
-            entry = Json.read(row.value());
-        } catch (IOException e) {
-            // Other programs write to this table, too; such a row is not a target.
-            return Optional.empty();
-        }
-        if (entry == null || !wellFormed(entry)) {
-            return Optional.empty();
-        }
-        String address = entry.path("address").asText();
-        int colon = address.lastIndexOf(':');
-        try {
-            return Optional.of(
-                    new Target(
-                            row.key().key(),
-                            entry.path("born").asLong(0),
-                            entry.path("service").asText(),
-                            address.substring(0, colon),
-                            Integer.parseInt(address.substring(colon + 1)),
-                            new Zone(entry.path("zone").asText()),
-                            entry.path("slots").asInt(1),
-                            entry.path("state").asText().equals("draining")));
-        } catch (IllegalArgumentException e) {
-            return Optional.empty();
-        }
-    }
-
-    private static boolean wellFormed(JsonNode entry) {
-        String state = entry.path("state").asText();
-        return entry.path("service").isTextual()
-                && entry.path("address").isTextual()
-                && entry.path("address").asText().lastIndexOf(':') > 0
-                && entry.path("zone").isTextual()
-                && entry.path("slots").isIntegralNumber()
-                && (state.equals("ready") || state.equals("draining"));
+        return TargetRow.decode(row);
     }
 }
--- /dev/null
+++ b/src/main/java/org/heathercourse/platform/hosted/TargetRow.java
@@ -0,0 +1,98 @@
+package org.heathercourse.platform.hosted;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import io.netty.util.NetUtil;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.util.Optional;
+import org.heathercourse.core.model.Zone;
+import org.heathercourse.core.target.Target;
+import org.heathercourse.platform.rows.StoredRow;
+
+/**
+ * Decodes the rows that targets write. Other programs write to the same table, so a row that is not
+ * well-formed, or has a value out of range, is not a target.
+ */
+final class TargetRow {
+    private static final int MAX_PORT = 65_535;
+
+    /** Far above the slots of any target; placement multiplies them. */
+    private static final int MAX_SLOTS = 1_000_000;
+
+    private TargetRow() {}
+
+    /** Returns the target of a row; empty if it describes none. */
+    static Optional<Target> decode(StoredRow row) {
+        try {
+            JsonNode entry = Json.read(row.value());
+            return entry != null && isWellFormed(row, entry)
+                    ? Optional.of(target(row, entry))
+                    : Optional.empty();
+        } catch (IOException | IllegalArgumentException e) {
+            return Optional.empty();
+        }
+    }
+
+    private static boolean isWellFormed(StoredRow row, JsonNode entry) {
+        return isHeaderValue(row.key().key())
+                && entry.path("service").isTextual()
+                && entry.path("address").isTextual()
+                && entry.path("zone").isTextual()
+                && isInRange(entry.path("slots"), 1, MAX_SLOTS)
+                && (entry.path("born").isMissingNode()
+                        || isInRange(entry.path("born"), 0, Long.MAX_VALUE))
+                && isState(entry.path("state").asText());
+    }
+
+    /** Returns whether an identity can be sent in a header: it consists of visible ASCII. */
+    private static boolean isHeaderValue(String identity) {
+        return !identity.isEmpty() && identity.chars().allMatch(c -> c > ' ' && c < 0x7f);
+    }
+
+    private static boolean isInRange(JsonNode number, long min, long max) {
+        return number.isIntegralNumber()
+                && number.canConvertToLong()
+                && number.asLong() >= min
+                && number.asLong() <= max;
+    }
+
+    /**
+     * Returns whether a text is the IP address of a host. A name is not accepted, as its lookup
+     * would block the traffic loop, nor 0.0.0.0, which connects a gateway to itself.
+     */
+    private static boolean isHostAddress(String host) {
+        InetAddress address = NetUtil.createInetAddressFromIpAddressString(host);
+        return address != null && !address.isAnyLocalAddress() && !address.isMulticastAddress();
+    }
+
+    private static boolean isState(String state) {
+        return state.equals("ready") || state.equals("draining");
+    }
+
+    /**
+     * Converts a row.
+     *
+     * @throws IllegalArgumentException if the address or the zone is malformed
+     */
+    private static Target target(StoredRow row, JsonNode entry) {
+        String address = entry.path("address").asText();
+        int colon = address.lastIndexOf(':');
+        String host = colon < 0 ? "" : address.substring(0, colon);
+        if (!isHostAddress(host)) {
+            throw new IllegalArgumentException("host " + host + ", expected an IP address");
+        }
+        int port = Integer.parseInt(address.substring(colon + 1));
+        if (port < 1 || port > MAX_PORT) {
+            throw new IllegalArgumentException("port " + port + ", expected 1 to " + MAX_PORT);
+        }
+        return new Target(
+                row.key().key(),
+                entry.path("born").asLong(0),
+                entry.path("service").asText(),
+                host,
+                port,
+                new Zone(entry.path("zone").asText()),
+                entry.path("slots").asInt(),
+                entry.path("state").asText().equals("draining"));
+    }
+}
--- a/src/test/java/org/heathercourse/platform/hosted/UsersPlatformTest.java
+++ b/src/test/java/org/heathercourse/platform/hosted/UsersPlatformTest.java
@@ -1,6 +1,7 @@
 package org.heathercourse.platform.hosted;
 
 import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatCode;
 import static org.assertj.core.api.Assertions.assertThatThrownBy;
 
 import io.netty.handler.codec.http.DefaultHttpHeaders;
@@ -197,6 +198,62 @@
         assertThat(target(String.format(entry, "10.1.2.3:80", "16", "odd"))).isEmpty();
     }
 
+    /** Guards against entries of other writers that end the process or take its requests. */
+    @Test
+    void targetRowsWithValuesOutOfRangeAreIgnored() {
+        for (String address :
+                List.of(
+                        "10.1.2.3:0",
+                        "10.1.2.3:-1",
+                        "10.1.2.3:65536",
+                        "10.1.2.3:70000",
+                        "10.1.2.3:99999999999",
+                        "10.1.2.3:80 ",
+                        ":80",
+                        "10.1.2.300:80",
+                        "0.0.0.0:80",
+                        "224.0.0.1:80",
+                        "no-such-host.example:80")) {
+            assertThat(target(entry(address, "16", "17"))).as(address).isEmpty();
+        }
+        for (String slots : List.of("0", "-1", "1.5", "1e3", "2147483648", "9".repeat(20))) {
+            assertThat(target(entry("10.1.2.3:80", slots, "17"))).as(slots).isEmpty();
+        }
+        for (String born : List.of("-1", "1.5", "\"17\"", "null", "[]", "9".repeat(2_000))) {
+            assertThat(target(entry("10.1.2.3:80", "16", born))).as(born).isEmpty();
+        }
+        assertThat(target(entry("10.1.2.3:65535", "16", "0"))).isPresent();
+    }
+
+    private static String entry(String address, String slots, String born) {
+        return String.format(
+                "{\"service\":\"s\",\"address\":\"%s\",\"zone\":\"z\",\"slots\":%s,"
+                        + "\"state\":\"ready\",\"born\":%s}",
+                address, slots, born);
+    }
+
+    /** Guards against identities that no header can carry, which broke each request to them. */
+    @Test
+    void targetRowsWithUnsendableIdentityAreIgnored() {
+        String json = entry("10.1.2.3:80", "16", "17");
+        for (String id : List.of("", "i 1", "i-1\r\nX-Injected: 1", "i-\u0000", "i-\u00e9")) {
+            assertThat(mRows.target(row("servers", id, json))).as(id).isEmpty();
+        }
+        assertThat(mRows.target(row("servers", "i-1", json))).isPresent();
+    }
+
+    /** Guards against a stack overflow or a failed read through deeply nested content. */
+    @Test
+    void deeplyNestedTargetRowsDoNotFail() {
+        String rest = entry("10.1.2.3:80", "16", "17").substring(1);
+        for (int depth : List.of(900, 5_000, 30_000)) {
+            String nested = "[".repeat(depth) + "]".repeat(depth);
+            assertThat(target(nested)).isEmpty();
+            assertThatCode(() -> target("{\"unknown\":" + nested + "," + rest))
+                    .doesNotThrowAnyException();
+        }
+    }
+
     // Address queries and readiness checks
 
     @Test
