Apply the other rows of a read if one of them cannot be decoded

An Error, such as a stack overflow, was not caught at all and ended the reads without a trace. No row is known that does this today; the decoding of a future version may.

Change: a row that cannot be decoded is logged and skipped.

--- a/src/main/java/org/heathercourse/gateway/control/ConfigurationFollower.java
+++ b/src/main/java/org/heathercourse/gateway/control/ConfigurationFollower.java
@@ -1,6 +1,7 @@
 package org.heathercourse.gateway.control;
 
 import java.util.List;
+import java.util.Optional;
 import java.util.concurrent.ScheduledExecutorService;
 import org.heathercourse.core.freshness.ReadFreshness;
 import org.heathercourse.core.routing.RoutingTable;
@@ -56,11 +57,21 @@
     public void onChanges(List<StoredRow> rows) {
         for (StoredRow row : rows) {
             if (row.exists() && row.key().equals(mRows.configurationRow())) {
-                apply(mRows.routingTable(row));
+                decode(row).ifPresent(this::apply);
             }
         }
     }
 
+    /** Decodes the configuration; if it is invalid, the previous one stays in force. */
+    private Optional<RoutingTable> decode(StoredRow row) {
+        try {
+            return Optional.of(mRows.routingTable(row));
+        } catch (RuntimeException | StackOverflowError e) {
+            LOG.error("configuration_not_decoded", e, "rowVersion", row.version());
+            return Optional.empty();
+        }
+    }
+
     private void apply(RoutingTable table) {
         long previousVersion = mClusterView.routing().map(RoutingTable::version).orElse(-1L);
         if (table.version() <= previousVersion) {
--- a/src/main/java/org/heathercourse/gateway/control/TableFollower.java
+++ b/src/main/java/org/heathercourse/gateway/control/TableFollower.java
@@ -23,6 +23,9 @@
     /** Delay in milliseconds before a failed read is retried. */
     static final long RETRY_DELAY_MILLIS = 150;
 
+    /** Delay in milliseconds before rows that were not applied are read again. */
+    static final long REAPPLY_DELAY_MILLIS = 1_000;
+
     /** Time in milliseconds without a successful read after which the outage is logged. */
     private static final long LOSS_LOG_DELAY_MILLIS = 2_000;
 
@@ -119,8 +122,16 @@
             readSnapshot(lastKey + '\0', rows, readStart);
             return;
         }
-        recordSuccess(readStart, () -> mListener.onSnapshot(rows));
-        readChanges(page.storeVersion());
+        if (apply(readStart, () -> mListener.onSnapshot(rows))) {
+            readChanges(page.storeVersion());
+        } else {
+            scheduleSnapshot();
+        }
+    }
+
+    /** Reads a new snapshot a little later, because rows of the last read were not applied. */
+    private void scheduleSnapshot() {
+        mControl.schedule(this::start, REAPPLY_DELAY_MILLIS, TimeUnit.MILLISECONDS);
     }
 
     // Changes
@@ -149,14 +160,19 @@
                     () -> readChanges(afterVersion), RETRY_DELAY_MILLIS, TimeUnit.MILLISECONDS);
             return;
         }
-        recordSuccess(
-                readStart,
-                () -> {
-                    if (!page.rows().isEmpty()) {
-                        mListener.onChanges(page.rows());
-                    }
-                });
-        readChanges(Math.max(afterVersion, page.storeVersion()));
+        boolean applied =
+                apply(
+                        readStart,
+                        () -> {
+                            if (!page.rows().isEmpty()) {
+                                mListener.onChanges(page.rows());
+                            }
+                        });
+        if (applied) {
+            readChanges(Math.max(afterVersion, page.storeVersion()));
+        } else {
+            scheduleSnapshot();
+        }
     }
 
     // Outcome of reads
@@ -168,21 +184,28 @@
         }
     }
 
-    private void recordSuccess(SuspendAwareClock.Timestamp readStart, Runnable notifyListener) {
+    /**
+     * Records a successful read and delivers its rows.
+     *
+     * @return whether the rows were applied; a read counts only then
+     */
+    private boolean apply(SuspendAwareClock.Timestamp readStart, Runnable notifyListener) {
         long gapMillis = mFreshness.ageMillis();
-        if (gapMillis != ReadFreshness.NEVER_MILLIS) {
-            mListener.onReadSucceeded(gapMillis);
-        }
         if (mLost) {
             mLost = false;
             LOG.info("table_regained", "table", mTable, "gapMillis", gapMillis);
         }
         try {
+            if (gapMillis != ReadFreshness.NEVER_MILLIS) {
+                mListener.onReadSucceeded(gapMillis);
+            }
             notifyListener.run();
-            // A read counts only if its rows were applied.
             mFreshness.recordRead(readStart);
-        } catch (RuntimeException e) {
+            return true;
+        } catch (RuntimeException | Error e) {
+            // An uncaught error, such as a stack overflow, would end the reads without a trace.
             LOG.error("rows_not_applied", e, "table", mTable);
+            return false;
         }
     }
 }
--- a/src/main/java/org/heathercourse/gateway/control/TargetFollower.java
+++ b/src/main/java/org/heathercourse/gateway/control/TargetFollower.java
@@ -55,16 +55,28 @@
     public void onSnapshot(List<StoredRow> rows) {
         List<Target> targets = new ArrayList<>();
         for (StoredRow row : rows) {
-            mRows.target(row).ifPresent(targets::add);
+            decode(row).ifPresent(targets::add);
         }
         mTracker.replaceAll(targets);
         publish("all");
     }
 
+    /**
+     * Decodes a row; one that fails must not keep the other rows of the read from being applied.
+     */
+    private Optional<Target> decode(StoredRow row) {
+        try {
+            return mRows.target(row);
+        } catch (RuntimeException | StackOverflowError e) {
+            LOG.error("target_row_not_decoded", e, "key", row.key().key());
+            return Optional.empty();
+        }
+    }
+
     @Override
     public void onChanges(List<StoredRow> rows) {
         for (StoredRow row : rows) {
-            Optional<Target> target = row.exists() ? mRows.target(row) : Optional.empty();
+            Optional<Target> target = row.exists() ? decode(row) : Optional.empty();
             if (target.isPresent()) {
                 mTracker.put(target.get());
             } else {
