Believe a refusal only where it must belong to the current send

What callers would see: a request that is refused and sent again on the same connection runs twice or more, as the copy of the refusal carries its id: an order ran 2 times, a stream 3 times. A refusal without an id was believed for any request: an order that ran was sent again and answered 200.

Cause: a response was matched to a request by its id, and not to a send; an error response without an id matched any request.

Change: a connection keeps the ids of the requests that were refused on it (64 at most, then it closes), and a request is not sent again where it was refused. An error response without an id counts on the first request of a connection only; elsewhere the attempt has failed with an unknown outcome. A success response that claims that the request has not run is judged as a success. A retry at the same target may open a new connection.

--- a/src/main/java/org/heathercourse/gateway/call/Attempt.java
+++ b/src/main/java/org/heathercourse/gateway/call/Attempt.java
@@ -122,11 +122,11 @@
     public void onHead(ResponseHead head) {
         mStatus = head.status();
         mFraming = head.framing();
-        if (head.facts().notRun()) {
+        boolean success = head.status() < MIN_FAILURE_STATUS;
+        if (head.facts().notRun() && !success) {
             mReportedNotRun = true;
             return;
         }
-        boolean success = head.status() < MIN_FAILURE_STATUS;
         if (success && !head.facts().hasSignature()) {
             rejectResponse("the success response has no signature");
         } else if (head.headers().contains(HttpHeaderNames.CONTENT_ENCODING)) {
--- a/src/main/java/org/heathercourse/gateway/call/Call.java
+++ b/src/main/java/org/heathercourse/gateway/call/Call.java
@@ -229,7 +229,7 @@
         Attempt attempt = new Attempt(this, pool);
         mAttempt = attempt;
         pool.load().recordStart();
-        pool.acquire(mPlacement.maxConnections(target), attempt);
+        pool.acquire(mFacts.requestId(), mPlacement.maxConnections(target), attempt);
     }
 
     /** Sends the request, unless the call has ended or the target no longer accepts requests. */
--- a/src/main/java/org/heathercourse/gateway/target/TargetConnection.java
+++ b/src/main/java/org/heathercourse/gateway/target/TargetConnection.java
@@ -14,6 +14,8 @@
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
 import java.io.IOException;
+import java.util.HashSet;
+import java.util.Set;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 import org.heathercourse.platform.entry.AnswerFacts;
@@ -39,11 +41,20 @@
     /** Maximum size in bytes of the bodies of skipped responses. */
     private static final int MAX_SKIPPED_BYTES = 1024 * 1024;
 
+    /**
+     * Maximum number of requests that are refused on a connection before it closes. Their ids are
+     * kept.
+     */
+    private static final int MAX_REFUSED_REQUESTS = 64;
+
     private final TargetPool mPool;
     private final CallFormat mFormat;
+    private final Set<String> mRefusedRequestIds = new HashSet<>();
     private ChannelHandlerContext mContext;
     private ChannelFuture mWriteFuture;
     private ResponseListener mListener;
+    private boolean mIsFirstRequest;
+    private boolean mCarriedRequest;
     private String mRequestId;
     private HttpMethod mRequestMethod;
     private boolean mSkippingResponse;
@@ -78,6 +89,14 @@
         return nowMillis - mIdleSinceMillis;
     }
 
+    /**
+     * Returns whether the target refused a request here. The refusal may arrive once more, and
+     * would then be taken for the response to the same request if that were sent here again.
+     */
+    boolean hasRefused(String requestId) {
+        return mRefusedRequestIds.contains(requestId);
+    }
+
     /** Returns the time after which the target closes the connection if idle, in milliseconds. */
     long keepAliveMillis() {
         return mKeepAliveMillis;
@@ -92,6 +111,8 @@
      */
     void send(FullHttpRequest request, String requestId, ResponseListener listener) {
         mListener = listener;
+        mIsFirstRequest = !mCarriedRequest;
+        mCarriedRequest = true;
         mRequestId = requestId;
         mRequestMethod = request.method();
         mHeadDelivered = false;
@@ -163,14 +184,24 @@
         }
         int status = response.status().code();
         AnswerFacts facts = mFormat.readAnswer(status, response.headers());
-        mSkippingResponse = !matchesRequest(response, facts);
+        mSkippingResponse = belongsToOtherRequest(response, facts);
         if (mSkippingResponse) {
             mPool.onResponseSkipped();
             countSkippedResponse();
             return;
         }
+        if (facts.requestId() == null && !mIsFirstRequest) {
+            fail("an error response without a request id may belong to an earlier request");
+            return;
+        }
+        if (facts.notRun()) {
+            mRefusedRequestIds.add(mRequestId);
+        }
         mFraming = BodyFraming.of(mRequestMethod, response);
-        mReusable = mFraming.keepsConnection() && HttpUtil.isKeepAlive(response);
+        mReusable =
+                mFraming.keepsConnection()
+                        && HttpUtil.isKeepAlive(response)
+                        && mRefusedRequestIds.size() < MAX_REFUSED_REQUESTS;
         parseKeepAlive(response.headers().get("Keep-Alive"));
         mHeadDelivered = true;
         mListener.onHead(
@@ -196,14 +227,14 @@
     }
 
     /**
-     * Returns whether the response belongs to the current request. A success response must carry
-     * the request id; an error response may omit it.
+     * Returns whether the response belongs to another request. A success response must carry the id
+     * of its request; an error response may omit it.
      */
-    private boolean matchesRequest(HttpResponse response, AnswerFacts facts) {
+    private boolean belongsToOtherRequest(HttpResponse response, AnswerFacts facts) {
         if (facts.requestId() == null) {
-            return response.status().codeClass() != HttpStatusClass.SUCCESS;
+            return response.status().codeClass() == HttpStatusClass.SUCCESS;
         }
-        return facts.requestId().equals(mRequestId);
+        return !facts.requestId().equals(mRequestId);
     }
 
     private void parseKeepAlive(String header) {
--- a/src/main/java/org/heathercourse/gateway/target/TargetPool.java
+++ b/src/main/java/org/heathercourse/gateway/target/TargetPool.java
@@ -147,11 +147,12 @@
     /**
      * Acquires an idle connection or opens a new one.
      *
+     * @param requestId identity of the request; it gets no connection on which it was refused
      * @param maxConnections maximum number of connections of this gateway to the target
      * @param listener receives the connection
      */
-    public void acquire(int maxConnections, AcquireListener listener) {
-        TargetConnection idle = pollIdle();
+    public void acquire(String requestId, int maxConnections, AcquireListener listener) {
+        TargetConnection idle = pollIdle(requestId);
         if (idle != null) {
             listener.onConnection(new Exchange(idle));
         } else if (mConnectionCount >= maxConnections) {
@@ -162,7 +163,7 @@
         }
     }
 
-    private TargetConnection pollIdle() {
+    private TargetConnection pollIdle(String requestId) {
         long now = nowMillis();
         Iterator<TargetConnection> newestFirst = mIdle.descendingIterator();
         TargetConnection found = null;
@@ -173,7 +174,9 @@
             if (isExpired || !connection.isOpen()) {
                 newestFirst.remove();
                 connection.close();
-            } else if (found == null && idleMillis >= MIN_IDLE_MILLIS) {
+            } else if (found == null
+                    && idleMillis >= MIN_IDLE_MILLIS
+                    && !connection.hasRefused(requestId)) {
                 newestFirst.remove();
                 found = connection;
             }
--- a/src/main/java/org/heathercourse/testing/hosted/TargetStandIn.java
+++ b/src/main/java/org/heathercourse/testing/hosted/TargetStandIn.java
@@ -26,6 +26,10 @@
         NONE,
         /** Responds with status 503 and marks the request as not executed. */
         REFUSE,
+        /** Writes the last refusal of the connection once more, and executes the request. */
+        REPEAT_REFUSAL,
+        /** Writes a refusal without a request id, and executes the request. */
+        REFUSAL_WITHOUT_ID,
         /** Executes the request and closes the connection without an answer. */
         LOSE_ANSWER,
         /** Closes the connection within the third event of a stream. */
--- a/src/main/java/org/heathercourse/testing/hosted/TargetStandInConnection.java
+++ b/src/main/java/org/heathercourse/testing/hosted/TargetStandInConnection.java
@@ -37,6 +37,7 @@
                     + ": sig-earlier\r\n";
 
     private final TargetStandIn mTarget;
+    private String mRefusedRequestId;
     private boolean mRunning;
 
     TargetStandInConnection(TargetStandIn target) {
@@ -79,7 +80,10 @@
 
     private void execute(ChannelHandlerContext context, FullHttpRequest request, Fault fault) {
         switch (fault) {
-            case REFUSE -> answer(context, 503, "", false, request);
+            case REFUSE -> {
+                mRefusedRequestId = requestId(request);
+                answer(context, 503, "", false, request);
+            }
             case LOSE_ANSWER -> {
                 mRunning = false;
                 context.close();
@@ -98,6 +102,7 @@
                     flood(context, EXTRA_HEAD + "Content-Length: 100000000\r\n\r\n", "x");
             case ENDLESS_HEADER -> flood(context, "HTTP/1.1 200 OK\r\nX-Filler: ", "x");
             default -> {
+                writeStaleRefusal(context, fault);
                 if (request.uri().contains("stream")) {
                     startStream(context, request, fault);
                 } else if (fault == Fault.CRASH_IN_BODY) {
@@ -109,6 +114,18 @@
         }
     }
 
+    private void writeStaleRefusal(ChannelHandlerContext context, Fault fault) {
+        String refusal =
+                "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n"
+                        + "X-Heathercourse-Not-Executed: 1\r\n";
+        if (fault == Fault.REPEAT_REFUSAL && mRefusedRequestId != null) {
+            String idHeader = TargetStandIn.REQUEST_ID_HEADER + ": " + mRefusedRequestId;
+            writeRaw(context, refusal + idHeader + "\r\n\r\n");
+        } else if (fault == Fault.REFUSAL_WITHOUT_ID) {
+            writeRaw(context, refusal + "\r\n");
+        }
+    }
+
     private void scheduleAnswer(
             ChannelHandlerContext context, FullHttpRequest request, Fault fault) {
         long delayMillis = queryNumber(request, "answer_delay_ms", 0);
