Resume a stream only with its next events

What callers would see: an answer that ends as if it were complete when the next target answers 204; events twice, or one missing when the next target starts anew or leaves one out; the whole stream a second time when its events have no ids. An error status and its body did not reach the caller, and still do not.

Cause: any success status was taken for the rest of the stream, and its events were forwarded without a look at where they begin.

Change: the head must have the status of the first one and the type of events, and the first event with data must follow the last one that was forwarded: its id must differ, and as a number be greater, by no more than the distance that all ids before had. A response that no further attempt can complete, because its events have no ids or it is not a stream, is broken off without one.

--- a/src/main/java/org/heathercourse/core/stream/EventSplitter.java
+++ b/src/main/java/org/heathercourse/core/stream/EventSplitter.java
@@ -2,6 +2,7 @@
 
 import java.io.ByteArrayOutputStream;
 import java.nio.charset.StandardCharsets;
+import java.util.Arrays;
 
 /**
  * Splits a stream of server-sent events after complete events, without changing any byte.
@@ -16,6 +17,7 @@
     public static final int MAX_EVENT_BYTES = 256 * 1024;
 
     private static final byte[] ID_FIELD = "id:".getBytes(StandardCharsets.US_ASCII);
+    private static final byte[] DATA_FIELD = "data".getBytes(StandardCharsets.US_ASCII);
     private static final byte COMMENT_START = ':';
 
     private final ByteArrayOutputStream mIncomplete = new ByteArrayOutputStream();
@@ -23,8 +25,11 @@
     private boolean mPendingCarriageReturn;
     private boolean mEventHasLines;
     private boolean mEventHasFields;
+    private boolean mEventHasData;
     private String mIncompleteEventId;
-    private String mLastEventId;
+    private final EventPosition mPosition = new EventPosition();
+    private boolean mExpectsContinuation;
+    private boolean mMisplaced;
     private long mEventCount;
 
     /**
@@ -35,7 +40,7 @@
      */
     public byte[] add(byte[] bytes) {
         int completeLength = -1;
-        for (int i = 0; i < bytes.length; i++) {
+        for (int i = 0; i < bytes.length && !mMisplaced; i++) {
             byte b = bytes[i];
             if (b == '\n') {
                 // Ends the line, together with a carriage return before it.
@@ -78,23 +83,36 @@
             byte[] line = mLine.toByteArray();
             mEventHasLines = true;
             mEventHasFields |= line[0] != COMMENT_START;
+            mEventHasData |= startsWith(line, DATA_FIELD);
             parseId(line);
             mLine.reset();
             return false;
         }
-        if (!mEventHasLines) {
-            return false;
+        return mEventHasLines && endEvent();
+    }
+
+    /** Processes the end of an event; returns whether it may be passed on. */
+    private boolean endEvent() {
+        if (mExpectsContinuation && mEventHasData) {
+            mMisplaced = !mPosition.isContinuedBy(mIncompleteEventId);
+            if (mMisplaced) {
+                return false;
+            }
+            mExpectsContinuation = false;
         }
-        mEventHasLines = false;
-        mEventHasFields = false;
+        mPosition.advance(mIncompleteEventId, mEventHasData);
         mEventCount++;
-        if (mIncompleteEventId != null) {
-            mLastEventId = mIncompleteEventId;
-            mIncompleteEventId = null;
-        }
+        startEvent();
         return true;
     }
 
+    private void startEvent() {
+        mEventHasLines = false;
+        mEventHasFields = false;
+        mEventHasData = false;
+        mIncompleteEventId = null;
+    }
+
     /**
      * Ends the stream.
      *
@@ -105,15 +123,15 @@
         return mLine.size() == 0 && !mEventHasFields;
     }
 
+    private static boolean startsWith(byte[] line, byte[] start) {
+        return line.length >= start.length
+                && Arrays.equals(line, 0, start.length, start, 0, start.length);
+    }
+
     private void parseId(byte[] line) {
-        if (line.length < ID_FIELD.length) {
+        if (!startsWith(line, ID_FIELD)) {
             return;
         }
-        for (int i = 0; i < ID_FIELD.length; i++) {
-            if (line[i] != ID_FIELD[i]) {
-                return;
-            }
-        }
         mIncompleteEventId =
                 new String(
                                 line,
@@ -135,9 +153,29 @@
         mIncomplete.reset();
         mLine.reset();
         mPendingCarriageReturn = false;
-        mEventHasLines = false;
-        mEventHasFields = false;
-        mIncompleteEventId = null;
+        mMisplaced = false;
+        startEvent();
+    }
+
+    /**
+     * Expects the stream to go on from another source, right after the last event that was passed
+     * on.
+     */
+    public void expectContinuation() {
+        mExpectsContinuation = true;
+    }
+
+    /**
+     * Returns whether the other source repeated an event, left one out, or does not tell which ones
+     * it sends. Its events are not passed on.
+     */
+    public boolean isMisplaced() {
+        return mMisplaced;
+    }
+
+    /** Returns whether another source can continue the stream after the last complete event. */
+    public boolean canBeContinued() {
+        return mPosition.isKnown();
     }
 
     /** Returns whether the incomplete event is larger than {@link #MAX_EVENT_BYTES}. */
@@ -152,6 +190,6 @@
 
     /** Returns the id of the last complete event that had one, or null. */
     public String lastEventId() {
-        return mLastEventId;
+        return mPosition.lastId();
     }
 }
--- a/src/main/java/org/heathercourse/gateway/call/Attempt.java
+++ b/src/main/java/org/heathercourse/gateway/call/Attempt.java
@@ -2,7 +2,6 @@
 
 import io.netty.handler.codec.http.HttpHeaderNames;
 import org.heathercourse.core.attempt.Delivery;
-import org.heathercourse.core.stream.EventSplitter;
 import org.heathercourse.core.target.Target;
 import org.heathercourse.gateway.target.BodyFraming;
 import org.heathercourse.gateway.target.Exchange;
@@ -131,8 +130,15 @@
             rejectResponse("the success response has no signature");
         } else if (head.headers().contains(HttpHeaderNames.CONTENT_ENCODING)) {
             rejectResponse("the response has a Content-Encoding, which is not supported");
-        } else if (!mCall.relay().onHead(head.status(), head.reason(), head.headers())) {
-            rejectResponse("the stream cannot resume with status " + head.status());
+        } else {
+            rejectUnlessAccepted(
+                    mCall.relay().onHead(head.status(), head.reason(), head.headers()));
+        }
+    }
+
+    private void rejectUnlessAccepted(Acceptance acceptance) {
+        if (acceptance != Acceptance.ACCEPTED) {
+            rejectResponse(acceptance.reason() + ", status " + mStatus);
         }
     }
 
@@ -146,12 +152,8 @@
         if (mEnded || mReportedNotRun) {
             return;
         }
-        if (!mCall.relay().onBody(bytes, now())) {
-            rejectResponse(
-                    "an event of the stream is larger than "
-                            + EventSplitter.MAX_EVENT_BYTES
-                            + " bytes");
-        } else if (!mCall.isEnded()) {
+        rejectUnlessAccepted(mCall.relay().onBody(bytes, now()));
+        if (!mEnded && !mCall.isEnded()) {
             mCall.onWritabilityChanged();
         }
     }
--- a/src/main/java/org/heathercourse/gateway/call/Call.java
+++ b/src/main/java/org/heathercourse/gateway/call/Call.java
@@ -321,6 +321,11 @@
         boolean isTargetGone =
                 targetGone || !mDependencies.clusterView().targets().contains(target);
         mLogEntry.logFailedAttempt(target, delivery, reason, attempt.framing());
+        if (mRelay != null && !mRelay.canBeContinued()) {
+            mHistory.recordAttempt(target.id(), delivery, isTargetGone);
+            endWithUnknownOutcome(reason);
+            return;
+        }
         switch (mHistory.recordAttempt(target.id(), delivery, isTargetGone)) {
             case OTHER_TARGET -> {
                 mDependencies.metrics().recordRetry();
--- a/src/main/java/org/heathercourse/gateway/call/ResponseRelay.java
+++ b/src/main/java/org/heathercourse/gateway/call/ResponseRelay.java
@@ -39,14 +39,15 @@
     }
 
     /**
-     * Accepts the head of an attempt's response.
-     *
-     * @return whether the response can be forwarded; once the caller's response has started, only
-     *     the success status of a resumed stream can
+     * Accepts the head of an attempt's response. Once the caller's response has started, only a
+     * stream with the same status can go on in it.
      */
-    boolean onHead(int status, String reason, HttpHeaders headers) {
+    Acceptance onHead(int status, String reason, HttpHeaders headers) {
         if (mStarted) {
-            return mStreaming && status < MIN_FAILURE_STATUS;
+            mSplitter.expectContinuation();
+            return mStreaming && status == mStatus && isEventStream(headers)
+                    ? Acceptance.ACCEPTED
+                    : Acceptance.NOT_A_CONTINUATION;
         }
         mStatus = status;
         mReason = reason;
@@ -57,7 +58,7 @@
                 mRoute.kind() == RouteKind.STREAMING
                         && status < MIN_FAILURE_STATUS
                         && isEventStream(headers);
-        return true;
+        return Acceptance.ACCEPTED;
     }
 
     /** Returns whether the body consists of events; targets may omit its type. */
@@ -67,29 +68,32 @@
                 || type.regionMatches(true, 0, EVENT_STREAM_TYPE, 0, EVENT_STREAM_TYPE.length());
     }
 
-    /**
-     * Forwards or buffers the next part of the body.
-     *
-     * @return whether the body is acceptable; an event beyond the maximum size is not
-     */
-    boolean onBody(byte[] bytes, long nowMillis) {
+    /** Forwards or buffers the next part of the body. */
+    Acceptance onBody(byte[] bytes, long nowMillis) {
         if (mStreaming) {
-            byte[] completeEvents = mSplitter.add(bytes);
-            if (completeEvents.length > 0) {
-                forward(completeEvents, nowMillis);
-            }
-            return !mSplitter.exceedsMaxEventSize();
+            return onEvents(bytes, nowMillis);
         }
         if (mStarted) {
             mWriter.write(bytes);
-            return true;
+            return Acceptance.ACCEPTED;
         }
         mBuffer.writeBytes(bytes);
         if (mBuffer.size() > MAX_BUFFERED_BYTES) {
             forward(mBuffer.toByteArray(), nowMillis);
             mBuffer.reset();
         }
-        return true;
+        return Acceptance.ACCEPTED;
+    }
+
+    private Acceptance onEvents(byte[] bytes, long nowMillis) {
+        byte[] completeEvents = mSplitter.add(bytes);
+        if (completeEvents.length > 0) {
+            forward(completeEvents, nowMillis);
+        }
+        if (mSplitter.isMisplaced()) {
+            return Acceptance.MISPLACED_EVENT;
+        }
+        return mSplitter.exceedsMaxEventSize() ? Acceptance.EVENT_TOO_LARGE : Acceptance.ACCEPTED;
     }
 
     private void forward(byte[] bytes, long nowMillis) {
@@ -135,6 +139,11 @@
         return mStarted;
     }
 
+    /** Returns whether another attempt can still lead to a complete response. */
+    boolean canBeContinued() {
+        return !mStarted || mStreaming && mSplitter.canBeContinued();
+    }
+
     /** Returns the id of the last event that was forwarded, or null. */
     String lastEventId() {
         return mStreaming && mStarted ? mSplitter.lastEventId() : null;
--- a/src/main/java/org/heathercourse/testing/hosted/TargetStandIn.java
+++ b/src/main/java/org/heathercourse/testing/hosted/TargetStandIn.java
@@ -38,6 +38,16 @@
         RESET_STREAM,
         /** Ends its process after the second event of a stream, or within another body. */
         CRASH_IN_BODY,
+        /** Sends a stream from its first event, although it is to be resumed. */
+        RESTART_STREAM,
+        /** Leaves out an event at the start of a resumed stream. */
+        SKIP_EVENT,
+        /** Sends events without ids and breaks off the stream within the third one. */
+        BREAK_STREAM_WITHOUT_IDS,
+        /** Responds with status 204. */
+        NO_CONTENT,
+        /** Responds with status 200 and a body that is not a stream. */
+        OTHER_BODY,
         /** Sends a body that is shorter than its content length. */
         SHORT_BODY,
         /** Sends the answer to an earlier request after its own answer. */
--- a/src/main/java/org/heathercourse/testing/hosted/TargetStandInConnection.java
+++ b/src/main/java/org/heathercourse/testing/hosted/TargetStandInConnection.java
@@ -90,6 +90,8 @@
             }
             case SHORT_BODY -> sendShortBody(context, request, context::close);
             case UNSIGNED -> answer(context, 200, "unsigned", false, request);
+            case NO_CONTENT -> answer(context, 204, "", true, request);
+            case OTHER_BODY -> answer(context, 200, "failed", true, request);
             case FAIL -> answer(context, 500, "failed", true, request);
             case HANG -> {}
             case ENDLESS_EVENT -> {
@@ -171,6 +173,7 @@
                         Unpooled.copiedBuffer(body, StandardCharsets.UTF_8));
         response.headers()
                 .set(HttpHeaderNames.CONTENT_LENGTH, response.content().readableBytes())
+                .set(HttpHeaderNames.CONTENT_TYPE, HttpHeaderValues.TEXT_PLAIN)
                 .set(TargetStandIn.REQUEST_ID_HEADER, requestId(request))
                 .set("Keep-Alive", "timeout=10");
         if (signed) {
@@ -243,8 +246,14 @@
                         queryNumber(request, "event_interval_ms", mTarget.eventIntervalMillis()),
                         // Only one target ends: the one at which the stream begins.
                         fault == Fault.CRASH_IN_BODY && lastEventId != null ? Fault.NONE : fault);
-        int firstNumber = lastEventId == null ? 1 : Integer.parseInt(lastEventId) + 1;
-        sendEvent(context, firstNumber, stream);
+        sendEvent(context, firstNumber(lastEventId, fault), stream);
+    }
+
+    private static int firstNumber(String lastEventId, Fault fault) {
+        if (lastEventId == null || fault == Fault.RESTART_STREAM) {
+            return 1;
+        }
+        return Integer.parseInt(lastEventId) + (fault == Fault.SKIP_EVENT ? 2 : 1);
     }
 
     private void sendStreamHead(ChannelHandlerContext context, FullHttpRequest request) {
@@ -267,7 +276,7 @@
             end(context, context.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT));
             return;
         }
-        write(context, "id: " + number + "\ndata: token " + number + "\n\n");
+        write(context, idLine(number, stream.fault()) + "data: token " + number + "\n\n");
         if (stream.intervalMillis() == 0) {
             sendEvent(context, number + 1, stream);
         } else {
@@ -279,11 +288,15 @@
         }
     }
 
+    private static String idLine(int number, Fault fault) {
+        return fault == Fault.BREAK_STREAM_WITHOUT_IDS ? "" : "id: " + number + "\n";
+    }
+
     /** Breaks off a stream before an event if its fault says so; returns whether it does. */
     private boolean breakOff(ChannelHandlerContext context, int number, Fault fault) {
         switch (fault) {
-            case BREAK_STREAM -> {
-                write(context, "id: " + number + "\nda");
+            case BREAK_STREAM, BREAK_STREAM_WITHOUT_IDS -> {
+                write(context, idLine(number, fault) + "da");
                 context.close();
             }
             case RESET_STREAM -> {
--- a/src/test/java/org/heathercourse/core/stream/EventSplitterTest.java
+++ b/src/test/java/org/heathercourse/core/stream/EventSplitterTest.java
@@ -52,6 +52,59 @@
                 .isEqualTo("rest");
     }
 
+    /** Guards against events that are passed on twice, or left out, where a stream is resumed. */
+    @Test
+    void resumedStreamMustGoOnAfterLastEvent() {
+        for (String next : List.of("3", "1", "5", "")) {
+            EventSplitter splitter = new EventSplitter();
+            addTo(splitter, "id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\ndata: c\n\nid: 4\nda");
+            splitter.discardIncomplete();
+            splitter.expectContinuation();
+            String idLine = next.isEmpty() ? "" : "id: " + next + "\n";
+            assertThat(addTo(splitter, idLine + "data: d\n\nid: 6\ndata: e\n\n"))
+                    .as(next)
+                    .isEmpty();
+            assertThat(splitter.isMisplaced()).as(next).isTrue();
+            splitter.discardIncomplete();
+            splitter.expectContinuation();
+            String rest = ": comment\n\nid: 4\ndata: d\n\nid: 9\ndata: e\n\n";
+            assertThat(addTo(splitter, rest)).as(next).isEqualTo(rest);
+            assertThat(splitter.isMisplaced()).as(next).isFalse();
+        }
+    }
+
+    /** Ids need not be numbers, and their distances may vary. */
+    @Test
+    void resumedStreamMayHaveOtherIds() {
+        for (String ids : List.of("1,4,6,90", "10,20,30,33", "a,b,c,d", "7,8,x,y", "0,9")) {
+            EventSplitter splitter = new EventSplitter();
+            String[] id = ids.split(",");
+            for (int i = 0; i < id.length - 1; i++) {
+                addTo(splitter, "id: " + id[i] + "\ndata: a\n\n");
+            }
+            splitter.expectContinuation();
+            String rest = "id: " + id[id.length - 1] + "\ndata: z\n\n";
+            assertThat(addTo(splitter, rest)).as(ids).isEqualTo(rest);
+        }
+    }
+
+    /** Guards against a stream that starts anew behind events that no id names. */
+    @Test
+    void streamWithUnnamedDataCannotBeContinued() {
+        assertThat(mSplitter.canBeContinued()).isTrue();
+        add(": comment\n\n");
+        assertThat(mSplitter.canBeContinued()).isTrue();
+        add("id: 1\ndata: a\n\ndata: b\n\n");
+        assertThat(mSplitter.canBeContinued()).isFalse();
+        add("id: 3\ndata: c\n\n");
+        assertThat(mSplitter.canBeContinued()).isTrue();
+    }
+
+    private static String addTo(EventSplitter splitter, String text) {
+        return new String(
+                splitter.add(text.getBytes(StandardCharsets.UTF_8)), StandardCharsets.UTF_8);
+    }
+
     /** Guards against a stream that was broken off and is taken for a complete one. */
     @Test
     void streamThatEndsInsideEventIsNotComplete() {
