Take no cut answer for a whole one in the daemon's HTTP clients

What would happen: an answer without a body read as an empty table, a transaction that did not commit, a list without VMs, or an idle engine; a part of an object read as the object; a stream of a plain service that ended inside an event was passed on as complete.

Change: a JSON answer must be an object, whose last byte proves its end; an object of the object store needs a length or chunks; a body of events must end between two events. EventBoundary tells where a stream is, and EventSplitter uses it. Token streams were safe, as they end with [DONE].

--- a/src/main/java/org/heathercourse/core/stream/EventSplitter.java
+++ b/src/main/java/org/heathercourse/core/stream/EventSplitter.java
@@ -18,16 +18,15 @@
 
     private static final byte[] ID_FIELD = "id:".getBytes(StandardCharsets.US_ASCII);
     private static final byte[] DATA_FIELD = "data".getBytes(StandardCharsets.US_ASCII);
-    private static final byte COMMENT_START = ':';
 
     private final ByteArrayOutputStream mIncomplete = new ByteArrayOutputStream();
     private final ByteArrayOutputStream mLine = new ByteArrayOutputStream();
     private boolean mPendingCarriageReturn;
     private boolean mEventHasLines;
-    private boolean mEventHasFields;
     private boolean mEventHasData;
     private String mIncompleteEventId;
     private final EventPosition mPosition = new EventPosition();
+    private EventBoundary mBoundary = new EventBoundary();
     private boolean mExpectsContinuation;
     private boolean mMisplaced;
     private long mEventCount;
@@ -39,6 +38,7 @@
      * @return bytes to pass on; empty if no event is complete
      */
     public byte[] add(byte[] bytes) {
+        mBoundary.add(bytes, 0, bytes.length);
         int completeLength = -1;
         for (int i = 0; i < bytes.length && !mMisplaced; i++) {
             byte b = bytes[i];
@@ -82,7 +82,6 @@
         if (mLine.size() > 0) {
             byte[] line = mLine.toByteArray();
             mEventHasLines = true;
-            mEventHasFields |= line[0] != COMMENT_START;
             mEventHasData |= startsWith(line, DATA_FIELD);
             parseId(line);
             mLine.reset();
@@ -108,7 +107,6 @@
 
     private void startEvent() {
         mEventHasLines = false;
-        mEventHasFields = false;
         mEventHasData = false;
         mIncompleteEventId = null;
     }
@@ -120,7 +118,7 @@
      */
     public boolean endInput() {
         endPendingLine();
-        return mLine.size() == 0 && !mEventHasFields;
+        return mBoundary.isBetweenEvents() && !mMisplaced;
     }
 
     private static boolean startsWith(byte[] line, byte[] start) {
@@ -154,6 +152,7 @@
         mLine.reset();
         mPendingCarriageReturn = false;
         mMisplaced = false;
+        mBoundary = new EventBoundary();
         startEvent();
     }
 
--- a/src/main/java/org/heathercourse/platform/http/HttpEngineClient.java
+++ b/src/main/java/org/heathercourse/platform/http/HttpEngineClient.java
@@ -112,7 +112,7 @@
     @Override
     public void release(TargetAddress target, String session) {
         HttpUrl url = url(target, "cache/sessions").addQueryParameter("session", session).build();
-        exchange(target, new Request.Builder().url(url).delete());
+        send(target, new Request.Builder().url(url).delete());
     }
 
     @Override
@@ -131,7 +131,7 @@
         body.put("kind", order.kind());
         body.put("subject", order.subject());
         body.put("fence", order.fence());
-        exchange(
+        send(
                 target,
                 new Request.Builder()
                         .url(url(target, "orders").build())
@@ -145,13 +145,25 @@
     }
 
     private JsonNode exchange(TargetAddress target, Request.Builder request) {
+        HttpTransport.Reply reply = send(target, request);
+        try {
+            return reply.json();
+        } catch (IOException e) {
+            throw new TargetException(
+                    target,
+                    new TargetFailure(
+                            TargetFailure.Kind.BROKEN, reply.status(), "malformed body: " + e));
+        }
+    }
+
+    private HttpTransport.Reply send(TargetAddress target, Request.Builder request) {
         HttpTransport.SentTracker tracker = new HttpTransport.SentTracker();
         try {
             HttpTransport.Reply reply = mTransport.exchange(request, tracker);
             if (reply.status() >= 300) {
                 throw new TargetException(target, TokenStream.failureOfStatus(reply));
             }
-            return reply.json();
+            return reply;
         } catch (IOException e) {
             throw new TargetException(target, TargetFailures.fromException(e, tracker));
         }
--- a/src/main/java/org/heathercourse/platform/http/HttpObjectStore.java
+++ b/src/main/java/org/heathercourse/platform/http/HttpObjectStore.java
@@ -57,6 +57,9 @@
             return Optional.empty();
         }
         expect(reply, 200);
+        if (!reply.isFramed()) {
+            throw mHttp.malformed(new IOException("nothing proves that the object is whole"));
+        }
         return Optional.of(reply.body());
     }
 
--- a/src/main/java/org/heathercourse/platform/http/HttpPlainClient.java
+++ b/src/main/java/org/heathercourse/platform/http/HttpPlainClient.java
@@ -72,12 +72,18 @@
             return new Response(
                     response.code(),
                     endToEndHeaders(response.headers().toMultimap(), Set.of()),
-                    response.body().byteStream());
+                    body(response));
         } catch (IOException e) {
             throw new TargetException(target, TargetFailures.fromException(e, tracker));
         }
     }
 
+    private static InputStream body(okhttp3.Response response) {
+        InputStream body = response.body().byteStream();
+        String type = response.header("Content-Type", "");
+        return type.startsWith("text/event-stream") ? new WholeEventsInputStream(body) : body;
+    }
+
     private static okhttp3.Request requestOf(
             TargetAddress target, Request request, HttpTransport.SentTracker tracker) {
         Headers.Builder headers = new Headers.Builder();
--- a/src/main/java/org/heathercourse/platform/http/HttpTransport.java
+++ b/src/main/java/org/heathercourse/platform/http/HttpTransport.java
@@ -117,11 +117,21 @@
      *
      * @param status HTTP status
      * @param body the body
+     * @param isFramed whether a length or chunks prove that the body is whole; otherwise it ended
+     *     with its connection, and may have been cut
      */
-    record Reply(int status, byte[] body) {
+    record Reply(int status, byte[] body, boolean isFramed) {
+        /**
+         * Parses a JSON object, whose last byte proves that the body is whole.
+         *
+         * @throws IOException if the body is empty or anything else
+         */
         JsonNode json() throws IOException {
             JsonNode node = JSON.readTree(body);
-            return node == null ? JSON.missingNode() : node;
+            if (node == null || !node.isObject()) {
+                throw new IOException("the body is not a JSON object");
+            }
+            return node;
         }
     }
 
@@ -139,10 +149,19 @@
         Call call = mClient.newCall(request.tag(SentTracker.class, tracker).build());
         call.timeout().timeout(mSettings.callTimeoutMillis(), TimeUnit.MILLISECONDS);
         try (Response response = call.execute()) {
-            return new Reply(response.code(), response.body().bytes());
+            byte[] body = response.body().bytes();
+            return new Reply(response.code(), body, isFramed(response));
         }
     }
 
+    /** Returns whether a length or chunks give the end of a body. */
+    static boolean isFramed(Response response) {
+        // Of the response as received: the library drops the length of a body that it decodes.
+        Response received = response.networkResponse();
+        return received.header("Content-Length") != null
+                || "chunked".equalsIgnoreCase(received.header("Transfer-Encoding"));
+    }
+
     /** Encodes a JSON body. */
     static RequestBody jsonBody(JsonNode node) {
         try {
--- a/src/main/java/org/heathercourse/platform/http/TokenStream.java
+++ b/src/main/java/org/heathercourse/platform/http/TokenStream.java
@@ -62,7 +62,10 @@
         try (response) {
             if (response.code() != 200) {
                 byte[] body = response.body().bytes();
-                fail(failureOfStatus(new HttpTransport.Reply(response.code(), body)));
+                fail(
+                        failureOfStatus(
+                                new HttpTransport.Reply(
+                                        response.code(), body, HttpTransport.isFramed(response))));
                 return;
             }
             read(response.body().source());
