Keep errors and comments of the daemon out of events of a target

What callers saw: a stream of a plain service that broke off inside an event went on with the text of an error event in that event, and ended as if it were complete; a comment against idle connections divided a slow event in two. On a connection that is not kept alive the server sends no chunks, so that the close of a broken answer looked like its end.

Evidence: CallerServerTest.streamThatBreaksInsideEventIsReset (1.0) and slowEventIsNotDividedByComment fail on the code before.

Change: both are written between two events only; otherwise, and for answers that are no streams, the connection is reset.

--- a/src/main/java/org/heathercourse/daemon/http/AnswerWriter.java
+++ b/src/main/java/org/heathercourse/daemon/http/AnswerWriter.java
@@ -4,6 +4,8 @@
 import jakarta.servlet.http.HttpServletResponse;
 import java.io.IOException;
 import java.io.OutputStream;
+import java.net.StandardSocketOptions;
+import java.nio.channels.SocketChannel;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.Map;
@@ -13,6 +15,7 @@
 import org.eclipse.jetty.io.EndPoint;
 import org.eclipse.jetty.io.IdleTimeout;
 import org.heathercourse.core.error.HeathercourseException;
+import org.heathercourse.core.stream.EventBoundary;
 import org.heathercourse.core.time.Ticker;
 import org.heathercourse.daemon.call.Answer;
 import org.heathercourse.daemon.peer.PeerErrors;
@@ -40,6 +43,7 @@
     private final Supplier<Optional<HeathercourseException>> mRecheck;
     private final Ticker mTicker;
     private final long mKeepAliveMillis;
+    private final EventBoundary mBoundary = new EventBoundary();
     private OutputStream mOutput;
     private boolean mHeadWritten;
     private boolean mIsEventStream;
@@ -111,7 +115,9 @@
     }
 
     private void writeKeepAlive() throws IOException {
-        if (mIsEventStream && mTicker.readMillis() - mLastWriteMillis >= mKeepAliveMillis) {
+        boolean isDue = mTicker.readMillis() - mLastWriteMillis >= mKeepAliveMillis;
+        // A comment inside an event of a target would break that event in two.
+        if (isDue && mIsEventStream && mBoundary.isBetweenEvents()) {
             writeBytes(KEEP_ALIVE_COMMENT);
         }
     }
@@ -145,6 +151,7 @@
         if (message instanceof CallHead head) {
             writeHead(head);
         } else if (message instanceof CallChunk chunk) {
+            mBoundary.add(chunk.bytes(), 0, chunk.bytes().length);
             writeBytes(chunk.bytes());
         } else if (message instanceof CallEnd end) {
             if (mIsEventStream && end.durability().equals("pending")) {
@@ -184,10 +191,10 @@
         mOutcome = error.kind();
         if (!mHeadWritten) {
             HttpErrors.write(mResponse, error);
-        } else if (mIsEventStream) {
+        } else if (mIsEventStream && mBoundary.isBetweenEvents()) {
             writeBytes(HttpErrors.toEvent(error));
         } else {
-            closeConnection();
+            resetConnection();
         }
     }
 
@@ -196,13 +203,17 @@
      * when the timeout expires, even if the connection was idle only because the target worked.
      */
     private void restartIdlePeriod() {
+        if (socketEndPoint() instanceof IdleTimeout idle) {
+            idle.notIdle();
+        }
+    }
+
+    private EndPoint socketEndPoint() {
         EndPoint endPoint = endPoint();
         while (endPoint instanceof EndPoint.Wrapper wrapper) {
             endPoint = wrapper.unwrap();
         }
-        if (endPoint instanceof IdleTimeout idle) {
-            idle.notIdle();
-        }
+        return endPoint;
     }
 
     private EndPoint endPoint() {
@@ -213,10 +224,14 @@
     }
 
     /**
-     * Closes the connection, because a body that ends regularly would look like a complete answer.
+     * Resets the connection, because the body would look complete otherwise: the server gives it no
+     * chunks if the connection is not kept alive, so that each orderly close ends it.
      */
-    private void closeConnection() throws IOException {
+    private void resetConnection() throws IOException {
         mOutput.flush();
+        if (socketEndPoint().getTransport() instanceof SocketChannel channel) {
+            channel.setOption(StandardSocketOptions.SO_LINGER, 0);
+        }
         endPoint().close();
     }
 }
--- a/src/test/java/org/heathercourse/daemon/http/CallerServerTest.java
+++ b/src/test/java/org/heathercourse/daemon/http/CallerServerTest.java
@@ -10,6 +10,7 @@
 import java.io.InputStreamReader;
 import java.net.InetAddress;
 import java.net.Socket;
+import java.net.SocketException;
 import java.net.URI;
 import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
@@ -55,6 +56,7 @@
 import org.heathercourse.daemon.limits.RateLimiter;
 import org.heathercourse.daemon.peer.NettyPeerNetwork;
 import org.heathercourse.daemon.peer.PeerSettings;
+import org.heathercourse.platform.PlainClient;
 import org.heathercourse.platform.TargetFailure;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -272,6 +274,80 @@
         assertThat(conflict).isEqualTo(409);
     }
 
+    /** Answers with a stream that waits and then breaks off inside its second event. */
+    private void breakStreamInsideEvent(long waitMillis) {
+        byte[] bytes = "id: 1\ndata: a\n\nid: 2\nda".getBytes(StandardCharsets.US_ASCII);
+        InputStream body =
+                new InputStream() {
+                    private int mRead;
+
+                    @Override
+                    public int read() throws IOException {
+                        if (mRead == bytes.length) {
+                            waitMillis();
+                            throw new IOException("cut");
+                        }
+                        return bytes[mRead++];
+                    }
+
+                    @Override
+                    public int read(byte[] buffer, int offset, int length) throws IOException {
+                        buffer[offset] = (byte) read();
+                        return 1;
+                    }
+
+                    private void waitMillis() throws IOException {
+                        try {
+                            Thread.sleep(waitMillis);
+                        } catch (InterruptedException e) {
+                            throw new IOException(e);
+                        }
+                    }
+                };
+        mFixture.targets.plainScript =
+                (address, request) ->
+                        new PlainClient.Response(
+                                200, Map.of("Content-Type", List.of("text/event-stream")), body);
+    }
+
+    private String readUntilReset(String request) throws Exception {
+        StringBuilder answer = new StringBuilder();
+        try (Socket socket = new Socket(InetAddress.getLoopbackAddress(), mPort)) {
+            socket.setSoTimeout(5_000);
+            socket.getOutputStream().write(request.getBytes(StandardCharsets.ISO_8859_1));
+            for (int b = socket.getInputStream().read(); b >= 0; ) {
+                answer.append((char) b);
+                b = socket.getInputStream().read();
+            }
+            return answer + "[complete]";
+        } catch (SocketException e) {
+            return answer + "[reset]";
+        }
+    }
+
+    /** Guards against the text of an error inside an event, and an end that looks complete. */
+    @Test
+    void streamThatBreaksInsideEventIsReset() throws Exception {
+        for (String version : List.of("1.0", "1.1")) {
+            breakStreamInsideEvent(100);
+            String answer =
+                    readUntilReset(
+                            "GET /v1/services/orders/open/x HTTP/"
+                                    + version
+                                    + "\r\nHost: a\r\nConnection: close\r\n\r\n");
+            assertThat(answer).as(version).endsWith("[reset]").doesNotContain("error");
+        }
+    }
+
+    /** Guards against a comment that breaks an event of a slow stream in two. */
+    @Test
+    void slowEventIsNotDividedByComment() throws Exception {
+        breakStreamInsideEvent(IDLE_TIMEOUT_MILLIS);
+        String answer =
+                readUntilReset("GET /v1/services/orders/open/x HTTP/1.1\r\nHost: a\r\n\r\n");
+        assertThat(answer).contains("data: a").doesNotContain("waiting").endsWith("[reset]");
+    }
+
     /** Guards against sending a caller's key to a target. */
     @Test
     void sendsNoCredentialsToTargets() throws Exception {
