Use a connection to a target for one exchange in the daemon

What callers would see: the answer to another caller's request, or a refusal of a request that the target runs. Answers of targets to the daemon do not name their requests, and the library looks for surplus bytes only on connections that were idle for ten seconds.

Evidence: with the shared pool both cases of SecondCopyTest fail; the second request gets the copy of the first answer.

Change: requests whose answers go to callers use connections of their own, which close after the answer. Calls of the daemon itself (stores, reports of engines) keep the shared pool. Each call costs a new connection.

--- a/src/main/java/org/heathercourse/platform/http/HttpTransport.java
+++ b/src/main/java/org/heathercourse/platform/http/HttpTransport.java
@@ -34,6 +34,7 @@
     private static final String HIDDEN_RETRY_AFTER = "X-Held-Retry-After";
 
     private final OkHttpClient mClient;
+    private final OkHttpClient mTargetClient;
     private final ExecutorService mExecutor;
     private final HttpSettings mSettings;
 
@@ -82,6 +83,8 @@
                         .addInterceptor(HttpTransport::applyReadTimeout)
                         .addNetworkInterceptor(HttpTransport::hideRetryAfter)
                         .build();
+        ConnectionPool unpooled = new ConnectionPool(0, 1, TimeUnit.MILLISECONDS);
+        mTargetClient = mClient.newBuilder().connectionPool(unpooled).build();
     }
 
     @Override
@@ -135,8 +138,13 @@
         }
     }
 
+    /**
+     * Prepares a request whose answer goes to a caller. Its connection carries nothing else: an
+     * answer does not name its request, so that a late copy of an earlier answer would be taken for
+     * the answer to the next request.
+     */
     Call newCall(Request request) {
-        return mClient.newCall(request);
+        return mTargetClient.newCall(request);
     }
 
     /** Runs a task on a thread of the transport. */
