Let no target exist with a port or slots out of range

The ranges were checked where rows are decoded; a target made elsewhere could still break the attempt to connect to it. Target itself refuses such values now, and TargetRow checks only what is particular to rows. An exception on a caller's connection, such as the one that closed connections without a response, is logged; it was dropped without a line.

--- a/src/main/java/org/heathercourse/core/target/Target.java
+++ b/src/main/java/org/heathercourse/core/target/Target.java
@@ -10,9 +10,9 @@
  *     with the same identity; 0 if unknown
  * @param service name of the service
  * @param host host name or address
- * @param port TCP port
+ * @param port TCP port, 1 to 65535
  * @param zone zone of the VM
- * @param slots number of requests that it runs concurrently
+ * @param slots number of requests that it runs concurrently, at least 1
  * @param leaving whether the target is draining and gets no new requests
  */
 public record Target(
@@ -24,6 +24,27 @@
         Zone zone,
         int slots,
         boolean leaving) {
+    private static final int MAX_PORT = 65_535;
+
+    /** Far above the slots of any target; placement multiplies them. */
+    private static final int MAX_SLOTS = 1_000_000;
+
+    /**
+     * Validates the port and the slots.
+     *
+     * @throws IllegalArgumentException if one of them is out of range
+     */
+    public Target {
+        requireInRange("port", port, MAX_PORT);
+        requireInRange("slots", slots, MAX_SLOTS);
+    }
+
+    private static void requireInRange(String name, int value, int max) {
+        if (value < 1 || value > max) {
+            throw new IllegalArgumentException(name + " " + value + ", expected 1 to " + max);
+        }
+    }
+
     /** Returns the address as {@code host:port}. */
     public String address() {
         return host + ":" + port;
--- a/src/main/java/org/heathercourse/gateway/http/CallerConnection.java
+++ b/src/main/java/org/heathercourse/gateway/http/CallerConnection.java
@@ -23,6 +23,7 @@
 import io.netty.handler.timeout.IdleStateEvent;
 import io.netty.util.ReferenceCountUtil;
 import java.io.ByteArrayOutputStream;
+import java.io.IOException;
 import java.util.ArrayDeque;
 import java.util.Queue;
 import java.util.concurrent.TimeUnit;
@@ -32,6 +33,7 @@
 import org.heathercourse.gateway.call.CallRequest;
 import org.heathercourse.gateway.call.ErrorResponse;
 import org.heathercourse.gateway.call.ResponseWriter;
+import org.heathercourse.log.EventLog;
 
 /**
  * A connection of a caller: processes one request at a time and writes responses in order.
@@ -50,6 +52,8 @@
      */
     private static final long LINGER_MILLIS = 1_000;
 
+    private static final EventLog LOG = EventLog.of(CallerConnection.class);
+
     private final CallerServer mServer;
     private final CallerLimits mLimits;
     private final Queue<Object> mPendingMessages = new ArrayDeque<>();
@@ -355,6 +359,9 @@
 
     @Override
     public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+        if (!(cause instanceof IOException)) {
+            LOG.error("caller_connection_failed", cause);
+        }
         context.close();
     }
 }
--- a/src/main/java/org/heathercourse/platform/hosted/TargetRow.java
+++ b/src/main/java/org/heathercourse/platform/hosted/TargetRow.java
@@ -14,11 +14,6 @@
  * well-formed, or has a value out of range, is not a target.
  */
 final class TargetRow {
-    private static final int MAX_PORT = 65_535;
-
-    /** Far above the slots of any target; placement multiplies them. */
-    private static final int MAX_SLOTS = 1_000_000;
-
     private TargetRow() {}
 
     /** Returns the target of a row; empty if it describes none. */
@@ -28,7 +23,7 @@
             return entry != null && isWellFormed(row, entry)
                     ? Optional.of(target(row, entry))
                     : Optional.empty();
-        } catch (IOException | IllegalArgumentException e) {
+        } catch (IOException | IllegalArgumentException | ArithmeticException e) {
             return Optional.empty();
         }
     }
@@ -38,9 +33,8 @@
                 && entry.path("service").isTextual()
                 && entry.path("address").isTextual()
                 && entry.path("zone").isTextual()
-                && isInRange(entry.path("slots"), 1, MAX_SLOTS)
-                && (entry.path("born").isMissingNode()
-                        || isInRange(entry.path("born"), 0, Long.MAX_VALUE))
+                && isWholeNumber(entry.path("slots"))
+                && (entry.path("born").isMissingNode() || isWholeNumber(entry.path("born")))
                 && isState(entry.path("state").asText());
     }
 
@@ -49,11 +43,8 @@
         return !identity.isEmpty() && identity.chars().allMatch(c -> c > ' ' && c < 0x7f);
     }
 
-    private static boolean isInRange(JsonNode number, long min, long max) {
-        return number.isIntegralNumber()
-                && number.canConvertToLong()
-                && number.asLong() >= min
-                && number.asLong() <= max;
+    private static boolean isWholeNumber(JsonNode number) {
+        return number.isIntegralNumber() && number.canConvertToLong() && number.asLong() >= 0;
     }
 
     /**
@@ -72,7 +63,9 @@
     /**
      * Converts a row.
      *
-     * @throws IllegalArgumentException if the address or the zone is malformed
+     * @throws IllegalArgumentException if the address or the zone is malformed, or a number is out
+     *     of range
+     * @throws ArithmeticException if the slots exceed the range of an integer
      */
     private static Target target(StoredRow row, JsonNode entry) {
         String address = entry.path("address").asText();
@@ -81,18 +74,14 @@
         if (!isHostAddress(host)) {
             throw new IllegalArgumentException("host " + host + ", expected an IP address");
         }
-        int port = Integer.parseInt(address.substring(colon + 1));
-        if (port < 1 || port > MAX_PORT) {
-            throw new IllegalArgumentException("port " + port + ", expected 1 to " + MAX_PORT);
-        }
         return new Target(
                 row.key().key(),
                 entry.path("born").asLong(0),
                 entry.path("service").asText(),
                 host,
-                port,
+                Integer.parseInt(address.substring(colon + 1)),
                 new Zone(entry.path("zone").asText()),
-                entry.path("slots").asInt(),
+                Math.toIntExact(entry.path("slots").asLong()),
                 entry.path("state").asText().equals("draining"));
     }
 }
