--- a/src/main/java/org/heathercourse/gateway/call/Call.java
+++ b/src/main/java/org/heathercourse/gateway/call/Call.java
@@ -9,7 +9,6 @@
 import org.heathercourse.core.attempt.CapacityBackoff;
 import org.heathercourse.core.attempt.Delivery;
 import org.heathercourse.core.budget.BudgetOutcome;
-import org.heathercourse.core.error.ErrorKind;
 import org.heathercourse.core.limits.RateWaitPolicy;
 import org.heathercourse.core.target.Target;
 import org.heathercourse.core.target.TargetList;
@@ -30,17 +29,6 @@
     /** Delay in milliseconds before a request is retried at the same target. */
     private static final long SAME_TARGET_RETRY_DELAY_MILLIS = 25;
 
-    /** Retry-After in milliseconds if no target has capacity. */
-    private static final long OVERLOADED_RETRY_AFTER_MILLIS = 250;
-
-    /** Retry-After in milliseconds if the store does not reply. */
-    private static final long STORE_UNAVAILABLE_RETRY_AFTER_MILLIS = 1_200;
-
-    /**
-     * Retry-After in milliseconds of a leaving gateway; another gateway can serve the request now.
-     */
-    private static final long LEAVING_RETRY_AFTER_MILLIS = 10;
-
     /** Backoff of a target in milliseconds after it rejected a request for lack of capacity. */
     private static final long REJECTION_BACKOFF_MILLIS = 60;
 
@@ -114,11 +102,11 @@
                         mAdmission.route().repeatable(), mAdmission.route().maxTargets());
         long timeoutMillis = remainingMillis();
         if (timeoutMillis <= 0) {
-            endWithError(deadlineExpired());
+            endWithError(CallErrors.deadlineExpired());
             return;
         }
         if (!mDependencies.drainSchedule().get().admits(mArrivedMillis, timeoutMillis)) {
-            endWithError(leaving());
+            endWithError(CallErrors.leaving());
             return;
         }
         if (mCrashGuard.isQuarantined()) {
@@ -183,21 +171,8 @@
                 mBudget.setReservation(reservation);
                 requestRateToken();
             }
-            case EXHAUSTED ->
-                    endWithError(
-                            ErrorResponse.of(
-                                    ErrorKind.BUDGET_EXCEEDED,
-                                    "the remaining token budget of the program is too small for"
-                                            + " the turn",
-                                    "end the program, or start it with a larger budget"));
-            default ->
-                    endWithError(
-                            new ErrorResponse(
-                                    ErrorKind.STORE_UNAVAILABLE,
-                                    "the budget of the program is unavailable: the store does not"
-                                            + " reply",
-                                    "retry the request later",
-                                    STORE_UNAVAILABLE_RETRY_AFTER_MILLIS));
+            case EXHAUSTED -> endWithError(CallErrors.budgetExceeded());
+            default -> endWithError(CallErrors.budgetUnavailable());
         }
     }
 
@@ -383,21 +358,12 @@
             mDependencies.loop().schedule(this::tryNextTarget, delayMillis, TimeUnit.MILLISECONDS);
             return;
         }
-        endWithError(
-                new ErrorResponse(
-                        ErrorKind.OVERLOADED,
-                        "the request has not run: " + reason,
-                        "retry the request after the time in Retry-After",
-                        OVERLOADED_RETRY_AFTER_MILLIS));
+        endWithError(CallErrors.notRun(reason));
     }
 
     /** Ends a call whose request may have run but has no response. */
     private void endWithUnknownOutcome(String reason) {
-        endWithError(
-                ErrorResponse.of(
-                        ErrorKind.OUTCOME_UNKNOWN,
-                        "the request may have run: " + reason,
-                        "check its effect before sending it with a new request id"));
+        endWithError(CallErrors.unknownOutcome(reason));
     }
 
     /**
@@ -426,23 +392,6 @@
         }
     }
 
-    private static ErrorResponse deadlineExpired() {
-        return new ErrorResponse(
-                ErrorKind.OVERLOADED,
-                "the deadline passed before the request could run",
-                "retry the request with a later deadline",
-                OVERLOADED_RETRY_AFTER_MILLIS);
-    }
-
-    /** Returns the response of a gateway that exits before the request would have to end. */
-    public static ErrorResponse leaving() {
-        return new ErrorResponse(
-                ErrorKind.DRAINING,
-                "the gateway exits before the request would have to end",
-                "retry the request at another gateway",
-                LEAVING_RETRY_AFTER_MILLIS);
-    }
-
     private boolean mayHaveRun() {
         return mHistory.possibleRunCount() > 0 || mAttempt != null && mAttempt.hasBeenSent();
     }
@@ -451,15 +400,7 @@
         if (mEnded) {
             return;
         }
-        if (mayHaveRun()) {
-            endWithError(
-                    ErrorResponse.of(
-                            ErrorKind.DEADLINE_EXCEEDED,
-                            "the deadline passed before the response was complete",
-                            "check the effect of the request before sending it again"));
-        } else {
-            endWithError(deadlineExpired());
-        }
+        endWithError(mayHaveRun() ? CallErrors.deadlineExceeded() : CallErrors.deadlineExpired());
     }
 
     /** Called when the caller has closed its connection. */
@@ -508,7 +449,7 @@
         if (mayHaveRun()) {
             endWithUnknownOutcome("the gateway exits before the response is complete");
         } else {
-            endWithError(leaving());
+            endWithError(CallErrors.leaving());
         }
     }
 
--- /dev/null
+++ b/src/main/java/org/heathercourse/gateway/call/CallErrors.java
@@ -0,0 +1,79 @@
+package org.heathercourse.gateway.call;
+
+import org.heathercourse.core.error.ErrorKind;
+
+/** Error responses that end a call after its admission. */
+public final class CallErrors {
+    /** Retry-After in milliseconds if no target has capacity. */
+    private static final long OVERLOADED_RETRY_AFTER_MILLIS = 250;
+
+    /** Retry-After in milliseconds if the store does not reply. */
+    private static final long STORE_UNAVAILABLE_RETRY_AFTER_MILLIS = 1_200;
+
+    /**
+     * Retry-After in milliseconds of a leaving gateway; another gateway can serve the request now.
+     */
+    private static final long LEAVING_RETRY_AFTER_MILLIS = 10;
+
+    private CallErrors() {}
+
+    /** Returns the response of a gateway that exits before the request would have to end. */
+    public static ErrorResponse leaving() {
+        return new ErrorResponse(
+                ErrorKind.DRAINING,
+                "the gateway exits before the request would have to end",
+                "retry the request at another gateway",
+                LEAVING_RETRY_AFTER_MILLIS);
+    }
+
+    /** Returns the response to a request that has not run and that no target takes now. */
+    static ErrorResponse notRun(String reason) {
+        return new ErrorResponse(
+                ErrorKind.OVERLOADED,
+                "the request has not run: " + reason,
+                "retry the request after the time in Retry-After",
+                OVERLOADED_RETRY_AFTER_MILLIS);
+    }
+
+    /** Returns the response to a request that may have run but has no response. */
+    static ErrorResponse unknownOutcome(String reason) {
+        return ErrorResponse.of(
+                ErrorKind.OUTCOME_UNKNOWN,
+                "the request may have run: " + reason,
+                "check its effect before sending it with a new request id");
+    }
+
+    /** Returns the response to a request whose deadline passed before it was sent. */
+    static ErrorResponse deadlineExpired() {
+        return new ErrorResponse(
+                ErrorKind.OVERLOADED,
+                "the deadline passed before the request could run",
+                "retry the request with a later deadline",
+                OVERLOADED_RETRY_AFTER_MILLIS);
+    }
+
+    /** Returns the response to a request whose deadline passed while it may have run. */
+    static ErrorResponse deadlineExceeded() {
+        return ErrorResponse.of(
+                ErrorKind.DEADLINE_EXCEEDED,
+                "the deadline passed before the response was complete",
+                "check the effect of the request before sending it again");
+    }
+
+    /** Returns the response to a turn for which its program has too few tokens left. */
+    static ErrorResponse budgetExceeded() {
+        return ErrorResponse.of(
+                ErrorKind.BUDGET_EXCEEDED,
+                "the remaining token budget of the program is too small for the turn",
+                "end the program, or start it with a larger budget");
+    }
+
+    /** Returns the response to a turn whose budget cannot be read. */
+    static ErrorResponse budgetUnavailable() {
+        return new ErrorResponse(
+                ErrorKind.STORE_UNAVAILABLE,
+                "the budget of the program is unavailable: the store does not reply",
+                "retry the request later",
+                STORE_UNAVAILABLE_RETRY_AFTER_MILLIS);
+    }
+}
--- a/src/main/java/org/heathercourse/gateway/http/CallerConnection.java
+++ b/src/main/java/org/heathercourse/gateway/http/CallerConnection.java
@@ -30,6 +30,7 @@
 import org.heathercourse.core.error.ErrorKind;
 import org.heathercourse.core.routing.CallerLimits;
 import org.heathercourse.gateway.call.Call;
+import org.heathercourse.gateway.call.CallErrors;
 import org.heathercourse.gateway.call.CallRequest;
 import org.heathercourse.gateway.call.ErrorResponse;
 import org.heathercourse.gateway.call.ResponseWriter;
@@ -239,7 +240,7 @@
         if (mCall != null) {
             mCall.endForExit();
         } else if (mHead != null) {
-            rejectAndClose(Call.leaving());
+            rejectAndClose(CallErrors.leaving());
         }
     }
 
