--- a/src/main/java/org/heathercourse/core/stream/EventPosition.java
+++ b/src/main/java/org/heathercourse/core/stream/EventPosition.java
@@ -7,7 +7,10 @@
  * several threads.
  */
 final class EventPosition {
+    /** Distance of ids before two numbers were seen. */
     private static final long STEP_UNKNOWN = 0;
+
+    /** Distance of ids that is not the same everywhere; nothing can be said of the next one. */
     private static final long STEP_VARIES = -1;
 
     private String mLastId;
@@ -40,7 +43,10 @@
         return mLastId;
     }
 
-    /** Returns whether another source can be asked to continue here, or has to start anew. */
+    /**
+     * Returns whether another source can supply what follows: the events after the last id, or all
+     * of them if no data was passed on.
+     */
     boolean isKnown() {
         return !mHasUnidentifiedData;
     }
--- a/src/test/java/org/heathercourse/platform/http/SecondCopyTest.java
+++ b/src/test/java/org/heathercourse/platform/http/SecondCopyTest.java
@@ -16,6 +16,8 @@
  */
 class SecondCopyTest {
     private static final int REQUESTS = 5;
+
+    /** Time in which the copy arrives, so that it waits on the connection for the next request. */
     private static final long REUSE_DELAY_MILLIS = 20;
 
     private final HttpTransport mTransport = new HttpTransport(HttpSettings.builder().build());
