--- a/review/standins/GraceChange.java
+++ b/review/standins/GraceChange.java
@@ -109,12 +109,14 @@
             o.write("work".getBytes());
             o.flush();
             Rig.Answer x = Rig.read(s.getInputStream());
+            rig.note("client sends " + id + " to " + g.node + ": " + (x.status() == 0 ? x.error() : "" + x.status()));
             outcomes.merge(x.status() == 0 ? "closed" : "" + x.status(), 1, Integer::sum);
             if (x.status() == 0 || !x.complete()) {
                 cut.put(id, String.valueOf(x.error()));
             }
         } catch (Exception e) {
             cut.put(id, e.toString());
+            rig.note("client sends " + id + " to " + g.node + ": " + e);
             outcomes.merge("reset", 1, Integer::sum);
         }
     }
--- a/review/standins/PageGap.java
+++ b/review/standins/PageGap.java
@@ -100,7 +100,9 @@
             Rig.Gateway g = gateways.get(i % 3);
             String id = g.node.substring(g.node.length() - 1) + String.format("%015x", i);
             clients.execute(() -> {
-                if (call(g, id) == 200) {
+                int status = call(g, id);
+                rig.note("client sends " + id + " to " + g.node + ": " + status);
+                if (status == 200) {
                     served.incrementAndGet();
                 }
             });
--- a/review/standins/UploadBurst.java
+++ b/review/standins/UploadBurst.java
@@ -145,6 +145,7 @@
                     o.write(Rig.head("GET", "/notice/a", id, WAIT_MILLIS, -1, ""));
                     o.flush();
                     Rig.Answer x = Rig.read(s.getInputStream());
+                    rig.note("client with a short request, " + id + ": " + x.status() + " after " + (System.currentTimeMillis() - sent) + " ms");
                     synchronized (answers) {
                         answers.add(new Short(sent, System.currentTimeMillis(), x.status(), String.valueOf(x.error())));
                     }
