Log and count what the list of targets tells about a target

The line attempt_failed now has targetState (accepting, leaving, unlisted, replaced) and targetEnded, from the new TargetState, and the gauge targets_usable counts the targets that accept requests beside targets_listed. Behaviour is unchanged.

--- a/src/main/java/org/heathercourse/core/target/TargetList.java
+++ b/src/main/java/org/heathercourse/core/target/TargetList.java
@@ -38,15 +38,37 @@
         return mUsableByService.getOrDefault(service, List.of());
     }
 
+    /**
+     * Returns what the list tells about one incarnation of a target.
+     *
+     * @param target the incarnation
+     */
+    public TargetState state(Target target) {
+        Target listed = mById.get(target.id());
+        if (listed == null) {
+            return TargetState.UNLISTED;
+        }
+        if (!listed.isSameIncarnation(target)) {
+            return listed.startedMillis() > target.startedMillis()
+                    ? TargetState.REPLACED
+                    : TargetState.UNLISTED;
+        }
+        return listed.leaving() ? TargetState.LEAVING : TargetState.ACCEPTING;
+    }
+
     /** Returns whether this incarnation of a target is listed and accepts new requests. */
     public boolean isUsable(Target target) {
-        Target listed = mById.get(target.id());
-        return listed != null && !listed.leaving() && listed.isSameIncarnation(target);
+        return state(target).acceptsRequests();
     }
 
     /** Returns whether this incarnation of a target is listed, leaving or not. */
     public boolean contains(Target target) {
-        return target.isSameIncarnation(mById.get(target.id()));
+        return state(target).isListed();
+    }
+
+    /** Returns the number of targets that accept new requests. */
+    public int usableCount() {
+        return mUsableByService.values().stream().mapToInt(List::size).sum();
     }
 
     /** Returns all targets, including leaving ones. */
--- a/src/main/java/org/heathercourse/gateway/Gateway.java
+++ b/src/main/java/org/heathercourse/gateway/Gateway.java
@@ -199,7 +199,9 @@
                         "members_living",
                         gauge(() -> mControl.clusterView().fleet().members().size()),
                         "targets_listed",
-                        gauge(() -> mControl.clusterView().targets().all().size()));
+                        gauge(() -> mControl.clusterView().targets().all().size()),
+                        "targets_usable",
+                        gauge(() -> mControl.clusterView().targets().usableCount()));
     }
 
     private static <T> Gauge<T> gauge(Gauge<T> gauge) {
--- a/src/main/java/org/heathercourse/gateway/call/Call.java
+++ b/src/main/java/org/heathercourse/gateway/call/Call.java
@@ -12,6 +12,7 @@
 import org.heathercourse.core.limits.RateWaitPolicy;
 import org.heathercourse.core.target.Target;
 import org.heathercourse.core.target.TargetList;
+import org.heathercourse.core.target.TargetState;
 import org.heathercourse.gateway.control.BudgetService.Reservation;
 import org.heathercourse.gateway.target.Exchange;
 import org.heathercourse.gateway.target.TargetPool;
@@ -295,7 +296,8 @@
         Target target = attempt.target();
         boolean isTargetGone =
                 targetGone || !mDependencies.clusterView().targets().contains(target);
-        mLogEntry.logFailedAttempt(target, delivery, reason, attempt.framing());
+        TargetState state = mDependencies.clusterView().targets().state(target);
+        mLogEntry.logFailedAttempt(attempt, state, delivery, isTargetGone, reason);
         if (mRelay != null && !mRelay.canBeContinued()) {
             mHistory.recordAttempt(target.id(), delivery, isTargetGone);
             endWithUnknownOutcome(reason);
--- a/src/main/java/org/heathercourse/gateway/call/CallLogEntry.java
+++ b/src/main/java/org/heathercourse/gateway/call/CallLogEntry.java
@@ -3,6 +3,7 @@
 import org.heathercourse.core.attempt.Delivery;
 import org.heathercourse.core.crash.RequestDigest;
 import org.heathercourse.core.target.Target;
+import org.heathercourse.core.target.TargetState;
 import org.heathercourse.gateway.control.BudgetService.Reservation;
 import org.heathercourse.gateway.target.BodyFraming;
 import org.heathercourse.log.EventLog;
@@ -73,7 +74,9 @@
     }
 
     /** Logs a failed attempt; the line at the end of the call names the last target only. */
-    void logFailedAttempt(Target target, Delivery delivery, String reason, BodyFraming framing) {
+    void logFailedAttempt(
+            Attempt attempt, TargetState state, Delivery delivery, boolean ended, String reason) {
+        Target target = attempt.target();
         mFailedAttempts++;
         LOG.info(
                 "attempt_failed",
@@ -83,10 +86,14 @@
                 target.id(),
                 "service",
                 target.service(),
+                "targetState",
+                state.logName(),
+                "targetEnded",
+                ended,
                 "delivery",
                 delivery,
                 "framing",
-                logName(framing),
+                logName(attempt.framing()),
                 "reason",
                 reason);
     }
--- a/src/test/java/org/heathercourse/gateway/GatewayFixture.java
+++ b/src/test/java/org/heathercourse/gateway/GatewayFixture.java
@@ -111,6 +111,23 @@
         }
     }
 
+    /** Writes the row of an engine with the given state, as the engine does itself. */
+    void registerEngine(TargetStandIn engine, String state) {
+        mDeployment.store().register(engine.id(), engine.row("engines", "zone-a", state));
+    }
+
+    /** Waits until the gateway has read that this number of targets accept new requests. */
+    void awaitUsableTargets(int count) {
+        await().atMost(MAX_WAIT).until(() -> metrics().contains("targets_usable " + count + "\n"));
+    }
+
+    /** Returns the text of the gateway's metrics. */
+    String metrics() throws IOException {
+        try (RawCaller caller = new RawCaller(mSettings.endpoint(Setting.METRICS_ADDRESS))) {
+            return caller.call("GET /metrics HTTP/1.1\r\nHost: x\r\n\r\n").body();
+        }
+    }
+
     /** Sends a request for a stream. */
     Response stream() throws IOException {
         return call("POST /stream/1", EMPTY_BODY);
