Check the process of a leaving target before an unframed answer counts as complete

Cause: Attempt.onEnd looked whether the process had ended only if the target was usable, that is, if it accepted new requests. The kernel ends the connections of a process that is gone in order, whatever its row says, so for a target that was leaving or had lost its row the end of the process was taken for the end of the answer. An unanswered check (no reply within 400 ms) was taken for a running process as well.

Change: the end of an unframed answer is always checked, and only a process that accepts a connection completes it. The check has four results (ProcessState): a target that leaves may close its port and go on with its requests, so its refusal shows its end only if no connection to it is left. Only the end of a target that accepted requests counts as a crash.

Evidence: LeavingTargetTest failed in 2 of its 3 cases on the code before (later events missing in a complete response) and passes; UnframedResponseTest, ResumedStreamTest, TargetConnectionTest, CrashQuarantineTest pass.

--- a/src/main/java/org/heathercourse/gateway/call/Attempt.java
+++ b/src/main/java/org/heathercourse/gateway/call/Attempt.java
@@ -3,8 +3,10 @@
 import io.netty.handler.codec.http.HttpHeaderNames;
 import org.heathercourse.core.attempt.Delivery;
 import org.heathercourse.core.target.Target;
+import org.heathercourse.core.target.TargetState;
 import org.heathercourse.gateway.target.BodyFraming;
 import org.heathercourse.gateway.target.Exchange;
+import org.heathercourse.gateway.target.ProcessState;
 import org.heathercourse.gateway.target.ResponseFailure;
 import org.heathercourse.gateway.target.ResponseHead;
 import org.heathercourse.gateway.target.ResponseListener;
@@ -179,26 +181,31 @@
                             ? ResponseFailure.INVALID_RESPONSE
                             : ResponseFailure.CONNECTION_LOST,
                     "the stream ended inside an event");
-        } else if (!mFraming.keepsConnection() && mCall.isUsable(target())) {
-            // The end of a process ends its connections in the same way as its responses.
-            mPool.checkEnded(this::onEndOfUnframedChecked);
-        } else {
+        } else if (mFraming.keepsConnection()) {
             complete();
+        } else {
+            // The end of a process ends its connections in the same way as its responses, also
+            // that of a target that leaves as planned.
+            TargetState state = mCall.targetState(target());
+            mPool.checkProcess(process -> onEndOfUnframedChecked(state, process));
         }
     }
 
-    private void onEndOfUnframedChecked(boolean targetEnded) {
+    private void onEndOfUnframedChecked(TargetState state, ProcessState process) {
         if (mEnded) {
             return;
         }
-        if (targetEnded) {
-            mEnded = true;
-            mPool.load().recordFailure(now(), mCall.failureBackoffMillis());
-            mCall.relay().discardBuffered();
-            failAtEndOfTarget("the target ended within a response that ends with its connection");
-        } else {
+        if (process == ProcessState.RUNNING) {
             complete();
+            return;
         }
+        mEnded = true;
+        mPool.load().recordFailure(now(), mCall.failureBackoffMillis());
+        mCall.relay().discardBuffered();
+        String reason =
+                "the response ended with its connection, and the target's process is "
+                        + process.logName();
+        onProcessChecked(state, process, reason);
     }
 
     private void complete() {
@@ -222,26 +229,34 @@
         }
         mCall.relay().discardBuffered();
         // The end of a target that leaves as planned says nothing about its requests.
-        if (failure == ResponseFailure.CONNECTION_LOST && mCall.isUsable(target())) {
-            mPool.checkEnded(ended -> onEndChecked(ended, reason));
+        if (failure == ResponseFailure.CONNECTION_LOST && mCall.targetState(target()).acceptsRequests()) {
+            TargetState state = mCall.targetState(target());
+            mPool.checkProcess(process -> onProcessChecked(state, process, reason));
         } else {
             mCall.onAttemptFailed(this, Delivery.MAY_HAVE_RUN, reason, false);
         }
     }
 
-    private void onEndChecked(boolean targetEnded, String reason) {
-        if (targetEnded) {
-            failAtEndOfTarget(reason);
+    /**
+     * Reports the failed attempt.
+     *
+     * @param state state of the target when the connection ended
+     * @param process state of its process after that
+     * @param reason cause of the failure
+     */
+    private void onProcessChecked(TargetState state, ProcessState process, String reason) {
+        boolean ended = process.hasEnded(state);
+        if (ended) {
+            mPool.load().recordEnd(now(), ENDED_TARGET_MILLIS);
+        }
+        if (ended && state.acceptsRequests()) {
+            mCall.onTargetCrashed(this, reason);
         } else {
-            mCall.onAttemptFailed(this, Delivery.MAY_HAVE_RUN, reason, false);
+            // The end of a target that leaves as planned is no crash.
+            mCall.onAttemptFailed(this, Delivery.MAY_HAVE_RUN, reason, ended);
         }
     }
 
-    private void failAtEndOfTarget(String reason) {
-        mPool.load().recordEnd(now(), ENDED_TARGET_MILLIS);
-        mCall.onTargetCrashed(this, reason);
-    }
-
     private long now() {
         return mCall.dependencies().ticker().readMillis();
     }
--- a/src/main/java/org/heathercourse/gateway/call/Call.java
+++ b/src/main/java/org/heathercourse/gateway/call/Call.java
@@ -217,7 +217,7 @@
             attempt.failUnsent("the request was quarantined while its connection opened", false);
             return;
         }
-        boolean isTargetUsable = isUsable(target);
+        boolean isTargetUsable = targetState(target).acceptsRequests();
         if (mEnded || remainingMillis <= 0 || !isTargetUsable) {
             exchange.closeUnused();
             attempt.failUnsent(
@@ -296,8 +296,7 @@
         Target target = attempt.target();
         boolean isTargetGone =
                 targetGone || !mDependencies.clusterView().targets().contains(target);
-        TargetState state = mDependencies.clusterView().targets().state(target);
-        mLogEntry.logFailedAttempt(attempt, state, delivery, isTargetGone, reason);
+        mLogEntry.logFailedAttempt(attempt, targetState(target), delivery, isTargetGone, reason);
         if (mRelay != null && !mRelay.canBeContinued()) {
             mHistory.recordAttempt(target.id(), delivery, isTargetGone);
             endWithUnknownOutcome(reason);
@@ -425,8 +424,9 @@
         return mEnded;
     }
 
-    boolean isUsable(Target target) {
-        return mDependencies.clusterView().targets().isUsable(target);
+    /** Returns what the list of targets tells about a target at this time. */
+    TargetState targetState(Target target) {
+        return mDependencies.clusterView().targets().state(target);
     }
 
     CallDependencies dependencies() {
--- a/src/main/java/org/heathercourse/gateway/target/TargetPool.java
+++ b/src/main/java/org/heathercourse/gateway/target/TargetPool.java
@@ -40,10 +40,10 @@
     private static final double MAX_IDLE_FRACTION = 0.6;
 
     /**
-     * Delay in milliseconds before a check whether the target's process has ended. The end of a
+     * Delay in milliseconds before a check whether the target's process still runs. The end of a
      * process closes its connections and its port one after the other.
      */
-    private static final long END_CHECK_DELAY_MILLIS = 10;
+    private static final long PROCESS_CHECK_DELAY_MILLIS = 10;
 
     private static final int CONNECT_TIMEOUT_MILLIS = 400;
     private static final int MAX_LINE_BYTES = 8 * 1024;
@@ -57,8 +57,9 @@
     private final CallFormat mFormat;
     private final PoolEvents mEvents;
     private final Deque<TargetConnection> mIdle = new ArrayDeque<>();
-    private final List<Consumer<Boolean>> mEndCheckListeners = new ArrayList<>();
+    private final List<Consumer<ProcessState>> mProcessCheckListeners = new ArrayList<>();
     private int mConnectionCount;
+    private int mOpenCount;
     private boolean mRetired;
 
     /** Listener for events of the pool, used for metrics. */
@@ -204,6 +205,7 @@
                 .addListener(
                         done -> {
                             if (done.isSuccess()) {
+                                mOpenCount++;
                                 mEvents.onConnect();
                                 listener.onConnection(new Exchange(connection));
                             } else {
@@ -224,37 +226,42 @@
     }
 
     /**
-     * Checks after the loss of a connection whether the target's process has ended: whether it
-     * refuses a new connection. One check serves all listeners that wait at the same time.
+     * Checks after the end of a connection whether the target's process still runs, by a new
+     * connection. One check serves all listeners that wait at the same time.
      *
-     * @param listener receives true if the process has ended; false if it accepts a connection, or
-     *     if that is unknown because it does not reply, as behind a partition
+     * @param listener receives the result, on the traffic loop
      */
-    public void checkEnded(Consumer<Boolean> listener) {
-        mEndCheckListeners.add(listener);
-        if (mEndCheckListeners.size() == 1) {
+    public void checkProcess(Consumer<ProcessState> listener) {
+        mProcessCheckListeners.add(listener);
+        if (mProcessCheckListeners.size() == 1) {
             mLoop.schedule(
-                    () -> connect(new EndCheck()), END_CHECK_DELAY_MILLIS, TimeUnit.MILLISECONDS);
+                    () -> connect(new ProcessCheck()),
+                    PROCESS_CHECK_DELAY_MILLIS,
+                    TimeUnit.MILLISECONDS);
         }
     }
 
-    /** Receives the connection that shows whether the target's process has ended. */
-    private final class EndCheck implements AcquireListener {
+    /** Receives the connection that shows whether the target's process still runs. */
+    private final class ProcessCheck implements AcquireListener {
         @Override
         public void onConnection(Exchange exchange) {
             exchange.releaseUnused();
-            complete(false);
+            complete(ProcessState.RUNNING);
         }
 
         @Override
         public void onUnavailable(Unavailability cause, String detail) {
-            complete(cause.isTargetGone());
+            if (!cause.isTargetGone()) {
+                complete(ProcessState.NO_REPLY);
+            } else {
+                complete(mOpenCount == 0 ? ProcessState.ENDED : ProcessState.REFUSING);
+            }
         }
 
-        private void complete(boolean ended) {
-            List<Consumer<Boolean>> listeners = List.copyOf(mEndCheckListeners);
-            mEndCheckListeners.clear();
-            listeners.forEach(listener -> listener.accept(ended));
+        private void complete(ProcessState state) {
+            List<Consumer<ProcessState>> listeners = List.copyOf(mProcessCheckListeners);
+            mProcessCheckListeners.clear();
+            listeners.forEach(listener -> listener.accept(state));
         }
     }
 
@@ -268,6 +275,7 @@
 
     void onClosed(TargetConnection connection) {
         mConnectionCount--;
+        mOpenCount--;
         mIdle.remove(connection);
     }
 
