Daemon: check the process of a plain service after an unframed answer

The same cause as in the gateway, on the daemon's path: HttpPlainClient took the end of the connection for the end of a body without a length or chunks and never looked whether the service's process had ended, so that its callers got a part of the body, or of a stream cut between two events, as complete.

Token streams of engines are not affected: they end with [DONE].

--- a/src/main/java/org/heathercourse/platform/http/HttpPlainClient.java
+++ b/src/main/java/org/heathercourse/platform/http/HttpPlainClient.java
@@ -80,6 +80,9 @@
 
     private static InputStream body(okhttp3.Response response) {
         InputStream body = response.body().byteStream();
+        if (!HttpTransport.isFramed(response)) {
+            body = new UnframedInputStream(body, response.request().url());
+        }
         String type = response.header("Content-Type", "");
         return type.startsWith("text/event-stream") ? new WholeEventsInputStream(body) : body;
     }
--- a/src/test/java/org/heathercourse/platform/http/IncompleteAnswerTest.java
+++ b/src/test/java/org/heathercourse/platform/http/IncompleteAnswerTest.java
@@ -87,6 +87,10 @@
 
     private String readPlainBody(String answer) throws IOException {
         serve(answer);
+        return receivePlainBody();
+    }
+
+    private String receivePlainBody() throws IOException {
         PlainClient.Request request =
                 new PlainClient.Request("GET", "/x", Map.of(), null, 0, 2_000);
         try (PlainClient.Response response =
@@ -107,4 +111,24 @@
         assertThat(readPlainBody(EVENTS + "\r\n" + whole)).isEqualTo(whole);
         assertThat(readPlainBody("HTTP/1.1 200 OK\r\n\r\ntext")).isEqualTo("text");
     }
+
+    /**
+     * The end of a process closes its connections in order, so that a body without a length looks
+     * whole; only the port tells.
+     */
+    @Test
+    void bodyOfPlainServiceWhoseProcessEndsIsBroken() throws IOException {
+        for (String head : List.of(EMPTY, EVENTS + "\r\n")) {
+            mServer =
+                    new ScriptedHttpServer(
+                            false,
+                            number -> {
+                                mServer.close();
+                                return head + "id: 1\ndata: a\n\n";
+                            });
+            assertThatThrownBy(this::receivePlainBody)
+                    .isInstanceOf(IOException.class)
+                    .hasMessageContaining("accepts no other");
+        }
+    }
 }
