Take a response head that ends with its connection for a lost connection

Report of other operators: an engine stopped in the middle of its answer's head and closed, and callers got a 200 with an empty or short body.

Looked for in both clients, with the connection ended in order, reset and closed here, at each byte of a head with a length, chunks (up to the size of the first one), neither, after an interim response and with status 204.

What was wrong: the gateway classed the cut as an invalid response of a running process, so that it never looked whether the process had ended, and an engine that crashed there was not recorded.

--- a/src/main/java/org/heathercourse/gateway/target/TargetConnection.java
+++ b/src/main/java/org/heathercourse/gateway/target/TargetConnection.java
@@ -5,6 +5,7 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.socket.ChannelInputShutdownEvent;
+import io.netty.handler.codec.PrematureChannelClosureException;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpMethod;
@@ -174,7 +175,7 @@
 
     private void onHead(HttpResponse response) {
         if (response.decoderResult().isFailure()) {
-            fail("the response is not valid HTTP");
+            failInHead(response.decoderResult().cause());
             return;
         }
         mSkippingInformational = response.status().codeClass() == HttpStatusClass.INFORMATIONAL;
@@ -213,6 +214,15 @@
                         mFraming));
     }
 
+    /** The codec reports a head that ends with its connection like one that is no valid HTTP. */
+    private void failInHead(Throwable cause) {
+        if (cause instanceof PrematureChannelClosureException) {
+            fail(ResponseFailure.CONNECTION_LOST, "the connection ended in a response head");
+        } else {
+            fail("the response is not valid HTTP");
+        }
+    }
+
     private void countSkippedResponse() {
         if (++mSkippedResponses > MAX_SKIPPED_RESPONSES) {
             fail("the target sent " + mSkippedResponses + " responses to other requests");
--- a/src/main/java/org/heathercourse/testing/hosted/TargetStandIn.java
+++ b/src/main/java/org/heathercourse/testing/hosted/TargetStandIn.java
@@ -50,6 +50,8 @@
         OTHER_BODY,
         /** Sends a body that is shorter than its content length. */
         SHORT_BODY,
+        /** Closes the connection within the head of a success response. */
+        CUT_HEAD,
         /** Sends the answer to an earlier request after its own answer. */
         EXTRA_ANSWER,
         /** Responds with status 200 but without the response signature. */
--- a/src/main/java/org/heathercourse/testing/hosted/TargetStandInConnection.java
+++ b/src/main/java/org/heathercourse/testing/hosted/TargetStandInConnection.java
@@ -2,6 +2,7 @@
 
 import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.SimpleChannelInboundHandler;
@@ -89,6 +90,11 @@
                 context.close();
             }
             case SHORT_BODY -> sendShortBody(context, request, context::close);
+            case CUT_HEAD -> {
+                mRunning = false;
+                writeRaw(context, "HTTP/1.1 200 OK\r\n" + headLines(request) + "Content-Le")
+                        .addListener(ChannelFutureListener.CLOSE);
+            }
             case UNSIGNED -> answer(context, 200, "unsigned", false, request);
             case NO_CONTENT -> answer(context, 204, "", true, request);
             case OTHER_BODY -> answer(context, 200, "failed", true, request);
@@ -116,6 +122,18 @@
         }
     }
 
+    private String headLines(FullHttpRequest request) {
+        String id = requestId(request);
+        return TargetStandIn.REQUEST_ID_HEADER
+                + ": "
+                + id
+                + "\r\n"
+                + SIGNATURE_HEADER
+                + ": sig-"
+                + id
+                + "\r\n";
+    }
+
     private void writeStaleRefusal(ChannelHandlerContext context, Fault fault) {
         String refusal =
                 "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n"
--- a/src/test/java/org/heathercourse/gateway/target/TargetConnectionTest.java
+++ b/src/test/java/org/heathercourse/gateway/target/TargetConnectionTest.java
@@ -19,6 +19,8 @@
 import org.heathercourse.platform.entry.CallFormat;
 import org.heathercourse.platform.entry.Dispatch;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
 
 /**
  * Guards against incomplete responses that are taken for complete ones, and responses to other
@@ -181,4 +183,63 @@
         endInput();
         assertThat(mConnection.isOpen()).isFalse();
     }
+
+    // Ends within a head
+
+    private static final String HEAD = "HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nX-Extra: value\r\n";
+
+    /** How the connection ends. */
+    private enum ConnectionEnd {
+        IN_ORDER {
+            @Override
+            void apply(TargetConnectionTest test) {
+                test.endInput();
+            }
+        },
+        RESET {
+            @Override
+            void apply(TargetConnectionTest test) {
+                test.mChannel.pipeline().fireExceptionCaught(new IOException("Connection reset"));
+                test.mChannel.close();
+            }
+        },
+        CLOSED_HERE {
+            @Override
+            void apply(TargetConnectionTest test) {
+                test.mChannel.close();
+            }
+        };
+
+        abstract void apply(TargetConnectionTest test);
+    }
+
+    private static void assertIncompleteIfCut(String response, ConnectionEnd end) {
+        for (int length = 0; length < response.length(); length++) {
+            TargetConnectionTest test = new TargetConnectionTest();
+            test.send("r1");
+            test.receive(response.substring(0, length));
+            end.apply(test);
+            String cut = end + " after " + length + " bytes of " + response;
+            assertThat(test.mRecorder.mEnded).as(cut).isFalse();
+            assertThat(test.mRecorder.mFailure).as(cut).isEqualTo(ResponseFailure.CONNECTION_LOST);
+        }
+    }
+
+    /**
+     * Guards against a head that ends with its connection and is taken for a whole response without
+     * a body, at each byte and in each framing; with chunks also in the size of the first one.
+     */
+    @ParameterizedTest
+    @EnumSource(ConnectionEnd.class)
+    void responseCutInItsHeadIsIncomplete(ConnectionEnd end) {
+        assertIncompleteIfCut(HEAD + "Content-Length: 12\r\n\r\n", end);
+        assertIncompleteIfCut(HEAD + "Content-Length: 0\r\n\r\n", end);
+        assertIncompleteIfCut(HEAD + "\r\n", end);
+        assertIncompleteIfCut(HEAD + "Transfer-Encoding: chunked\r\n\r\n1f;x=y\r\n", end);
+        assertIncompleteIfCut(
+                HEAD + "Transfer-Encoding: chunked\r\n\r\n1\r\na\r\n0\r\nT: t\r\n\r\n", end);
+        assertIncompleteIfCut("HTTP/1.1 100 Continue\r\n\r\n" + HEAD + "\r\n", end);
+        assertIncompleteIfCut(
+                "HTTP/1.1 204 No Content\r\nRequest-Id: r1\r\nX-Extra: value\r\n\r\n", end);
+    }
 }
--- a/src/test/java/org/heathercourse/platform/http/IncompleteAnswerTest.java
+++ b/src/test/java/org/heathercourse/platform/http/IncompleteAnswerTest.java
@@ -131,4 +131,25 @@
                     .hasMessageContaining("accepts no other");
         }
     }
+
+    /**
+     * Guards against a head that ends with its connection and is taken for a whole answer without a
+     * body, at each byte and in each framing; with chunks also in the size of the first one.
+     */
+    @Test
+    void answerOfPlainServiceCutInItsHeadIsBroken() {
+        String head = "HTTP/1.1 200 OK\r\nX-Extra: value\r\n";
+        for (String answer :
+                List.of(
+                        head + "Content-Length: 12\r\n\r\n",
+                        head + "\r\n",
+                        head + "Transfer-Encoding: chunked\r\n\r\n1f;x=y\r\n")) {
+            for (int length = 0; length < answer.length(); length++) {
+                String cut = answer.substring(0, length);
+                assertThatThrownBy(() -> readPlainBody(cut))
+                        .as(cut)
+                        .isInstanceOfAny(TargetException.class, IOException.class);
+            }
+        }
+    }
 }
