Refuse a request that waited beyond the serving time of a planned stop

Report of other operators: in a planned stop in calm, requests that came late in the grace were passed on and cut at its end without an answer.

What can happen here: a request is admitted in the first 2.9 s whatever its timeout, and its place in the schedule was looked at on arrival only. One that then waited for a rate, a budget, a slot or a connection was passed on after the serving time although its time limit lay beyond the exit, and got 502 at the end of the grace while its target still worked on it.

Change: the schedule is asked again before a target is selected and right before the send; a request that has not run is refused as not run at once.

Evidence: GatewayDrainTest.requestThatWaitsBeyondServingTimeIsRefused failed before (502, executed) and passes. lateRequestsInCalmAreAnsweredUntilTheExit (a non-idempotent request each 60 ms through a whole stop, at a target that never answers) passed before, too: each gets 504, 502 or 503.

--- a/src/main/java/org/heathercourse/gateway/call/Call.java
+++ b/src/main/java/org/heathercourse/gateway/call/Call.java
@@ -105,7 +105,7 @@
             endWithError(CallErrors.deadlineExpired());
             return;
         }
-        if (!mDependencies.drainSchedule().get().admits(mArrivedMillis, timeoutMillis)) {
+        if (!canEndBeforeExit()) {
             endWithError(CallErrors.leaving());
             return;
         }
@@ -151,6 +151,17 @@
         return timeoutMillis - elapsedMillis();
     }
 
+    /**
+     * Returns whether a leaving gateway may still pass the request on. A request that was admitted
+     * before and then waited for a rate, a budget, a slot or a connection may no longer.
+     */
+    private boolean canEndBeforeExit() {
+        return mDependencies
+                .drainSchedule()
+                .get()
+                .admits(mDependencies.ticker().readMillis(), remainingMillis());
+    }
+
     /** Returns the time since the request arrived, in milliseconds. */
     long elapsedMillis() {
         return mDependencies.ticker().readMillis() - mArrivedMillis;
@@ -186,6 +197,10 @@
             endQuarantined();
             return;
         }
+        if (!mayHaveRun() && !canEndBeforeExit()) {
+            endWithError(CallErrors.leaving());
+            return;
+        }
         List<Target> candidates = mPlacement.usableTargets();
         Optional<Target> target = mPlacement.selectTarget(candidates, mHistory::permits);
         if (target.isEmpty()) {
@@ -216,6 +231,11 @@
             attempt.failUnsent("the request was quarantined while its connection opened", false);
             return;
         }
+        if (!mEnded && !mayHaveRun() && !canEndBeforeExit()) {
+            exchange.closeUnused();
+            attempt.failUnsent("the gateway exits before the request would have to end", false);
+            return;
+        }
         boolean isTargetUsable = targetState(target).acceptsRequests();
         if (mEnded || remainingMillis <= 0 || !isTargetUsable) {
             exchange.closeUnused();
--- a/src/test/java/org/heathercourse/gateway/GatewayDrainTest.java
+++ b/src/test/java/org/heathercourse/gateway/GatewayDrainTest.java
@@ -8,6 +8,7 @@
 import java.io.IOException;
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
@@ -18,6 +19,7 @@
 import org.heathercourse.testing.hosted.HostedDeployment;
 import org.heathercourse.testing.hosted.StoreStandIn;
 import org.heathercourse.testing.hosted.TargetStandIn;
+import org.heathercourse.testing.hosted.TargetStandIn.Fault;
 import org.heathercourse.testing.hosted.TargetStandIn.ReceivedRequest;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -182,6 +184,56 @@
         assertThat(kinds).contains("executed 200").isSubsetOf("executed 200", "503", "closed");
     }
 
+    /**
+     * Guards against a request that is passed on late in the stop and cut, because it was admitted
+     * before and then waited for a slot.
+     */
+    @Test
+    void requestThatWaitsBeyondServingTimeIsRefused() throws Exception {
+        Fault[] faults = new Fault[8];
+        Arrays.fill(faults, Fault.REFUSE);
+        faults[faults.length - 1] = Fault.HANG;
+        CompletableFuture<Void> drained = drain();
+        Thread.sleep(1_000);
+        mDeployment.plain().enqueueFaults(faults);
+        Response response = call(request("/order/yarn", "a"));
+        assertThat(response.status()).isEqualTo(503);
+        assertThat(mDeployment.plain().executedRequests()).isEmpty();
+        drained.get(GRACE_MILLIS, TimeUnit.MILLISECONDS);
+    }
+
+    /**
+     * Guards against non-idempotent requests that come at any time of a stop in calm, are passed on
+     * and cut without an answer; the target answers none of them.
+     */
+    @Test
+    void lateRequestsInCalmAreAnsweredUntilTheExit() throws Exception {
+        Fault[] faults = new Fault[60];
+        Arrays.fill(faults, Fault.HANG);
+        mDeployment.plain().enqueueFaults(faults);
+        CompletableFuture<Void> drained = drain();
+        List<CompletableFuture<String>> ends = new ArrayList<>();
+        while (!drained.isDone()) {
+            String request = request("/order/yarn", "a").replace("Deadline: 2500", "Deadline: 600");
+            String id = "r" + mRequestCount;
+            try {
+                ends.add(sendAndClassify(caller(), id, request));
+            } catch (IOException e) {
+                // The gateway no longer listens; callers go elsewhere.
+                break;
+            }
+            Thread.sleep(SEND_INTERVAL_MILLIS);
+        }
+        drained.get(GRACE_MILLIS, TimeUnit.MILLISECONDS);
+        List<String> kinds = new ArrayList<>();
+        for (CompletableFuture<String> end : ends) {
+            kinds.add(end.get());
+        }
+        assertThat(kinds)
+                .contains("executed 504", "503")
+                .isSubsetOf("executed 504", "executed 502", "503", "closed");
+    }
+
     /** Guards against an exit while the rest of a request is on its way. */
     @Test
     void requestThatIsBeingReadHoldsTheExit() throws Exception {
