Bound the sum of the bytes that a gateway keeps of its targets

Report of other operators: a faulty engine sent bytes that were no answer, without end, and the machine that had called it kept them all and ran out of memory.

Can it happen here: one connection was bounded (head 32 KB, event 256 KB, plain body 128 KB), their sum was not. 56 streams that each stopped after 250 KB of an event, at a gateway with a heap of 28 MB: short requests of other callers had no answer within a second (BoundedMemoryTest, failed before). The event was kept twice, as bytes and as its current line.

Change: MemoryBudget (setting MAX_BUFFER_BYTES, 32 MB) holds what is not yet forwarded of all calls. An event that finds no room fails its attempt like one that is too large; a plain body is forwarded from there on instead of being kept. Lines are kept up to 4 KB, as only ids matter. Gauges: buffered_bytes, buffered_bytes_peak, buffered_bytes_refused.

Evidence: BoundedMemoryTest passes (each of 20 short requests within a second, peak within the setting, no OutOfMemoryError in the output); MemoryBudgetTest, EventSplitterTest, EndlessBytesTest, ResumedStreamTest pass. Bodies of callers are not counted yet.

--- a/src/main/java/org/heathercourse/core/stream/EventSplitter.java
+++ b/src/main/java/org/heathercourse/core/stream/EventSplitter.java
@@ -16,11 +16,22 @@
     /** Maximum size of an event in bytes. */
     public static final int MAX_EVENT_BYTES = 256 * 1024;
 
+    /**
+     * Maximum size of an id in bytes, with its field name; a stream with longer ones ends there.
+     */
+    private static final int MAX_ID_LINE_BYTES = 4 * 1024;
+
+    /** Size in bytes up to which the memory of an event is used again for the next one. */
+    private static final int MAX_RETAINED_BYTES = 8 * 1024;
+
     private static final byte[] ID_FIELD = "id:".getBytes(StandardCharsets.US_ASCII);
     private static final byte[] DATA_FIELD = "data".getBytes(StandardCharsets.US_ASCII);
 
-    private final ByteArrayOutputStream mIncomplete = new ByteArrayOutputStream();
+    private ByteArrayOutputStream mIncomplete = new ByteArrayOutputStream();
+
+    /** Start of the line; only fields whose values matter here are kept whole. */
     private final ByteArrayOutputStream mLine = new ByteArrayOutputStream();
+
     private boolean mPendingCarriageReturn;
     private boolean mEventHasLines;
     private boolean mEventHasData;
@@ -55,7 +66,7 @@
             }
             if (b == '\r') {
                 mPendingCarriageReturn = true;
-            } else {
+            } else if (mLine.size() <= MAX_ID_LINE_BYTES) {
                 mLine.write(b);
             }
         }
@@ -65,11 +76,19 @@
         }
         mIncomplete.write(bytes, 0, completeLength);
         byte[] complete = mIncomplete.toByteArray();
-        mIncomplete.reset();
+        clearIncomplete();
         mIncomplete.write(bytes, completeLength, bytes.length - completeLength);
         return complete;
     }
 
+    private void clearIncomplete() {
+        if (mIncomplete.size() > MAX_RETAINED_BYTES) {
+            mIncomplete = new ByteArrayOutputStream();
+        } else {
+            mIncomplete.reset();
+        }
+    }
+
     /** Ends a line that a carriage return alone has ended; returns whether an event is complete. */
     private boolean endPendingLine() {
         boolean pending = mPendingCarriageReturn;
@@ -127,7 +146,7 @@
     }
 
     private void parseId(byte[] line) {
-        if (!startsWith(line, ID_FIELD)) {
+        if (!startsWith(line, ID_FIELD) || line.length > MAX_ID_LINE_BYTES) {
             return;
         }
         mIncompleteEventId =
@@ -148,7 +167,7 @@
 
     /** Discards an incomplete event, so that the stream can be resumed from another source. */
     public void discardIncomplete() {
-        mIncomplete.reset();
+        clearIncomplete();
         mLine.reset();
         mPendingCarriageReturn = false;
         mMisplaced = false;
@@ -182,6 +201,11 @@
         return mIncomplete.size() > MAX_EVENT_BYTES;
     }
 
+    /** Returns the size of the incomplete event in bytes. */
+    public int incompleteBytes() {
+        return mIncomplete.size();
+    }
+
     /** Returns the number of complete events. */
     public long eventCount() {
         return mEventCount;
--- a/src/main/java/org/heathercourse/daemon/settings/Setting.java
+++ b/src/main/java/org/heathercourse/daemon/settings/Setting.java
@@ -62,6 +62,11 @@
             "2",
             "time for which callers may keep the addresses that they received",
             Program.ONLY_GATEWAY),
+    MAX_BUFFER_BYTES(
+            ValueType.BYTES,
+            "33554432",
+            "maximum sum of the bytes kept for callers and targets; at most half of the heap",
+            Program.ONLY_GATEWAY),
     LOG_LEVEL(ValueType.LOG_LEVEL, "info", "minimum level of log lines", Program.SERVERS);
 
     private static final String ENVIRONMENT_PREFIX = "HEATHERCOURSE_";
--- a/src/main/java/org/heathercourse/gateway/Gateway.java
+++ b/src/main/java/org/heathercourse/gateway/Gateway.java
@@ -22,6 +22,7 @@
 import org.heathercourse.core.drain.DrainSchedule;
 import org.heathercourse.core.fleet.Member;
 import org.heathercourse.core.fleet.MemberState;
+import org.heathercourse.core.limits.MemoryBudget;
 import org.heathercourse.core.limits.RateGrant;
 import org.heathercourse.core.limits.RateRequest;
 import org.heathercourse.core.limits.WorkspaceRates;
@@ -79,6 +80,10 @@
     private final MetricRegistry mMetrics = new MetricRegistry();
     private final ControlPlane mControl;
     private final WorkspaceRates mRates;
+
+    /** Confined to the traffic loop. */
+    private final MemoryBudget mMemory;
+
     private final TargetPools mPools;
     private final CallerServer mCallerServer;
 
@@ -120,6 +125,7 @@
                         new SuspendAwareClock(ticker, clock),
                         random,
                         this::reserveRate);
+        mMemory = new MemoryBudget(settings.number(Setting.MAX_BUFFER_BYTES));
         CallMetrics callMetrics = new CallMetrics(mMetrics);
         mRates = new WorkspaceRates(mControl.rateFractions(), ticker);
         mPools = new TargetPools(mTraffic, ticker, platform.callFormat(), callMetrics);
@@ -142,6 +148,7 @@
                         new TargetSelector(zone, mTrafficRandom),
                         mTrafficRandom,
                         callMetrics,
+                        mMemory,
                         () -> mDrainSchedule);
         mCallerServer = new CallerServer(services);
         mMetrics.registerAll(gauges());
@@ -201,7 +208,13 @@
                         "targets_listed",
                         gauge(() -> mControl.clusterView().targets().all().size()),
                         "targets_usable",
-                        gauge(() -> mControl.clusterView().targets().usableCount()));
+                        gauge(() -> mControl.clusterView().targets().usableCount()),
+                        "buffered_bytes",
+                        gauge(mMemory::usedBytes),
+                        "buffered_bytes_peak",
+                        gauge(mMemory::peakBytes),
+                        "buffered_bytes_refused",
+                        gauge(mMemory::refusedCount));
     }
 
     private static <T> Gauge<T> gauge(Gauge<T> gauge) {
--- a/src/main/java/org/heathercourse/gateway/call/Acceptance.java
+++ b/src/main/java/org/heathercourse/gateway/call/Acceptance.java
@@ -10,6 +10,8 @@
     NOT_A_CONTINUATION("the response does not continue the stream"),
     /** The first event of a resumed stream is not the next one. */
     MISPLACED_EVENT("the resumed stream does not go on after the last event"),
+    /** The gateway keeps as many bytes for all calls as it may. */
+    OUT_OF_MEMORY("the gateway has no memory left for an incomplete event"),
     /** An event of the stream has no end. */
     EVENT_TOO_LARGE(
             "an event of the stream is larger than " + EventSplitter.MAX_EVENT_BYTES + " bytes");
--- a/src/main/java/org/heathercourse/gateway/call/Call.java
+++ b/src/main/java/org/heathercourse/gateway/call/Call.java
@@ -264,7 +264,7 @@
     /** Returns the relay to the caller; all attempts share it. */
     ResponseRelay relay() {
         if (mRelay == null) {
-            mRelay = new ResponseRelay(mWriter, mAdmission.route());
+            mRelay = new ResponseRelay(mWriter, mAdmission.route(), mDependencies.memory());
         }
         return mRelay;
     }
@@ -491,6 +491,9 @@
             boolean ran = mRelay != null && mRelay.isStarted();
             mBudget.settle(mPlacement.serviceName(), ran ? mRelay.eventCount() : 0, ran);
         }
+        if (mRelay != null) {
+            mRelay.release();
+        }
         mLogEntry.log(mDependencies.ticker().readMillis(), mLastTarget);
         mOnEnd.run();
     }
--- a/src/main/java/org/heathercourse/gateway/call/CallDependencies.java
+++ b/src/main/java/org/heathercourse/gateway/call/CallDependencies.java
@@ -6,6 +6,7 @@
 import java.util.random.RandomGenerator;
 import org.heathercourse.core.drain.DrainSchedule;
 import org.heathercourse.core.freshness.ReadFreshness;
+import org.heathercourse.core.limits.MemoryBudget;
 import org.heathercourse.core.limits.WorkspaceRates;
 import org.heathercourse.core.model.Zone;
 import org.heathercourse.core.target.TargetSelector;
@@ -39,6 +40,7 @@
  * @param targetSelector load balancer
  * @param random source of random numbers for load balancing and jitter
  * @param metrics counters and histograms of calls
+ * @param memory budget for bytes of callers and targets
  * @param drainSchedule times of the planned stop, if the gateway leaves
  */
 public record CallDependencies(
@@ -57,4 +59,5 @@
         TargetSelector targetSelector,
         RandomGenerator random,
         CallMetrics metrics,
+        MemoryBudget memory,
         Supplier<DrainSchedule> drainSchedule) {}
--- a/src/main/java/org/heathercourse/gateway/call/ResponseRelay.java
+++ b/src/main/java/org/heathercourse/gateway/call/ResponseRelay.java
@@ -4,6 +4,7 @@
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
 import java.io.ByteArrayOutputStream;
+import org.heathercourse.core.limits.MemoryBudget;
 import org.heathercourse.core.routing.Route;
 import org.heathercourse.core.routing.RouteKind;
 import org.heathercourse.core.stream.EventSplitter;
@@ -25,7 +26,8 @@
     private final ResponseWriter mWriter;
     private final Route mRoute;
     private final EventSplitter mSplitter = new EventSplitter();
-    private final ByteArrayOutputStream mBuffer = new ByteArrayOutputStream();
+    private final MemoryBudget.Reservation mMemory;
+    private ByteArrayOutputStream mBuffer = new ByteArrayOutputStream();
     private int mStatus;
     private String mReason = "";
     private HttpHeaders mHeaders = new DefaultHttpHeaders();
@@ -33,9 +35,17 @@
     private boolean mStarted;
     private long mFirstByteMillis = -1;
 
-    ResponseRelay(ResponseWriter writer, Route route) {
+    /**
+     * Creates a relay.
+     *
+     * @param writer receives the response to the caller
+     * @param route route of the call
+     * @param memory budget for the bytes that are not forwarded yet
+     */
+    ResponseRelay(ResponseWriter writer, Route route, MemoryBudget memory) {
         mWriter = writer;
         mRoute = route;
+        mMemory = memory.reserveNothing();
     }
 
     /**
@@ -78,9 +88,9 @@
             return Acceptance.ACCEPTED;
         }
         mBuffer.writeBytes(bytes);
-        if (mBuffer.size() > MAX_BUFFERED_BYTES) {
+        if (mBuffer.size() > MAX_BUFFERED_BYTES || !mMemory.resize(mBuffer.size())) {
             forward(mBuffer.toByteArray(), nowMillis);
-            mBuffer.reset();
+            clearBuffer();
         }
         return Acceptance.ACCEPTED;
     }
@@ -93,7 +103,23 @@
         if (mSplitter.isMisplaced()) {
             return Acceptance.MISPLACED_EVENT;
         }
-        return mSplitter.exceedsMaxEventSize() ? Acceptance.EVENT_TOO_LARGE : Acceptance.ACCEPTED;
+        if (mSplitter.exceedsMaxEventSize()) {
+            return Acceptance.EVENT_TOO_LARGE;
+        }
+        return mMemory.resize(mSplitter.incompleteBytes())
+                ? Acceptance.ACCEPTED
+                : Acceptance.OUT_OF_MEMORY;
+    }
+
+    private void clearBuffer() {
+        mBuffer = new ByteArrayOutputStream();
+        mMemory.release();
+    }
+
+    /** Gives up the memory of the relay; it receives nothing more. */
+    void release() {
+        mSplitter.discardIncomplete();
+        clearBuffer();
     }
 
     private void forward(byte[] bytes, long nowMillis) {
@@ -129,9 +155,7 @@
     /** Discards data that was not forwarded, because the attempt has failed. */
     void discardBuffered() {
         mSplitter.discardIncomplete();
-        if (!mStarted) {
-            mBuffer.reset();
-        }
+        clearBuffer();
     }
 
     /** Returns whether a part of the response was sent to the caller. */
--- a/src/main/java/org/heathercourse/testing/hosted/TargetStandIn.java
+++ b/src/main/java/org/heathercourse/testing/hosted/TargetStandIn.java
@@ -60,6 +60,8 @@
         FAIL,
         /** Never responds. */
         HANG,
+        /** Sends a large part of an event, and nothing more. */
+        STALLED_EVENT,
         /** Sends an event without end, until the gateway closes the connection. */
         ENDLESS_EVENT,
         /** Sends informational responses without end. */
--- a/src/main/java/org/heathercourse/testing/hosted/TargetStandInConnection.java
+++ b/src/main/java/org/heathercourse/testing/hosted/TargetStandInConnection.java
@@ -27,6 +27,7 @@
 final class TargetStandInConnection extends SimpleChannelInboundHandler<FullHttpRequest> {
     private static final int EVENTS_BEFORE_BREAK = 2;
     private static final int FLOOD_REPETITIONS = 1_000;
+    private static final int STALLED_EVENT_BYTES = 250_000;
     private static final String SIGNATURE_HEADER = "X-Heathercourse-Response-Signature";
 
     /** Start of the head of a response to another request. */
@@ -100,6 +101,10 @@
             case OTHER_BODY -> answer(context, 200, "failed", true, request);
             case FAIL -> answer(context, 500, "failed", true, request);
             case HANG -> {}
+            case STALLED_EVENT -> {
+                sendStreamHead(context, request);
+                writeRaw(context, "400000\r\ndata: " + "x".repeat(STALLED_EVENT_BYTES));
+            }
             case ENDLESS_EVENT -> {
                 sendStreamHead(context, request);
                 flood(context, "400000\r\ndata: ", "x");
--- a/src/test/java/org/heathercourse/gateway/http/CallerServerDrainTest.java
+++ b/src/test/java/org/heathercourse/gateway/http/CallerServerDrainTest.java
@@ -20,6 +20,7 @@
 import java.util.concurrent.CompletableFuture;
 import org.heathercourse.core.drain.DrainSchedule;
 import org.heathercourse.core.freshness.ReadFreshness;
+import org.heathercourse.core.limits.MemoryBudget;
 import org.heathercourse.core.time.SuspendAwareClock;
 import org.heathercourse.gateway.call.CallDependencies;
 import org.heathercourse.gateway.call.CallMetrics;
@@ -37,6 +38,8 @@
             "POST /order/1 HTTP/1.1\r\nHost: app.example\r\nContent-Length: 4\r\n\r\n";
     private static final String REQUEST = HEAD + "body";
 
+    private static final long MAX_BUFFER_BYTES = 1_000_000;
+
     private final ManualTicker mTicker = new ManualTicker();
     private final List<ChannelPromise> mHeldWrites = new ArrayList<>();
     private final EmbeddedChannel mChannel = new EmbeddedChannel();
@@ -64,6 +67,7 @@
                 null,
                 null,
                 new CallMetrics(new MetricRegistry()),
+                new MemoryBudget(MAX_BUFFER_BYTES),
                 () -> mSchedule);
     }
 
--- /dev/null
+++ b/src/test/java/org/heathercourse/testing/hosted/BoundedMemoryTest.java
@@ -0,0 +1,147 @@
+package org.heathercourse.testing.hosted;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.awaitility.Awaitility.await;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Map;
+import org.heathercourse.core.time.Ticker;
+import org.heathercourse.daemon.settings.Setting;
+import org.heathercourse.daemon.settings.Settings;
+import org.heathercourse.gateway.RawCaller;
+import org.heathercourse.gateway.RawCaller.Response;
+import org.heathercourse.testing.hosted.TargetStandIn.Fault;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+/**
+ * Guards against a gateway that runs out of memory because each of many connections keeps bytes
+ * within its own limit, and takes the requests of other callers with it. The gateway is a process
+ * with a small heap.
+ */
+class BoundedMemoryTest {
+    private static final Duration MAX_WAIT = Duration.ofSeconds(20);
+    private static final int MAX_BUFFER_BYTES = 4_000_000;
+    private static final int STREAMS = 56;
+    private static final int SHORT_REQUESTS = 20;
+
+    /** Time in which other callers are answered, as the users ask for it. */
+    private static final long MAX_ANSWER_MILLIS = 1_000;
+
+    @TempDir Path mFolder;
+    private final HostedDeployment mDeployment = new HostedDeployment();
+    private Path mOutput;
+    private Settings mSettings;
+    private int mRequestCount;
+
+    @BeforeEach
+    void start() {
+        mOutput = mFolder.resolve("gateway.log");
+        mDeployment.configure(HostedDeployment.KEY, 10_000);
+        List<String> command =
+                List.of(
+                        Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+                        "-Xmx28m",
+                        "-Xss256k",
+                        "-XX:+UseSerialGC",
+                        "-Dio.netty.allocator.type=unpooled",
+                        "-Dio.netty.noPreferDirect=true",
+                        "-cp",
+                        System.getProperty("java.class.path"),
+                        "org.heathercourse.cli.Main",
+                        "gateway");
+        Map<String, String> variables =
+                Map.of(
+                        Setting.LOG_LEVEL.environmentVariable(),
+                        "warn",
+                        "HEATHERCOURSE_MAX_BUFFER_BYTES",
+                        Integer.toString(MAX_BUFFER_BYTES));
+        mDeployment.addGatewayProcess("vm-1", command, variables, mOutput.toFile());
+        mSettings = mDeployment.lastSettings();
+        await().atMost(MAX_WAIT)
+                .ignoreExceptions()
+                .until(() -> call("GET /read/1").status() == 200);
+        await().atMost(MAX_WAIT).until(() -> call("POST /stream/1").status() == 200);
+    }
+
+    @AfterEach
+    void stop() {
+        mDeployment.close();
+    }
+
+    private RawCaller caller() throws IOException {
+        return new RawCaller(mSettings.endpoint(Setting.CALLER_ADDRESS), 0);
+    }
+
+    private String request(String methodAndPath, int bodyBytes) {
+        return methodAndPath
+                + " HTTP/1.1\r\nHost: "
+                + HostedDeployment.HOST
+                + "\r\nApi-Key: "
+                + HostedDeployment.KEY
+                + "\r\nX-Heathercourse-Request-Id: r"
+                + ++mRequestCount
+                + "\r\nX-Heathercourse-Request-Deadline: 2500\r\nContent-Length: "
+                + bodyBytes
+                + "\r\n\r\n";
+    }
+
+    private Response call(String methodAndPath) throws IOException {
+        try (RawCaller caller = caller()) {
+            caller.send(request(methodAndPath, 0));
+            return caller.readResponse();
+        }
+    }
+
+    private void assertShortRequestsAreAnswered() throws IOException {
+        for (int i = 0; i < SHORT_REQUESTS; i++) {
+            long startMillis = Ticker.system().readMillis();
+            assertThat(call("GET /read/1").status()).isEqualTo(200);
+            assertThat(Ticker.system().readMillis() - startMillis).isLessThan(MAX_ANSWER_MILLIS);
+        }
+    }
+
+    private void assertMemoryWasBounded() throws IOException {
+        assertThat(Files.readString(mOutput)).doesNotContain("OutOfMemoryError");
+        try (RawCaller caller = new RawCaller(mSettings.endpoint(Setting.METRICS_ADDRESS), 0)) {
+            caller.send("GET /metrics HTTP/1.1\r\nHost: x\r\n\r\n");
+            String peak =
+                    Arrays.stream(caller.readResponse().body().split("\n"))
+                            .filter(line -> line.startsWith("buffered_bytes_peak "))
+                            .findAny()
+                            .orElseThrow();
+            assertThat(Long.parseLong(peak.split(" ")[1])).isBetween(1L, (long) MAX_BUFFER_BYTES);
+        }
+    }
+
+    /**
+     * Targets send large parts of events that never end; what came for many calls filled the heap.
+     */
+    @Test
+    void incompleteEventsOfManyStreamsAreBounded() throws Exception {
+        Fault[] faults = new Fault[STREAMS];
+        Arrays.fill(faults, Fault.STALLED_EVENT);
+        mDeployment.engineA().enqueueFaults(faults);
+        mDeployment.engineB().enqueueFaults(faults);
+        List<RawCaller> callers = new ArrayList<>();
+        for (int i = 0; i < STREAMS; i++) {
+            callers.add(caller());
+            callers.get(i).send(request("POST /stream/1", 0));
+        }
+        assertShortRequestsAreAnswered();
+        for (RawCaller caller : callers) {
+            try (caller) {
+                assertThat(caller.readResponse().status()).isIn(200, 502, 503, 504);
+            }
+        }
+        assertMemoryWasBounded();
+    }
+}
