Bound the bytes of callers' bodies, and keep each body once

Change: a body counts against MAX_BUFFER_BYTES. One of declared length gets its whole memory at its head, or is refused there as not run with a Retry-After that spreads the returns; so one that has begun is not refused later. Messages behind a running call are read up to 64 KB. The gateway does not start if the setting exceeds half of its heap (HeapCheck).

Evidence: BoundedMemoryTest.longBodiesOfManyCallersAreBounded (heap of 28 MB, 40 callers with 1 MB each) failed before, as short requests had no answer within a second, and passes; CallerServerDrainTest, GatewayTest and GatewayDrainTest pass.

--- a/src/main/java/org/heathercourse/gateway/GatewayMain.java
+++ b/src/main/java/org/heathercourse/gateway/GatewayMain.java
@@ -48,7 +48,15 @@
     // Settings
 
     private static Either<List<SettingProblem>, Settings> readSettings(String[] arguments) {
-        return PlatformSettings.read(Program.GATEWAY, arguments, System.getenv());
+        return PlatformSettings.read(Program.GATEWAY, arguments, System.getenv())
+                .flatMap(GatewayMain::checkHeap);
+    }
+
+    private static Either<List<SettingProblem>, Settings> checkHeap(Settings settings) {
+        return HeapCheck.check(settings, Runtime.getRuntime().maxMemory())
+                .<Either<List<SettingProblem>, Settings>>map(
+                        problem -> Either.left(List.of(problem)))
+                .orElseGet(() -> Either.right(settings));
     }
 
     /** Reloads the settings; only the log level can change while the process runs. */
--- a/src/main/java/org/heathercourse/gateway/call/CallErrors.java
+++ b/src/main/java/org/heathercourse/gateway/call/CallErrors.java
@@ -1,5 +1,6 @@
 package org.heathercourse.gateway.call;
 
+import java.util.random.RandomGenerator;
 import org.heathercourse.core.error.ErrorKind;
 
 /** Error responses that end a call after its admission. */
@@ -15,6 +16,11 @@
      */
     private static final long LEAVING_RETRY_AFTER_MILLIS = 10;
 
+    /** Bounds of Retry-After in milliseconds if there is no memory for a body. */
+    private static final long MIN_MEMORY_RETRY_AFTER_MILLIS = 500;
+
+    private static final long MAX_MEMORY_RETRY_AFTER_MILLIS = 1_500;
+
     private CallErrors() {}
 
     /** Returns the response of a gateway that exits before the request would have to end. */
@@ -26,6 +32,19 @@
                 LEAVING_RETRY_AFTER_MILLIS);
     }
 
+    /**
+     * Returns the response to a request whose body finds no memory.
+     *
+     * @param random spreads the times at which callers return
+     */
+    public static ErrorResponse memoryExhausted(RandomGenerator random) {
+        return new ErrorResponse(
+                ErrorKind.OVERLOADED,
+                "the request has not run: the gateway has no memory left for its body",
+                "retry the request after the time in Retry-After, at another gateway",
+                random.nextLong(MIN_MEMORY_RETRY_AFTER_MILLIS, MAX_MEMORY_RETRY_AFTER_MILLIS));
+    }
+
     /** Returns the response to a request that has not run and that no target takes now. */
     static ErrorResponse notRun(String reason) {
         return new ErrorResponse(
--- a/src/main/java/org/heathercourse/gateway/http/CallerConnection.java
+++ b/src/main/java/org/heathercourse/gateway/http/CallerConnection.java
@@ -22,7 +22,6 @@
 import io.netty.handler.codec.http.TooLongHttpHeaderException;
 import io.netty.handler.timeout.IdleStateEvent;
 import io.netty.util.ReferenceCountUtil;
-import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.util.ArrayDeque;
 import java.util.Queue;
@@ -47,6 +46,9 @@
     /** Number of HTTP messages queued behind a running call from which on no more are read. */
     private static final int MAX_PENDING_MESSAGES = 64;
 
+    /** The same for the bytes of their bodies. */
+    private static final int MAX_PENDING_BYTES = 64 * 1024;
+
     /**
      * Maximum time in milliseconds between the last response and the close of the connection: a few
      * round trips, in which the caller receives the response and closes the connection itself.
@@ -58,9 +60,10 @@
     private final CallerServer mServer;
     private final CallerLimits mLimits;
     private final Queue<Object> mPendingMessages = new ArrayDeque<>();
+    private int mPendingBytes;
     private ChannelHandlerContext mContext;
     private HttpRequest mHead;
-    private ByteArrayOutputStream mBody;
+    private final BodyBuffer mBody;
     private boolean mDiscardBody;
     private Call mCall;
     private int mUnwrittenResponses;
@@ -74,6 +77,7 @@
     CallerConnection(CallerServer server, CallerLimits limits) {
         mServer = server;
         mLimits = limits;
+        mBody = new BodyBuffer(server.callDependencies().memory());
     }
 
     @Override
@@ -93,17 +97,26 @@
             process(message);
         } else {
             mPendingMessages.add(message);
+            mPendingBytes += bodyBytes(message);
             pauseReadingIfQueueFull();
         }
     }
 
     private void pauseReadingIfQueueFull() {
-        mContext.channel().config().setAutoRead(mPendingMessages.size() < MAX_PENDING_MESSAGES);
+        boolean isFull =
+                mPendingMessages.size() >= MAX_PENDING_MESSAGES
+                        || mPendingBytes >= MAX_PENDING_BYTES;
+        mContext.channel().config().setAutoRead(!isFull);
+    }
+
+    private static int bodyBytes(Object message) {
+        return message instanceof HttpContent content ? content.content().readableBytes() : 0;
     }
 
     private void discardPendingMessages() {
         mPendingMessages.forEach(ReferenceCountUtil::release);
         mPendingMessages.clear();
+        mPendingBytes = 0;
     }
 
     private void process(Object message) {
@@ -122,7 +135,6 @@
     private void onHead(HttpRequest head) {
         mServer.onHeadRead(this);
         mHead = head;
-        mBody = new ByteArrayOutputStream(0);
         mDiscardBody = false;
         mKeepAlive = HttpUtil.isKeepAlive(head);
         mIsHeadRequest = head.method().name().equals("HEAD");
@@ -138,6 +150,8 @@
                             "send one Content-Length header, or a chunked body without one"));
         } else if (HttpUtil.getContentLength(head, 0L) > mLimits.maxBodyBytes()) {
             rejectTooLarge();
+        } else if (!mBody.reserve((int) HttpUtil.getContentLength(head, 0L))) {
+            rejectAndClose(CallErrors.memoryExhausted(mServer.callDependencies().random()));
         } else if (HttpUtil.is100ContinueExpected(head)) {
             mContext.writeAndFlush(
                     new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE));
@@ -176,6 +190,7 @@
 
     private void rejectAndClose(ErrorResponse error) {
         mHead = null;
+        mBody.release();
         mDiscardBody = true;
         mKeepAlive = false;
         error.writeTo(this);
@@ -194,9 +209,10 @@
             rejectTooLarge();
             return;
         }
-        byte[] part = new byte[bytes.readableBytes()];
-        bytes.readBytes(part);
-        mBody.writeBytes(part);
+        if (!mBody.append(bytes)) {
+            rejectAndClose(CallErrors.memoryExhausted(mServer.callDependencies().random()));
+            return;
+        }
         if (content instanceof LastHttpContent) {
             startCall();
         }
@@ -207,7 +223,6 @@
                 new CallRequest(
                         mHead.method().name(), mHead.uri(), mHead.headers(), mBody.toByteArray());
         mHead = null;
-        mBody = null;
         mCall = new Call(mServer.callDependencies(), request, this, this::onCallEnded);
         mServer.onCallStarted();
         mCall.start();
@@ -215,9 +230,12 @@
 
     private void onCallEnded() {
         mCall = null;
+        mBody.release();
         mServer.onCallEnded(this);
         while (mCall == null && !mLastResponseEnded && !mPendingMessages.isEmpty()) {
-            process(mPendingMessages.remove());
+            Object message = mPendingMessages.remove();
+            mPendingBytes -= bodyBytes(message);
+            process(message);
         }
         pauseReadingIfQueueFull();
         mServer.closeIfStopping(this);
@@ -352,6 +370,7 @@
     @Override
     public void channelInactive(ChannelHandlerContext context) {
         discardPendingMessages();
+        mBody.release();
         mServer.onClosed(this);
         if (mCall != null) {
             mCall.onCallerDisconnected();
--- a/src/main/java/org/heathercourse/testing/hosted/HostedDeployment.java
+++ b/src/main/java/org/heathercourse/testing/hosted/HostedDeployment.java
@@ -32,6 +32,7 @@
     /** Initial key of the workspace. */
     public static final String KEY = "key-1";
 
+    private static final int MAX_BODY_BYTES = 65_536;
     private static final String ZONE = "zone-a";
     private static final String LOOPBACK_HOST = "127.0.0.1";
 
@@ -62,6 +63,17 @@
      * @param ratePerSecond its rate and burst, in requests per second
      */
     public void configure(String key, int ratePerSecond) {
+        configure(key, ratePerSecond, MAX_BODY_BYTES);
+    }
+
+    /**
+     * Writes a new version of the configuration.
+     *
+     * @param key key of the workspace
+     * @param ratePerSecond its rate and burst, in requests per second
+     * @param maxBodyBytes maximum size of the body of a request, in bytes
+     */
+    void configure(String key, int ratePerSecond, int maxBodyBytes) {
         mStore.configure(
                 String.format(
                         "{\"version\":%d,\"routes\":["
@@ -80,11 +92,11 @@
                                 + "\"services\":[{\"name\":\"engines\",\"connection_limit\":64,"
                                 + "\"engine\":{\"stride\":10}},"
                                 + "{\"name\":\"office\",\"connection_limit\":64}],"
-                                + "\"limits\":{\"max_header_bytes\":8192,\"max_body_bytes\":65536,"
+                                + "\"limits\":{\"max_header_bytes\":8192,\"max_body_bytes\":%5$d,"
                                 + "\"header_timeout_ms\":1000,\"idle_timeout_ms\":5000},"
                                 + "\"tenants\":[{\"name\":\"mill\",\"api_keys\":[\"%3$s\"],"
                                 + "\"requests_per_s\":%4$d,\"burst\":%4$d}]}",
-                        ++mVersion, HOST, key, ratePerSecond));
+                        ++mVersion, HOST, key, ratePerSecond, maxBodyBytes));
     }
 
     /**
--- a/src/test/java/org/heathercourse/testing/hosted/BoundedMemoryTest.java
+++ b/src/test/java/org/heathercourse/testing/hosted/BoundedMemoryTest.java
@@ -32,6 +32,8 @@
     private static final int MAX_BUFFER_BYTES = 4_000_000;
     private static final int STREAMS = 56;
     private static final int SHORT_REQUESTS = 20;
+    private static final int LONG_BODY_BYTES = 1_000_000;
+    private static final int LONG_BODIES = 40;
 
     /** Time in which other callers are answered, as the users ask for it. */
     private static final long MAX_ANSWER_MILLIS = 1_000;
@@ -45,7 +47,7 @@
     @BeforeEach
     void start() {
         mOutput = mFolder.resolve("gateway.log");
-        mDeployment.configure(HostedDeployment.KEY, 10_000);
+        mDeployment.configure(HostedDeployment.KEY, 10_000, LONG_BODY_BYTES);
         List<String> command =
                 List.of(
                         Path.of(System.getProperty("java.home"), "bin", "java").toString(),
@@ -144,4 +146,32 @@
         }
         assertMemoryWasBounded();
     }
+
+    /** Callers send long bodies at the same time; those that find no room are refused at once. */
+    @Test
+    void longBodiesOfManyCallersAreBounded() throws Exception {
+        List<RawCaller> callers = new ArrayList<>();
+        String half = "x".repeat(LONG_BODY_BYTES / 2);
+        for (int i = 0; i < LONG_BODIES; i++) {
+            callers.add(caller());
+            callers.get(i).send(request("POST /order/1", LONG_BODY_BYTES) + half);
+        }
+        assertShortRequestsAreAnswered();
+        int answered = 0;
+        for (RawCaller caller : callers) {
+            try (caller) {
+                if (caller.hasReceivedBytes()) {
+                    Response response = caller.readResponse();
+                    assertThat(response.status()).isEqualTo(503);
+                    assertThat(response.headers()).containsKey("retry-after");
+                } else {
+                    caller.send(half);
+                    assertThat(caller.readResponse().status()).isEqualTo(200);
+                    answered++;
+                }
+            }
+        }
+        assertThat(answered).isBetween(1, MAX_BUFFER_BYTES / LONG_BODY_BYTES);
+        assertMemoryWasBounded();
+    }
 }
