Let a caller whose body was refused read the refusal after its whole body

Change: after a refusal the rest of the body is discarded for up to 4 s, but for a gateway that leaves. Discarded bytes are not kept.

Evidence: BoundedMemoryTest.longBodiesOfManyCallersAreBounded, whose callers now read only after their whole body, failed before with Broken pipe and passes; CallerServerDrainTest passes.

--- a/src/main/java/org/heathercourse/gateway/http/CallerConnection.java
+++ b/src/main/java/org/heathercourse/gateway/http/CallerConnection.java
@@ -55,6 +55,12 @@
      */
     private static final long LINGER_MILLIS = 1_000;
 
+    /**
+     * The same for a caller that still sends the body of a refused request, and may read the
+     * response only after that. The body is discarded.
+     */
+    private static final long BODY_LINGER_MILLIS = 4_000;
+
     private static final EventLog LOG = EventLog.of(CallerConnection.class);
 
     private final CallerServer mServer;
@@ -243,7 +249,8 @@
 
     /**
      * Returns whether a request is being read, a call is running, a response is being written or
-     * the caller may still receive the last one; the latter ends after {@link #LINGER_MILLIS}.
+     * the caller may still receive the last one; the latter ends after {@link #LINGER_MILLIS}, or
+     * {@link #BODY_LINGER_MILLIS} if the request was refused.
      */
     boolean isBusy() {
         return mCall != null || mHead != null || mUnwrittenResponses > 0 || mLingering;
@@ -329,7 +336,9 @@
         if (mContext.channel() instanceof DuplexChannel channel) {
             mLingering = true;
             channel.shutdownOutput();
-            mContext.executor().schedule(this::close, LINGER_MILLIS, TimeUnit.MILLISECONDS);
+            boolean awaitsBody = mDiscardBody && !mServer.isLeaving();
+            long millis = awaitsBody ? BODY_LINGER_MILLIS : LINGER_MILLIS;
+            mContext.executor().schedule(this::close, millis, TimeUnit.MILLISECONDS);
         } else {
             mContext.close();
         }
--- a/src/test/java/org/heathercourse/testing/hosted/BoundedMemoryTest.java
+++ b/src/test/java/org/heathercourse/testing/hosted/BoundedMemoryTest.java
@@ -34,6 +34,7 @@
     private static final int SHORT_REQUESTS = 20;
     private static final int LONG_BODY_BYTES = 1_000_000;
     private static final int LONG_BODIES = 40;
+    private static final long UPLOAD_MILLIS = 1_500;
 
     /** Time in which other callers are answered, as the users ask for it. */
     private static final long MAX_ANSWER_MILLIS = 1_000;
@@ -157,10 +158,13 @@
             callers.get(i).send(request("POST /order/1", LONG_BODY_BYTES) + half);
         }
         assertShortRequestsAreAnswered();
+        Thread.sleep(UPLOAD_MILLIS);
         int answered = 0;
         for (RawCaller caller : callers) {
             try (caller) {
                 if (caller.hasReceivedBytes()) {
+                    // Many callers read only after they have sent their whole body.
+                    caller.send(half);
                     Response response = caller.readResponse();
                     assertThat(response.status()).isEqualTo(503);
                     assertThat(response.headers()).containsKey("retry-after");
