Send nothing new to a target that says itself that it leaves

Change: the header is decoded in platform/ (AnswerFacts.leaving) and read on each response head, also of errors, refusals and skipped responses, but not of 421, which another target sends. ClusterView keeps the incarnations that said it and overlays them on the table's rows, so that every reader sees them as leaving at once: selection, the check right before the send, retries, resumed streams. Older rows, rows that are back and a store that is away do not change it; a new start of the target begins without it. Idle connections to the target are closed. Metric targets_leaving_by_own_word, log line target_leaving cause=own_word. The stand-ins of targets can send the header.

--- a/src/main/java/org/heathercourse/core/target/Target.java
+++ b/src/main/java/org/heathercourse/core/target/Target.java
@@ -45,6 +45,13 @@
         }
     }
 
+    /** Returns the same target, which gets no new requests. */
+    Target asLeaving() {
+        return leaving
+                ? this
+                : new Target(id, startedMillis, service, host, port, zone, slots, true);
+    }
+
     /** Returns the address as {@code host:port}. */
     public String address() {
         return host + ":" + port;
--- a/src/main/java/org/heathercourse/core/target/TargetList.java
+++ b/src/main/java/org/heathercourse/core/target/TargetList.java
@@ -5,6 +5,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.function.Predicate;
 
 /** Snapshot of the known targets, indexed by service. Immutable and thread-safe. */
 public final class TargetList {
@@ -33,6 +34,25 @@
         mUsableByService = Map.copyOf(byService);
     }
 
+    /**
+     * Returns this list with further targets that get no new requests.
+     *
+     * @param isLeaving returns whether the incarnation with a text leaves; see {@link
+     *     Target#incarnation}
+     */
+    public TargetList withLeaving(Predicate<String> isLeaving) {
+        boolean changes =
+                mById.values().stream()
+                        .anyMatch(t -> !t.leaving() && isLeaving.test(t.incarnation()));
+        if (!changes) {
+            return this;
+        }
+        return new TargetList(
+                mById.values().stream()
+                        .map(t -> isLeaving.test(t.incarnation()) ? t.asLeaving() : t)
+                        .toList());
+    }
+
     /** Returns the targets of a service that accept new requests. */
     public List<Target> usableTargets(String service) {
         return mUsableByService.getOrDefault(service, List.of());
--- a/src/main/java/org/heathercourse/gateway/Gateway.java
+++ b/src/main/java/org/heathercourse/gateway/Gateway.java
@@ -28,6 +28,7 @@
 import org.heathercourse.core.limits.WorkspaceRates;
 import org.heathercourse.core.model.Zone;
 import org.heathercourse.core.routing.RoutingTable;
+import org.heathercourse.core.target.Target;
 import org.heathercourse.core.target.TargetSelector;
 import org.heathercourse.core.time.SuspendAwareClock;
 import org.heathercourse.core.time.Ticker;
@@ -128,7 +129,13 @@
         mMemory = new MemoryBudget(settings.number(Setting.MAX_BUFFER_BYTES));
         CallMetrics callMetrics = new CallMetrics(mMetrics);
         mRates = new WorkspaceRates(mControl.rateFractions(), ticker);
-        mPools = new TargetPools(mTraffic, ticker, platform.callFormat(), callMetrics);
+        mPools =
+                new TargetPools(
+                        mTraffic,
+                        ticker,
+                        platform.callFormat(),
+                        callMetrics,
+                        target -> recordLeaving(target, callMetrics));
         Zone zone = settings.zone();
         mControl.start();
         CallDependencies services =
@@ -154,6 +161,13 @@
         mMetrics.registerAll(gauges());
     }
 
+    private void recordLeaving(Target target, CallMetrics metrics) {
+        if (mControl.clusterView().recordLeaving(target)) {
+            metrics.recordTargetLeaving();
+            LOG.info("target_leaving", "target", target.id(), "cause", "own_word");
+        }
+    }
+
     private static EventLoopGroup newEventLoopGroup(String name) {
         return new MultiThreadIoEventLoopGroup(
                 1, new DefaultThreadFactory(name, true), NioIoHandler.newFactory());
--- a/src/main/java/org/heathercourse/gateway/call/CallMetrics.java
+++ b/src/main/java/org/heathercourse/gateway/call/CallMetrics.java
@@ -19,6 +19,7 @@
     private final Meter mRetried;
     private final Meter mResumed;
     private final Meter mTargetCrashes;
+    private final Meter mTargetsLeaving;
     private final Meter mConnected;
     private final Meter mConnectFailed;
     private final Meter mSkippedResponses;
@@ -39,6 +40,7 @@
         mRetried = registry.meter("attempts_repeated");
         mResumed = registry.meter("streams_resumed");
         mTargetCrashes = registry.meter("attempts_ended_by_target_crash");
+        mTargetsLeaving = registry.meter("targets_leaving_by_own_word");
         mConnected = registry.meter("target_connections_opened");
         mConnectFailed = registry.meter("target_connections_failed");
         mSkippedResponses = registry.meter("target_answers_skipped");
@@ -75,6 +77,11 @@
         mTargetCrashes.mark();
     }
 
+    /** Counts a target that gets no new requests because it said itself that it leaves. */
+    public void recordTargetLeaving() {
+        mTargetsLeaving.mark();
+    }
+
     void recordResume() {
         mResumed.mark();
     }
--- a/src/main/java/org/heathercourse/gateway/control/ClusterView.java
+++ b/src/main/java/org/heathercourse/gateway/control/ClusterView.java
@@ -1,8 +1,13 @@
 package org.heathercourse.gateway.control;
 
+import java.util.Collections;
+import java.util.LinkedHashMap;
+import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import org.heathercourse.core.fleet.Fleet;
 import org.heathercourse.core.routing.RoutingTable;
+import org.heathercourse.core.target.Target;
 import org.heathercourse.core.target.TargetList;
 
 /**
@@ -10,6 +15,20 @@
  * threads. Safe for use by several threads; each value is immutable.
  */
 public final class ClusterView {
+    /** Maximum number of targets that are known to leave by their own word; the oldest one goes. */
+    private static final int MAX_LEAVING_TARGETS = 4_096;
+
+    /** Incarnations of targets that said themselves that they leave. */
+    private final Set<String> mLeaving =
+            Collections.newSetFromMap(
+                    new LinkedHashMap<>() {
+                        @Override
+                        protected boolean removeEldestEntry(Map.Entry<String, Boolean> eldest) {
+                            return size() > MAX_LEAVING_TARGETS;
+                        }
+                    });
+
+    private TargetList mListedTargets = TargetList.EMPTY;
     private volatile RoutingTable mRouting;
     private volatile TargetList mTargets = TargetList.EMPTY;
     private volatile Fleet mFleet = Fleet.UNKNOWN;
@@ -19,7 +38,10 @@
         return Optional.ofNullable(mRouting);
     }
 
-    /** Returns the registered targets; empty before the first read. */
+    /**
+     * Returns the registered targets; empty before the first read. A target that said itself that
+     * it leaves counts as leaving whatever its row says, as the row may be older, or out of reach.
+     */
     public TargetList targets() {
         return mTargets;
     }
@@ -33,8 +55,30 @@
         mRouting = routing;
     }
 
-    void setTargets(TargetList targets) {
-        mTargets = targets;
+    /**
+     * Sets the targets as read from their table.
+     *
+     * @return the targets as others see them
+     */
+    synchronized TargetList setTargets(TargetList targets) {
+        mListedTargets = targets;
+        mTargets = targets.withLeaving(mLeaving::contains);
+        return mTargets;
+    }
+
+    /**
+     * Records that a target said in a response that it leaves. It holds for this start of the
+     * target for good.
+     *
+     * @param target the target
+     * @return whether that is new
+     */
+    public synchronized boolean recordLeaving(Target target) {
+        if (!mLeaving.add(target.incarnation())) {
+            return false;
+        }
+        mTargets = mListedTargets.withLeaving(mLeaving::contains);
+        return true;
     }
 
     void setFleet(Fleet fleet) {
--- a/src/main/java/org/heathercourse/gateway/control/TargetFollower.java
+++ b/src/main/java/org/heathercourse/gateway/control/TargetFollower.java
@@ -111,8 +111,7 @@
 
     private void publish(String cause) {
         var before = mClusterView.targets();
-        var after = mTracker.list();
-        mClusterView.setTargets(after);
+        var after = mClusterView.setTargets(mTracker.list());
         for (Target target : after.all()) {
             if (after.isUsable(target) && !before.isUsable(target)) {
                 LOG.info(
--- a/src/main/java/org/heathercourse/gateway/target/TargetConnection.java
+++ b/src/main/java/org/heathercourse/gateway/target/TargetConnection.java
@@ -185,6 +185,10 @@
         }
         int status = response.status().code();
         AnswerFacts facts = mFormat.readAnswer(status, response.headers());
+        // It holds whichever request the response belongs to, unless another target sent it.
+        if (facts.leaving() && !facts.wrongTarget()) {
+            mPool.onLeaving();
+        }
         mSkippingResponse = belongsToOtherRequest(response, facts);
         if (mSkippingResponse) {
             mPool.onResponseSkipped();
--- a/src/main/java/org/heathercourse/gateway/target/TargetPool.java
+++ b/src/main/java/org/heathercourse/gateway/target/TargetPool.java
@@ -56,6 +56,7 @@
     private final Ticker mTicker;
     private final CallFormat mFormat;
     private final PoolEvents mEvents;
+    private final Consumer<Target> mOnLeaving;
     private final Deque<TargetConnection> mIdle = new ArrayDeque<>();
     private final List<Consumer<ProcessState>> mProcessCheckListeners = new ArrayList<>();
     private int mConnectionCount;
@@ -123,12 +124,29 @@
         }
     }
 
-    TargetPool(Target target, EventLoop loop, Ticker ticker, CallFormat format, PoolEvents events) {
+    /**
+     * Creates an empty pool.
+     *
+     * @param target the target
+     * @param loop event loop of the connections
+     * @param ticker monotonic clock
+     * @param format parses the platform's response headers
+     * @param events listener for events of the pool
+     * @param onLeaving called with each response in which the target says that it leaves
+     */
+    TargetPool(
+            Target target,
+            EventLoop loop,
+            Ticker ticker,
+            CallFormat format,
+            PoolEvents events,
+            Consumer<Target> onLeaving) {
         mTarget = target;
         mLoop = loop;
         mTicker = ticker;
         mFormat = format;
         mEvents = events;
+        mOnLeaving = onLeaving;
     }
 
     /** Returns the target. */
@@ -283,6 +301,12 @@
         mEvents.onResponseSkipped();
     }
 
+    /** Called when the target said in a response that it leaves. */
+    void onLeaving() {
+        mOnLeaving.accept(mTarget);
+        retire();
+    }
+
     /** Closes idle connections now and those in use after their responses. */
     void retire() {
         mRetired = true;
--- a/src/main/java/org/heathercourse/gateway/target/TargetPools.java
+++ b/src/main/java/org/heathercourse/gateway/target/TargetPools.java
@@ -3,6 +3,7 @@
 import io.netty.channel.EventLoop;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.function.Consumer;
 import org.heathercourse.core.target.Target;
 import org.heathercourse.core.target.TargetList;
 import org.heathercourse.core.time.Ticker;
@@ -14,6 +15,7 @@
     private final Ticker mTicker;
     private final CallFormat mFormat;
     private final TargetPool.PoolEvents mEvents;
+    private final Consumer<Target> mOnLeaving;
     private final Map<String, TargetPool> mPools = new HashMap<>();
 
     /**
@@ -23,13 +25,19 @@
      * @param ticker monotonic clock
      * @param format parses the platform's response headers
      * @param events listener for events of the pools
+     * @param onLeaving called with each response in which a target says that it leaves
      */
     public TargetPools(
-            EventLoop loop, Ticker ticker, CallFormat format, TargetPool.PoolEvents events) {
+            EventLoop loop,
+            Ticker ticker,
+            CallFormat format,
+            TargetPool.PoolEvents events,
+            Consumer<Target> onLeaving) {
         mLoop = loop;
         mTicker = ticker;
         mFormat = format;
         mEvents = events;
+        mOnLeaving = onLeaving;
     }
 
     /** Returns the pool of a target; a new incarnation of the target gets a new pool. */
@@ -39,7 +47,7 @@
             if (pool != null) {
                 pool.retire();
             }
-            pool = new TargetPool(target, mLoop, mTicker, mFormat, mEvents);
+            pool = new TargetPool(target, mLoop, mTicker, mFormat, mEvents, mOnLeaving);
             mPools.put(target.id(), pool);
         }
         return pool;
--- a/src/main/java/org/heathercourse/platform/entry/AnswerFacts.java
+++ b/src/main/java/org/heathercourse/platform/entry/AnswerFacts.java
@@ -7,6 +7,11 @@
  * @param hasSignature whether the response has the signature header of a target
  * @param notRun whether the target reports that it did not and will not run the request
  * @param wrongTarget whether the request reached a target other than the intended one
+ * @param leaving whether the target that sent the response says that it leaves
  */
 public record AnswerFacts(
-        String requestId, boolean hasSignature, boolean notRun, boolean wrongTarget) {}
+        String requestId,
+        boolean hasSignature,
+        boolean notRun,
+        boolean wrongTarget,
+        boolean leaving) {}
--- a/src/main/java/org/heathercourse/platform/hosted/HeaderFormat.java
+++ b/src/main/java/org/heathercourse/platform/hosted/HeaderFormat.java
@@ -75,6 +75,7 @@
                 headers.get(WireNames.REQUEST_ID),
                 headers.contains(WireNames.SIGNATURE),
                 wrongTarget || headers.contains(WireNames.NOT_RUN),
-                wrongTarget);
+                wrongTarget,
+                headers.contains(WireNames.LEAVING));
     }
 }
--- a/src/main/java/org/heathercourse/platform/hosted/WireNames.java
+++ b/src/main/java/org/heathercourse/platform/hosted/WireNames.java
@@ -50,6 +50,9 @@
     /** Only responses of targets have this header. */
     static final String SIGNATURE = "X-Heathercourse-Response-Signature";
 
+    /** A target that leaves has this header, with the value 1, in all its responses. */
+    static final String LEAVING = "Server-Leaving";
+
     static final String NOT_RUN = "X-Heathercourse-Not-Executed";
 
     // Paths
--- a/src/main/java/org/heathercourse/testing/hosted/TargetStandIn.java
+++ b/src/main/java/org/heathercourse/testing/hosted/TargetStandIn.java
@@ -87,6 +87,7 @@
     private final AtomicInteger mCancelledCount = new AtomicInteger();
     private volatile long mEventIntervalMillis;
     private volatile boolean mUnframed;
+    private volatile boolean mLeaving;
     private volatile String mCrashText;
     private volatile Runnable mOnRestart = () -> {};
     private volatile int mStarts = 1;
@@ -159,6 +160,15 @@
         mUnframed = unframed;
     }
 
+    /** Sets whether the target says in all its responses that it leaves. */
+    public void setLeaving(boolean leaving) {
+        mLeaving = leaving;
+    }
+
+    boolean isLeaving() {
+        return mLeaving;
+    }
+
     /**
      * Makes the target crash at each request whose body contains a text.
      *
--- a/src/main/java/org/heathercourse/testing/hosted/TargetStandInConnection.java
+++ b/src/main/java/org/heathercourse/testing/hosted/TargetStandInConnection.java
@@ -28,6 +28,7 @@
     private static final int EVENTS_BEFORE_BREAK = 2;
     private static final int FLOOD_REPETITIONS = 1_000;
     private static final int STALLED_EVENT_BYTES = 250_000;
+    private static final String LEAVING_HEADER = "Server-Leaving";
     private static final String SIGNATURE_HEADER = "X-Heathercourse-Response-Signature";
 
     /** Start of the head of a response to another request. */
@@ -199,6 +200,9 @@
                 .set(HttpHeaderNames.CONTENT_TYPE, HttpHeaderValues.TEXT_PLAIN)
                 .set(TargetStandIn.REQUEST_ID_HEADER, requestId(request))
                 .set("Keep-Alive", "timeout=10");
+        if (mTarget.isLeaving()) {
+            response.headers().set(LEAVING_HEADER, "1");
+        }
         if (signed) {
             response.headers().set(SIGNATURE_HEADER, "sig-" + requestId(request));
         }
@@ -252,6 +256,9 @@
     private DefaultHttpResponse head(FullHttpRequest request) {
         DefaultHttpResponse head =
                 new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.OK);
+        if (mTarget.isLeaving()) {
+            head.headers().set(LEAVING_HEADER, "1");
+        }
         head.headers()
                 .set(TargetStandIn.REQUEST_ID_HEADER, requestId(request))
                 .set(
--- a/src/test/java/org/heathercourse/gateway/target/TargetConnectionTest.java
+++ b/src/test/java/org/heathercourse/gateway/target/TargetConnectionTest.java
@@ -11,6 +11,8 @@
 import io.netty.handler.codec.http.HttpVersion;
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
 import org.heathercourse.core.model.Zone;
 import org.heathercourse.core.target.Target;
 import org.heathercourse.core.time.TestTime;
@@ -33,9 +35,15 @@
 
     private final TestTime mTime = new TestTime();
     private final EmbeddedChannel mChannel = new EmbeddedChannel();
+    private final List<Target> mLeaving = new ArrayList<>();
     private final TargetPool mPool =
             new TargetPool(
-                    TARGET, mChannel.eventLoop(), mTime.ticker(), new Format(), new NoEvents());
+                    TARGET,
+                    mChannel.eventLoop(),
+                    mTime.ticker(),
+                    new Format(),
+                    new NoEvents(),
+                    mLeaving::add);
     private final TargetConnection mConnection = new TargetConnection(mPool, new Format());
     private final Recorder mRecorder = new Recorder();
 
@@ -59,7 +67,12 @@
         @Override
         public AnswerFacts readAnswer(int status, HttpHeaders headers) {
             boolean notRun = headers.contains("Not-Run");
-            return new AnswerFacts(headers.get("Request-Id"), true, notRun, false);
+            return new AnswerFacts(
+                    headers.get("Request-Id"),
+                    true,
+                    notRun,
+                    status == 421,
+                    headers.contains("Leaving"));
         }
     }
 
@@ -242,4 +255,27 @@
         assertIncompleteIfCut(
                 "HTTP/1.1 204 No Content\r\nRequest-Id: r1\r\nX-Extra: value\r\n\r\n", end);
     }
+
+    // Targets that say that they leave
+
+    /** Guards against requests to a target that has said that it leaves, on idle connections. */
+    @Test
+    void connectionToTargetThatSaysItLeavesIsNotReused() {
+        send("r1");
+        receive("HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nLeaving: 1\r\nContent-Length: 0\r\n\r\n");
+        assertThat(mRecorder.mEnded).isTrue();
+        assertThat(mLeaving).containsExactly(TARGET);
+        assertThat(mConnection.isOpen()).isFalse();
+    }
+
+    /** Its word counts on any response, also to another request, but not from another target. */
+    @Test
+    void skippedResponseTellsThatTargetLeaves() {
+        send("r2");
+        receive("HTTP/1.1 421 No\r\nRequest-Id: r1\r\nLeaving: 1\r\nContent-Length: 0\r\n\r\n");
+        assertThat(mLeaving).isEmpty();
+        receive("HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nLeaving: 1\r\nContent-Length: 0\r\n\r\n");
+        assertThat(mLeaving).containsExactly(TARGET);
+        assertThat(mRecorder.mHead).isNull();
+    }
 }
