Follow a table of several pages from the version of its first page

Cause: TableFollower went on with the changes after the version of the last page, so that changes of rows of earlier pages in between were lost for good. At the aim of 890 engines each start reads two pages or more.

Change: changes are read after the version of the first page. Rows that a later page has in the same or a newer version are not applied again, so that none goes back; a removal always is.

Looked at for the same cause: MembershipLoop and the daemon's scans read all rows again each time and use no feed, so that nothing is lost between their pages for longer than one period (by reading, not by a run).

--- a/src/main/java/org/heathercourse/gateway/control/TableFollower.java
+++ b/src/main/java/org/heathercourse/gateway/control/TableFollower.java
@@ -1,7 +1,9 @@
 package org.heathercourse.gateway.control;
 
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.concurrent.CompletionException;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
@@ -9,6 +11,7 @@
 import org.heathercourse.core.time.SuspendAwareClock;
 import org.heathercourse.log.EventLog;
 import org.heathercourse.platform.rows.ChangesExpiredException;
+import org.heathercourse.platform.rows.RowKey;
 import org.heathercourse.platform.rows.RowPage;
 import org.heathercourse.platform.rows.RowStore;
 import org.heathercourse.platform.rows.StoredRow;
@@ -65,6 +68,11 @@
     private final Listener mListener;
     private boolean mLost;
 
+    /** Versions of the rows of the last snapshot until its changes were read; empty after that. */
+    private Map<RowKey, Long> mSnapshotVersions = Map.of();
+
+    private long mSnapshotEndVersion;
+
     /**
      * Creates a follower that has not started.
      *
@@ -94,36 +102,57 @@
     }
 
     void start() {
-        readSnapshot("", new ArrayList<>(), mTicker.now());
+        readPage("", new Snapshot(mTicker.now()));
     }
 
     // Snapshots
 
-    private void readSnapshot(
-            String fromKey, List<StoredRow> rows, SuspendAwareClock.Timestamp readStart) {
+    /** The pages of a snapshot that were read so far, each as of a version of its own. */
+    private static final class Snapshot {
+        private final SuspendAwareClock.Timestamp mReadStart;
+        private final List<StoredRow> mRows = new ArrayList<>();
+        private long mFirstVersion = Long.MAX_VALUE;
+
+        Snapshot(SuspendAwareClock.Timestamp readStart) {
+            mReadStart = readStart;
+        }
+
+        void add(RowPage page) {
+            mRows.addAll(page.rows());
+            mFirstVersion = Math.min(mFirstVersion, page.storeVersion());
+        }
+
+        /** Returns the versions of the rows by their keys. */
+        Map<RowKey, Long> versions() {
+            Map<RowKey, Long> versions = new HashMap<>();
+            mRows.forEach(row -> versions.put(row.key(), row.version()));
+            return versions;
+        }
+    }
+
+    private void readPage(String fromKey, Snapshot snapshot) {
         mStore.read(mTable, "", fromKey)
-                .whenCompleteAsync((page, error) -> onPage(rows, readStart, page, error), mControl);
+                .whenCompleteAsync((page, error) -> onPage(snapshot, page, error), mControl);
     }
 
-    private void onPage(
-            List<StoredRow> rows,
-            SuspendAwareClock.Timestamp readStart,
-            RowPage page,
-            Throwable error) {
+    private void onPage(Snapshot snapshot, RowPage page, Throwable error) {
         if (error != null) {
             recordFailure(error);
             mControl.schedule(this::start, RETRY_DELAY_MILLIS, TimeUnit.MILLISECONDS);
             return;
         }
-        rows.addAll(page.rows());
+        snapshot.add(page);
         if (page.hasMore() && !page.rows().isEmpty()) {
             // The smallest key after the last one read.
             String lastKey = page.rows().get(page.rows().size() - 1).key().key();
-            readSnapshot(lastKey + '\0', rows, readStart);
+            readPage(lastKey + '\0', snapshot);
             return;
         }
-        if (apply(readStart, () -> mListener.onSnapshot(rows))) {
-            readChanges(page.storeVersion());
+        if (apply(snapshot.mReadStart, () -> mListener.onSnapshot(snapshot.mRows))) {
+            // Rows of earlier pages may have changed before the last page was read.
+            mSnapshotVersions = snapshot.versions();
+            mSnapshotEndVersion = page.storeVersion();
+            readChanges(snapshot.mFirstVersion);
         } else {
             scheduleSnapshot();
         }
@@ -160,21 +189,44 @@
                     () -> readChanges(afterVersion), RETRY_DELAY_MILLIS, TimeUnit.MILLISECONDS);
             return;
         }
+        List<StoredRow> rows = newerThanSnapshot(page.rows());
         boolean applied =
                 apply(
                         readStart,
                         () -> {
-                            if (!page.rows().isEmpty()) {
-                                mListener.onChanges(page.rows());
+                            if (!rows.isEmpty()) {
+                                mListener.onChanges(rows);
                             }
                         });
         if (applied) {
+            if (page.storeVersion() >= mSnapshotEndVersion) {
+                mSnapshotVersions = Map.of();
+            }
             readChanges(Math.max(afterVersion, page.storeVersion()));
         } else {
             scheduleSnapshot();
         }
     }
 
+    /**
+     * Returns the rows without those that a later page of the snapshot has in the same or a newer
+     * version.
+     */
+    private List<StoredRow> newerThanSnapshot(List<StoredRow> rows) {
+        return mSnapshotVersions.isEmpty()
+                ? rows
+                : rows.stream().filter(this::isNewerThanSnapshot).toList();
+    }
+
+    private boolean isNewerThanSnapshot(StoredRow row) {
+        if (!row.exists()) {
+            // The version of the removal is unknown; the row may have been written again since.
+            mSnapshotVersions.remove(row.key());
+            return true;
+        }
+        return row.version() > mSnapshotVersions.getOrDefault(row.key(), StoredRow.ABSENT);
+    }
+
     // Outcome of reads
 
     private void recordFailure(Throwable error) {
