Take over changed settings, the stop's grace among them, while a gateway runs

Cause: SIGHUP took over the log level only; all other settings were those of the start.

Change: the file is read whole. The stop's grace, the key withdrawal time, the address keep time and the log level take effect; each other changed setting is named in a warning as one that needs a restart; a file that does not parse changes nothing and is reported. The file is also read when a planned stop begins, as it may change without a signal, and a signal that comes before the gateway exists is remembered.

--- a/src/main/java/org/heathercourse/daemon/settings/Setting.java
+++ b/src/main/java/org/heathercourse/daemon/settings/Setting.java
@@ -97,6 +97,17 @@
         return ENVIRONMENT_PREFIX + name();
     }
 
+    /**
+     * Returns whether a running gateway takes over a changed value when it reads its settings
+     * again; otherwise the change needs a restart. The daemon does not read its settings again.
+     */
+    public boolean isReloadable() {
+        return switch (this) {
+            case KEY_WITHDRAWAL_MS, STOP_GRACE_SECONDS, ADDRESS_KEEP_SECONDS, LOG_LEVEL -> true;
+            default -> false;
+        };
+    }
+
     /** Returns whether an executable has this setting. */
     public boolean belongsTo(Program program) {
         return mPrograms.contains(program);
--- a/src/main/java/org/heathercourse/daemon/settings/Settings.java
+++ b/src/main/java/org/heathercourse/daemon/settings/Settings.java
@@ -198,6 +198,37 @@
         }
     }
 
+    /**
+     * Returns these settings with the values of newer ones that a running process takes over.
+     *
+     * @param newer settings that were read later
+     */
+    public Settings reloadFrom(Settings newer) {
+        Map<Setting, String> values = new EnumMap<>(mValues);
+        newer.mValues.forEach(
+                (setting, value) -> {
+                    if (setting.isReloadable()) {
+                        values.put(setting, value);
+                    }
+                });
+        return new Settings(values);
+    }
+
+    /**
+     * Returns the settings whose values differ.
+     *
+     * @param other settings of the same executable
+     */
+    public Set<Setting> differencesFrom(Settings other) {
+        Set<Setting> different = EnumSet.noneOf(Setting.class);
+        for (Setting setting : mValues.keySet()) {
+            if (!mValues.get(setting).equals(other.mValues.get(setting))) {
+                different.add(setting);
+            }
+        }
+        return different;
+    }
+
     /** Returns the value of a setting as text. */
     public String text(Setting setting) {
         return mValues.get(setting);
--- a/src/main/java/org/heathercourse/gateway/Gateway.java
+++ b/src/main/java/org/heathercourse/gateway/Gateway.java
@@ -73,7 +73,7 @@
     private static final int UNAVAILABLE = 503;
     private static final EventLog LOG = EventLog.of(Gateway.class);
 
-    private final Settings mSettings;
+    private volatile Settings mSettings;
     private final EntryFormat mEntryFormat;
     private final EventLoopGroup mControlGroup = newEventLoopGroup("control");
     private final EventLoopGroup mTrafficGroup = newEventLoopGroup("traffic");
@@ -91,7 +91,6 @@
     /** Confined to the traffic loop. */
     private final RandomGenerator mTrafficRandom;
 
-    private final long mMaxConfigurationAgeMillis;
     private final Ticker mTicker;
     private volatile DrainSchedule mDrainSchedule = DrainSchedule.NOT_LEAVING;
 
@@ -114,8 +113,6 @@
         mTicker = ticker;
         mEntryFormat = platform.entryFormat();
         mTrafficRandom = new SplittableRandom(random.nextLong());
-        mMaxConfigurationAgeMillis =
-                (long) settings.decimal(Setting.KEY_WITHDRAWAL_MS) - KEY_WITHDRAWAL_MARGIN_MILLIS;
         mControl =
                 new ControlPlane(
                         describeSelf(settings, clock),
@@ -145,7 +142,7 @@
                         zone,
                         mControl.clusterView(),
                         mControl.configurationAge(),
-                        mMaxConfigurationAgeMillis,
+                        this::maxConfigurationAgeMillis,
                         platform.callFormat(),
                         mRates,
                         mControl.rateService(),
@@ -161,6 +158,35 @@
         mMetrics.registerAll(gauges());
     }
 
+    private long maxConfigurationAgeMillis() {
+        return (long) mSettings.decimal(Setting.KEY_WITHDRAWAL_MS) - KEY_WITHDRAWAL_MARGIN_MILLIS;
+    }
+
+    /**
+     * Takes over the values of settings that can change while the gateway runs; a planned stop that
+     * has begun keeps its times. Logs each change, also of those that need a restart.
+     *
+     * @param newer settings that were read later
+     */
+    public void reload(Settings newer) {
+        Settings before = mSettings;
+        Settings after = before.reloadFrom(newer);
+        for (Setting setting : before.differencesFrom(after)) {
+            LOG.info(
+                    "setting_changed",
+                    "setting",
+                    setting.environmentVariable(),
+                    "from",
+                    before.text(setting),
+                    "to",
+                    after.text(setting));
+        }
+        for (Setting setting : after.differencesFrom(newer)) {
+            LOG.warn("setting_needs_restart", "setting", setting.environmentVariable());
+        }
+        mSettings = after;
+    }
+
     private void recordLeaving(Target target, CallMetrics metrics) {
         if (mControl.clusterView().recordLeaving(target)) {
             metrics.recordTargetLeaving();
@@ -271,7 +297,7 @@
     private boolean isReady() {
         return !mDrainSchedule.isLeaving()
                 && mControl.state() == MemberState.READY
-                && mControl.configurationAge().isYoungerThan(mMaxConfigurationAgeMillis);
+                && mControl.configurationAge().isYoungerThan(maxConfigurationAgeMillis());
     }
 
     private Response respondReadiness(String uri) {
@@ -293,7 +319,7 @@
                                 .fleet()
                                 .recommendedAddresses(zone, MAX_ADDRESSES, mTrafficRandom));
         if (addresses.isEmpty()
-                || !mControl.configurationAge().isYoungerThan(mMaxConfigurationAgeMillis)) {
+                || !mControl.configurationAge().isYoungerThan(maxConfigurationAgeMillis())) {
             return Response.empty(UNAVAILABLE);
         }
         long keepSeconds = (long) mSettings.decimal(Setting.ADDRESS_KEEP_SECONDS);
--- a/src/main/java/org/heathercourse/gateway/GatewayMain.java
+++ b/src/main/java/org/heathercourse/gateway/GatewayMain.java
@@ -5,6 +5,7 @@
 import java.time.Clock;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.atomic.AtomicBoolean;
 import org.heathercourse.core.error.HeathercourseException;
 import org.heathercourse.core.time.Ticker;
 import org.heathercourse.daemon.settings.Program;
@@ -59,13 +60,14 @@
                 .orElseGet(() -> Either.right(settings));
     }
 
-    /** Reloads the settings; only the log level can change while the process runs. */
-    private static void reloadLogLevel(String[] arguments) {
+    /** Reads the settings again; if one of them is invalid, none changes. */
+    private static void reloadSettings(Gateway gateway, String[] arguments) {
         Either<List<SettingProblem>, Settings> settings = readSettings(arguments);
         if (settings.isLeft()) {
             settings.getLeft().forEach(p -> LOG.warn("settings_not_reloaded", "problem", p.line()));
         } else {
             LogSetup.setLevel(settings.get().logLevel());
+            gateway.reload(settings.get());
             LOG.info("settings_reloaded");
         }
     }
@@ -76,7 +78,10 @@
         Ticker ticker = Ticker.system();
         CompletableFuture<Long> stopMillis = new CompletableFuture<>();
         SignalHandler onStop = signal -> stopMillis.complete(ticker.readMillis());
-        Signal.handle(new Signal("HUP"), signal -> reloadLogLevel(arguments));
+        // Before the gateway exists the signal is only remembered; without a handler it would end
+        // the process.
+        AtomicBoolean changedEarly = new AtomicBoolean();
+        Signal.handle(new Signal("HUP"), signal -> changedEarly.set(true));
         Signal.handle(new Signal("TERM"), onStop);
         Signal.handle(new Signal("INT"), onStop);
         try {
@@ -87,8 +92,15 @@
                             ticker,
                             Clock.systemUTC(),
                             new SecureRandom());
+            Signal.handle(new Signal("HUP"), signal -> reloadSettings(gateway, arguments));
+            if (changedEarly.get()) {
+                reloadSettings(gateway, arguments);
+            }
             gateway.start();
-            new GatewayDrain(gateway, ticker).run(stopMillis.join());
+            long signalMillis = stopMillis.join();
+            // The grace period may have changed without a signal.
+            reloadSettings(gateway, arguments);
+            new GatewayDrain(gateway, ticker).run(signalMillis);
             System.exit(0);
         } catch (HeathercourseException e) {
             System.err.println("error: " + e.getMessage() + "; " + e.remedy());
--- a/src/main/java/org/heathercourse/gateway/call/Admission.java
+++ b/src/main/java/org/heathercourse/gateway/call/Admission.java
@@ -49,7 +49,7 @@
         boolean isFresh =
                 dependencies
                         .configurationAge()
-                        .isYoungerThan(dependencies.maxConfigurationAgeMillis());
+                        .isYoungerThan(dependencies.maxConfigurationAgeMillis().getAsLong());
         Optional<Route> route = routing.route(request.headers().get("Host"), request.uri());
         if (route.isEmpty()) {
             return Either.left(isFresh ? unknownRoute(request) : staleConfiguration());
--- a/src/main/java/org/heathercourse/gateway/call/CallDependencies.java
+++ b/src/main/java/org/heathercourse/gateway/call/CallDependencies.java
@@ -2,6 +2,7 @@
 
 import io.netty.channel.EventLoop;
 import java.util.concurrent.CompletableFuture;
+import java.util.function.LongSupplier;
 import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
 import org.heathercourse.core.drain.DrainSchedule;
@@ -49,7 +50,7 @@
         Zone zone,
         ClusterView clusterView,
         ReadFreshness configurationAge,
-        long maxConfigurationAgeMillis,
+        LongSupplier maxConfigurationAgeMillis,
         CallFormat format,
         WorkspaceRates rates,
         CompletableFuture<RateService> rateService,
--- a/src/test/java/org/heathercourse/gateway/http/CallerServerDrainTest.java
+++ b/src/test/java/org/heathercourse/gateway/http/CallerServerDrainTest.java
@@ -57,7 +57,7 @@
                 new ClusterView(),
                 new ReadFreshness(
                         new SuspendAwareClock(mTicker, Clock.fixed(Instant.EPOCH, ZoneOffset.UTC))),
-                0,
+                () -> 0,
                 platform.callFormat(),
                 null,
                 null,
