Reword comments that a newcomer would misread; name a setting in a test

The comment on the longest id said that a stream with a longer one ends there; it goes on, and only cannot be resumed after that event. One test named a limit that never falls, two constants referred to the one above them, and BoundedMemoryTest wrote out the variable of a setting that has a constant. No code of the product changed but for comments, and no check.

--- a/src/main/java/org/heathercourse/core/stream/EventSplitter.java
+++ b/src/main/java/org/heathercourse/core/stream/EventSplitter.java
@@ -17,7 +17,8 @@
     public static final int MAX_EVENT_BYTES = 256 * 1024;
 
     /**
-     * Maximum size of an id in bytes, with its field name; a stream with longer ones ends there.
+     * Maximum size of an id in bytes, with its field name. An event with a longer one counts as one
+     * without an id, so that its stream cannot be resumed after it.
      */
     private static final int MAX_ID_LINE_BYTES = 4 * 1024;
 
--- a/src/main/java/org/heathercourse/gateway/http/CallerConnection.java
+++ b/src/main/java/org/heathercourse/gateway/http/CallerConnection.java
@@ -46,7 +46,7 @@
     /** Number of HTTP messages queued behind a running call from which on no more are read. */
     private static final int MAX_PENDING_MESSAGES = 64;
 
-    /** The same for the bytes of their bodies. */
+    /** Size in bytes of the bodies queued behind a running call from which on no more is read. */
     private static final int MAX_PENDING_BYTES = 64 * 1024;
 
     /**
@@ -56,8 +56,8 @@
     private static final long LINGER_MILLIS = 1_000;
 
     /**
-     * The same for a caller that still sends the body of a refused request, and may read the
-     * response only after that. The body is discarded.
+     * Maximum time in milliseconds between a refusal and the close of the connection. The caller
+     * may still send the body, and read the refusal only after that; the body is discarded.
      */
     private static final long BODY_LINGER_MILLIS = 4_000;
 
--- a/src/test/java/org/heathercourse/core/limits/MemoryBudgetTest.java
+++ b/src/test/java/org/heathercourse/core/limits/MemoryBudgetTest.java
@@ -50,7 +50,9 @@
         assertThat(mBudget.peakBytes()).isEqualTo(3 * LARGE_BYTES);
     }
 
-    /** A reservation above the limit, such as one made before it fell, must be able to shrink. */
+    /**
+     * Guards against a reservation that cannot shrink because others use the rest of the budget.
+     */
     @Test
     void shrinksWhileOthersUseTheBudget() {
         MemoryBudget.Reservation reservation = mBudget.reserveNothing();
--- a/src/test/java/org/heathercourse/testing/hosted/BoundedMemoryTest.java
+++ b/src/test/java/org/heathercourse/testing/hosted/BoundedMemoryTest.java
@@ -42,6 +42,7 @@
     /** Short in CI; 20,000 by hand, with {@code -DboundedMemory.burstMillis=20000}. */
     private static final long BURST_MILLIS = Long.getLong("boundedMemory.burstMillis", 5_000);
 
+    /** Longer than a connection stays open after an ordinary last response. */
     private static final long UPLOAD_MILLIS = 1_500;
 
     /** Time in which other callers are answered, as the users ask for it. */
@@ -73,7 +74,7 @@
                 Map.of(
                         Setting.LOG_LEVEL.environmentVariable(),
                         "warn",
-                        "HEATHERCOURSE_MAX_BUFFER_BYTES",
+                        Setting.MAX_BUFFER_BYTES.environmentVariable(),
                         Integer.toString(MAX_BUFFER_BYTES));
         mDeployment.addGatewayProcess("vm-1", command, variables, mOutput.toFile());
         mSettings = mDeployment.lastSettings();
