Daemon: use each buffer of the caller port once, so that callers never share one

Cause: the embedded HTTP server can free the buffer of a malformed request twice, and its pool then hands it to two connections. A load of malformed requests beside valid ones showed it: a valid GET was answered with 400 because it was read from foreign bytes; without a pool the same load logs "already released" in HttpConnection.releaseRequestBuffer, three times in some 420,000 malformed requests (trial).

Change: the connector gets a source of buffers that are never used again, on the heap. A second release then changes nothing.

The cost of buffers without a pool was not measured.

--- a/src/main/java/org/heathercourse/daemon/http/JettySetup.java
+++ b/src/main/java/org/heathercourse/daemon/http/JettySetup.java
@@ -2,6 +2,8 @@
 
 import io.javalin.compression.CompressionStrategy;
 import io.javalin.config.JavalinConfig;
+import org.eclipse.jetty.io.ByteBufferPool;
+import org.eclipse.jetty.server.ConnectionFactory;
 import org.eclipse.jetty.server.Connector;
 import org.eclipse.jetty.server.HttpConfiguration;
 import org.eclipse.jetty.server.HttpConnectionFactory;
@@ -18,6 +20,15 @@
     // A request body that arrives more slowly would occupy a thread for too long.
     private static final long MIN_BYTES_PER_SECOND = 256;
 
+    /**
+     * Buffers of connections, each used once. The server may free the buffer of a malformed request
+     * twice; with a pool, two connections would then share it and receive each other's bytes.
+     */
+    private static final ByteBufferPool BUFFERS = ByteBufferPool.NON_POOLING;
+
+    /** Lets the server choose the number of threads that accept or read connections. */
+    private static final int DEFAULT_THREAD_COUNT = -1;
+
     private JettySetup() {}
 
     /**
@@ -45,21 +56,34 @@
         http.setRequestHeaderSize(MAX_HEADER_BYTES);
         http.setSendServerVersion(false);
         http.setMinRequestDataRate(MIN_BYTES_PER_SECOND);
-        HttpConnectionFactory plain = new HttpConnectionFactory(http);
+        // Without a pool, direct buffers would cost an allocation outside the heap each.
+        http.setUseInputDirectByteBuffers(false);
+        http.setUseOutputDirectByteBuffers(false);
         ServerConnector connector =
-                settings.isTlsEnabled()
-                        ? new ServerConnector(
-                                server,
-                                new SslConnectionFactory(
-                                        createSslContext(settings), plain.getProtocol()),
-                                plain)
-                        : new ServerConnector(server, plain);
+                new ServerConnector(
+                        server,
+                        null,
+                        null,
+                        BUFFERS,
+                        DEFAULT_THREAD_COUNT,
+                        DEFAULT_THREAD_COUNT,
+                        createProtocols(new HttpConnectionFactory(http), settings));
         connector.setHost(settings.host());
         connector.setPort(settings.port());
         connector.setIdleTimeout(settings.idleTimeoutMillis());
         return connector;
     }
 
+    private static ConnectionFactory[] createProtocols(
+            HttpConnectionFactory plain, HttpSettings settings) {
+        if (!settings.isTlsEnabled()) {
+            return new ConnectionFactory[] {plain};
+        }
+        return new ConnectionFactory[] {
+            new SslConnectionFactory(createSslContext(settings), plain.getProtocol()), plain
+        };
+    }
+
     private static SslContextFactory.Server createSslContext(HttpSettings settings) {
         SslContextFactory.Server factory = new SslContextFactory.Server();
         factory.setKeyStore(PemKeys.load(settings.certificatePath(), settings.privateKeyPath()));
--- a/src/test/java/org/heathercourse/gateway/GatewayFixture.java
+++ b/src/test/java/org/heathercourse/gateway/GatewayFixture.java
@@ -3,6 +3,7 @@
 import static org.awaitility.Awaitility.await;
 
 import java.io.IOException;
+import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.List;
 import org.heathercourse.daemon.settings.Setting;
@@ -75,6 +76,10 @@
         engines().forEach(engine -> engine.enqueueFaults(faults));
     }
 
+    InetSocketAddress callerAddress() {
+        return mSettings.endpoint(Setting.CALLER_ADDRESS);
+    }
+
     /** Returns the identity of the last request. */
     String lastRequestId() {
         return "r" + mRequestCount;
