Apply changed limits to open connections, and the head's limit to the request line

A request line between 8 KB and max_header_bytes got 400.

Cause: a connection took the limits when it was opened, and the decoder had a limit of its own for the line.

Change: limits are read for each request head. The decoder, whose limits cannot change, stops at 64 KB (or the configured limit, if larger); the configured limit is checked when a head was read. An idle connection that reaches its old idle timeout stays open if the configuration in force allows it. A line that is too long is answered with 431, like headers.

The stand-ins of targets accept longer heads.

--- a/src/main/java/org/heathercourse/gateway/http/CallerConnection.java
+++ b/src/main/java/org/heathercourse/gateway/http/CallerConnection.java
@@ -20,10 +20,12 @@
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.handler.codec.http.TooLongHttpHeaderException;
+import io.netty.handler.codec.http.TooLongHttpLineException;
 import io.netty.handler.timeout.IdleStateEvent;
 import io.netty.util.ReferenceCountUtil;
 import java.io.IOException;
 import java.util.ArrayDeque;
+import java.util.Map;
 import java.util.Queue;
 import java.util.concurrent.TimeUnit;
 import org.heathercourse.core.error.ErrorKind;
@@ -64,7 +66,10 @@
     private static final EventLog LOG = EventLog.of(CallerConnection.class);
 
     private final CallerServer mServer;
-    private final CallerLimits mLimits;
+
+    /** Limits for the request that is being read; those of an idle connection may be outdated. */
+    private CallerLimits mLimits;
+
     private final Queue<Object> mPendingMessages = new ArrayDeque<>();
     private int mPendingBytes;
     private ChannelHandlerContext mContext;
@@ -80,6 +85,12 @@
     private boolean mBodyEndsWithConnection;
     private boolean mIsHeadRequest;
 
+    /**
+     * Creates a connection.
+     *
+     * @param server server of the connection
+     * @param limits limits that were in force when the connection was opened
+     */
     CallerConnection(CallerServer server, CallerLimits limits) {
         mServer = server;
         mLimits = limits;
@@ -140,6 +151,7 @@
 
     private void onHead(HttpRequest head) {
         mServer.onHeadRead(this);
+        updateLimits();
         mHead = head;
         mDiscardBody = false;
         mKeepAlive = HttpUtil.isKeepAlive(head);
@@ -147,6 +159,8 @@
         mSupportsChunked = head.protocolVersion().isKeepAliveDefault();
         if (head.decoderResult().isFailure()) {
             rejectMalformed(head.decoderResult().cause());
+        } else if (isTooLong(head)) {
+            rejectTooLongHead();
         } else if (hasAmbiguousLength(head)) {
             rejectAndClose(
                     ErrorResponse.of(
@@ -164,6 +178,26 @@
         }
     }
 
+    /** Takes over limits that have changed since the last request. */
+    private void updateLimits() {
+        CallerLimits limits = mServer.limits();
+        boolean changesIdleTimeout = limits.idleTimeoutMillis() != mLimits.idleTimeoutMillis();
+        mLimits = limits;
+        if (changesIdleTimeout) {
+            mServer.restartIdleTimeout(mContext.pipeline());
+        }
+    }
+
+    /** Returns whether the request line or the headers exceed the limit of the configuration. */
+    private boolean isTooLong(HttpRequest head) {
+        int maxBytes = mLimits.maxHeaderBytes();
+        int headerBytes = 0;
+        for (Map.Entry<String, String> header : head.headers()) {
+            headerBytes += header.getKey().length() + header.getValue().length();
+        }
+        return head.uri().length() > maxBytes || headerBytes > maxBytes;
+    }
+
     /**
      * Returns whether the headers give more than one body length, which would permit request
      * smuggling.
@@ -175,17 +209,28 @@
     }
 
     private void rejectMalformed(Throwable cause) {
-        ErrorKind kind =
-                cause instanceof TooLongHttpHeaderException
-                        ? ErrorKind.HEADERS_TOO_LARGE
-                        : ErrorKind.BAD_REQUEST;
+        if (cause instanceof TooLongHttpHeaderException
+                || cause instanceof TooLongHttpLineException) {
+            rejectTooLongHead();
+            return;
+        }
         rejectAndClose(
                 ErrorResponse.of(
-                        kind,
+                        ErrorKind.BAD_REQUEST,
                         "the request is malformed: " + cause.getMessage(),
                         "send a valid HTTP/1.1 request"));
     }
 
+    private void rejectTooLongHead() {
+        rejectAndClose(
+                ErrorResponse.of(
+                        ErrorKind.HEADERS_TOO_LARGE,
+                        "the request line or the headers exceed the maximum of "
+                                + mLimits.maxHeaderBytes()
+                                + " bytes",
+                        "send a shorter path or shorter headers"));
+    }
+
     private void rejectTooLarge() {
         rejectAndClose(
                 ErrorResponse.of(
@@ -372,7 +417,16 @@
     @Override
     public void userEventTriggered(ChannelHandlerContext context, Object event) {
         if (event instanceof IdleStateEvent && mCall == null) {
-            context.close();
+            onIdle();
+        }
+    }
+
+    /** Closes the connection, unless a later configuration allows a longer idle time. */
+    private void onIdle() {
+        long idleMillis = mLimits.idleTimeoutMillis();
+        updateLimits();
+        if (mLimits.idleTimeoutMillis() <= idleMillis) {
+            mContext.close();
         }
     }
 
--- a/src/main/java/org/heathercourse/gateway/http/CallerServer.java
+++ b/src/main/java/org/heathercourse/gateway/http/CallerServer.java
@@ -23,7 +23,14 @@
  */
 public final class CallerServer {
     private static final String HEADER_TIMEOUT_HANDLER = "head-timer";
-    private static final int MAX_LINE_BYTES = 8 * 1024;
+    private static final String IDLE_TIMEOUT_HANDLER = "idle-timer";
+
+    /**
+     * Size in bytes of a request line, and of the headers, at which a decoder stops reading. The
+     * limits of the configuration may change while a connection is open and those of its decoder
+     * cannot, so that the former are checked when a head was read.
+     */
+    private static final int MIN_DECODER_LIMIT_BYTES = 64 * 1024;
 
     private final CallDependencies mCallDependencies;
     private final Set<CallerConnection> mConnections = new HashSet<>();
@@ -56,25 +63,39 @@
 
     /** Sets up the pipeline of a caller's connection. */
     void initialize(Channel channel) {
-        CallerLimits limits =
-                mCallDependencies
-                        .clusterView()
-                        .routing()
-                        .map(RoutingTable::limits)
-                        .orElse(CallerLimits.DEFAULTS);
+        CallerLimits limits = limits();
+        int decoderLimitBytes = Math.max(MIN_DECODER_LIMIT_BYTES, limits.maxHeaderBytes());
         HttpDecoderConfig decoder =
                 new HttpDecoderConfig()
-                        .setMaxInitialLineLength(MAX_LINE_BYTES)
-                        .setMaxHeaderSize(limits.maxHeaderBytes());
+                        .setMaxInitialLineLength(decoderLimitBytes)
+                        .setMaxHeaderSize(decoderLimitBytes);
         ChannelPipeline pipeline = channel.pipeline();
         pipeline.addLast(
-                HEADER_TIMEOUT_HANDLER, new HeaderTimeoutHandler(limits.headerTimeoutMillis()));
+                HEADER_TIMEOUT_HANDLER,
+                new HeaderTimeoutHandler(() -> limits().headerTimeoutMillis()));
         pipeline.addLast(new HttpServerCodec(decoder));
-        pipeline.addLast(
-                new IdleStateHandler(0, 0, limits.idleTimeoutMillis(), TimeUnit.MILLISECONDS));
+        pipeline.addLast(IDLE_TIMEOUT_HANDLER, idleTimeoutHandler(limits));
         pipeline.addLast(new CallerConnection(this, limits));
     }
 
+    private static IdleStateHandler idleTimeoutHandler(CallerLimits limits) {
+        return new IdleStateHandler(0, 0, limits.idleTimeoutMillis(), TimeUnit.MILLISECONDS);
+    }
+
+    /** Restarts the idle timeout of a connection with the value that is in force now. */
+    void restartIdleTimeout(ChannelPipeline pipeline) {
+        pipeline.replace(IDLE_TIMEOUT_HANDLER, IDLE_TIMEOUT_HANDLER, idleTimeoutHandler(limits()));
+    }
+
+    /** Returns the limits of the configuration that is in force now. */
+    CallerLimits limits() {
+        return mCallDependencies
+                .clusterView()
+                .routing()
+                .map(RoutingTable::limits)
+                .orElse(CallerLimits.DEFAULTS);
+    }
+
     CallDependencies callDependencies() {
         return mCallDependencies;
     }
--- a/src/main/java/org/heathercourse/gateway/http/HeaderTimeoutHandler.java
+++ b/src/main/java/org/heathercourse/gateway/http/HeaderTimeoutHandler.java
@@ -4,6 +4,7 @@
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.function.LongSupplier;
 
 /**
  * Closes a connection if the head of a request does not arrive in time, so that slow senders do not
@@ -11,11 +12,17 @@
  * and ends of requests. Confined to the traffic loop.
  */
 final class HeaderTimeoutHandler extends ChannelInboundHandlerAdapter {
-    private final long mTimeoutMillis;
+    private final LongSupplier mTimeoutMillis;
     private ScheduledFuture<?> mTimeout;
     private boolean mAwaitingFirstByte = true;
 
-    HeaderTimeoutHandler(long timeoutMillis) {
+    /**
+     * Creates a handler.
+     *
+     * @param timeoutMillis returns the maximum time in milliseconds from the first byte of a head
+     *     to its end; asked for each head, as the configuration may change
+     */
+    HeaderTimeoutHandler(LongSupplier timeoutMillis) {
         mTimeoutMillis = timeoutMillis;
     }
 
@@ -25,7 +32,10 @@
             mAwaitingFirstByte = false;
             mTimeout =
                     context.executor()
-                            .schedule(() -> context.close(), mTimeoutMillis, TimeUnit.MILLISECONDS);
+                            .schedule(
+                                    () -> context.close(),
+                                    mTimeoutMillis.getAsLong(),
+                                    TimeUnit.MILLISECONDS);
         }
         context.fireChannelRead(message);
     }
--- a/src/main/java/org/heathercourse/testing/hosted/HostedDeployment.java
+++ b/src/main/java/org/heathercourse/testing/hosted/HostedDeployment.java
@@ -12,6 +12,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.ServiceLoader;
+import org.heathercourse.core.routing.CallerLimits;
 import org.heathercourse.core.time.Ticker;
 import org.heathercourse.daemon.settings.Program;
 import org.heathercourse.daemon.settings.Setting;
@@ -32,7 +33,10 @@
     /** Initial key of the workspace. */
     public static final String KEY = "key-1";
 
+    private static final int MAX_HEADER_BYTES = 8_192;
     private static final int MAX_BODY_BYTES = 65_536;
+    private static final long HEADER_TIMEOUT_MILLIS = 1_000;
+    private static final long IDLE_TIMEOUT_MILLIS = 5_000;
     private static final String ZONE = "zone-a";
     private static final String LOOPBACK_HOST = "127.0.0.1";
 
@@ -74,6 +78,24 @@
      * @param maxBodyBytes maximum size of the body of a request, in bytes
      */
     void configure(String key, int ratePerSecond, int maxBodyBytes) {
+        configure(
+                key,
+                ratePerSecond,
+                new CallerLimits(
+                        MAX_HEADER_BYTES,
+                        maxBodyBytes,
+                        HEADER_TIMEOUT_MILLIS,
+                        IDLE_TIMEOUT_MILLIS));
+    }
+
+    /**
+     * Writes a new version of the configuration.
+     *
+     * @param key key of the workspace
+     * @param ratePerSecond its rate and burst, in requests per second
+     * @param limits limits for the requests of callers
+     */
+    public void configure(String key, int ratePerSecond, CallerLimits limits) {
         mStore.configure(
                 String.format(
                         "{\"version\":%d,\"routes\":["
@@ -92,11 +114,18 @@
                                 + "\"services\":[{\"name\":\"engines\",\"connection_limit\":64,"
                                 + "\"engine\":{\"stride\":10}},"
                                 + "{\"name\":\"office\",\"connection_limit\":64}],"
-                                + "\"limits\":{\"max_header_bytes\":8192,\"max_body_bytes\":%5$d,"
-                                + "\"header_timeout_ms\":1000,\"idle_timeout_ms\":5000},"
+                                + "\"limits\":{\"max_header_bytes\":%5$d,\"max_body_bytes\":%6$d,"
+                                + "\"header_timeout_ms\":%7$d,\"idle_timeout_ms\":%8$d},"
                                 + "\"tenants\":[{\"name\":\"mill\",\"api_keys\":[\"%3$s\"],"
                                 + "\"requests_per_s\":%4$d,\"burst\":%4$d}]}",
-                        ++mVersion, HOST, key, ratePerSecond, maxBodyBytes));
+                        ++mVersion,
+                        HOST,
+                        key,
+                        ratePerSecond,
+                        limits.maxHeaderBytes(),
+                        limits.maxBodyBytes(),
+                        limits.headerTimeoutMillis(),
+                        limits.idleTimeoutMillis()));
     }
 
     /**
--- a/src/main/java/org/heathercourse/testing/hosted/StandInServer.java
+++ b/src/main/java/org/heathercourse/testing/hosted/StandInServer.java
@@ -10,6 +10,7 @@
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpObjectAggregator;
 import io.netty.handler.codec.http.HttpServerCodec;
 import io.netty.util.concurrent.DefaultThreadFactory;
@@ -24,6 +25,12 @@
  * construction until {@link #close()}. Thread-safe.
  */
 final class StandInServer implements AutoCloseable {
+    private static final int MAX_HEAD_BYTES = 64 * 1024;
+    private static final HttpDecoderConfig DECODER =
+            new HttpDecoderConfig()
+                    .setMaxInitialLineLength(MAX_HEAD_BYTES)
+                    .setMaxHeaderSize(MAX_HEAD_BYTES);
+
     private static final int MAX_REQUEST_BYTES = 8 * 1024 * 1024;
 
     private final EventLoopGroup mGroup;
@@ -49,7 +56,7 @@
                                         channel.closeFuture()
                                                 .addListener(done -> mConnections.remove(channel));
                                         channel.pipeline()
-                                                .addLast(new HttpServerCodec())
+                                                .addLast(new HttpServerCodec(DECODER))
                                                 .addLast(
                                                         new HttpObjectAggregator(MAX_REQUEST_BYTES))
                                                 .addLast(handler.get());
