Keep the budget of a program whose id is too long for a row key

Cause: the id is a part of the row's key, which the store rejects; eviction stopped at the first program with a pending store call.

Eviction passes over programs with a pending call.

Other row keys come from the settings or the configuration, not from callers.

--- a/src/main/java/org/heathercourse/gateway/control/BudgetLedger.java
+++ b/src/main/java/org/heathercourse/gateway/control/BudgetLedger.java
@@ -94,7 +94,7 @@
         Account(String program) {
             mProgram = program;
             int part = (int) (Rendezvous.unitHash(program) * TABLE_PARTS);
-            mKey = new RowKey(TABLE, Integer.toString(part), program);
+            mKey = RowKey.ofText(TABLE, Integer.toString(part), program);
         }
     }
 
@@ -159,14 +159,20 @@
         var leastRecentlyUsed = mAccounts.values().iterator();
         while (leastRecentlyUsed.hasNext()) {
             Account account = leastRecentlyUsed.next();
-            if (nowMillis - account.mLastUsedMillis < IDLE_EVICTION_MILLIS
-                    || account.mStoreCallPending) {
+            if (nowMillis - account.mLastUsedMillis < IDLE_EVICTION_MILLIS) {
                 return;
             }
-            leastRecentlyUsed.remove();
+            if (!account.mStoreCallPending) {
+                leastRecentlyUsed.remove();
+            }
         }
     }
 
+    /** Returns the number of programs in memory. */
+    int programCount() {
+        return mAccounts.size();
+    }
+
     // Waiting turns
 
     private void serveWaiting(Account account) {
--- a/src/main/java/org/heathercourse/platform/rows/RowKey.java
+++ b/src/main/java/org/heathercourse/platform/rows/RowKey.java
@@ -1,5 +1,10 @@
 package org.heathercourse.platform.rows;
 
+import java.nio.charset.StandardCharsets;
+import java.security.MessageDigest;
+import java.security.NoSuchAlgorithmException;
+import java.util.HexFormat;
+
 /**
  * Key of a row in the store.
  *
@@ -7,4 +12,32 @@
  * @param part part of the table; a transaction can only write rows of one part; may be empty
  * @param key key within the part
  */
-public record RowKey(String table, String part, String key) {}
+public record RowKey(String table, String part, String key) {
+    /** Maximum size in bytes of each of the three texts, as the store accepts them. */
+    public static final int MAX_TEXT_BYTES = 200;
+
+    private static final String DIGEST_PREFIX = "sha256:";
+
+    /**
+     * Returns the key of a row that is named by a text from outside, of any length. A digest stands
+     * for a text that is too long; it cannot be the text of another row whose texts contain a
+     * slash.
+     *
+     * @param table name of the table
+     * @param part part of the table
+     * @param text text that contains a slash
+     */
+    public static RowKey ofText(String table, String part, String text) {
+        byte[] bytes = text.getBytes(StandardCharsets.UTF_8);
+        return new RowKey(table, part, bytes.length <= MAX_TEXT_BYTES ? text : digest(bytes));
+    }
+
+    private static String digest(byte[] bytes) {
+        try {
+            byte[] digest = MessageDigest.getInstance("SHA-256").digest(bytes);
+            return DIGEST_PREFIX + HexFormat.of().formatHex(digest);
+        } catch (NoSuchAlgorithmException e) {
+            throw new IllegalStateException("every Java platform has SHA-256", e);
+        }
+    }
+}
--- a/src/test/java/org/heathercourse/gateway/control/BudgetLedgerTest.java
+++ b/src/test/java/org/heathercourse/gateway/control/BudgetLedgerTest.java
@@ -2,6 +2,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Deque;
@@ -39,8 +40,12 @@
     }
 
     private BudgetOutcome reserve(BudgetLedger ledger) {
+        return reserve(ledger, "w/p", MAX_TURN_TOKENS);
+    }
+
+    private BudgetOutcome reserve(BudgetLedger ledger, String program, long needTokens) {
         CompletableFuture<BudgetLedger.Grant> grant =
-                ledger.reserve("w/p", LIMIT_TOKENS, MAX_TURN_TOKENS);
+                ledger.reserve(program, LIMIT_TOKENS, needTokens);
         for (int i = 0; i < 200 && !grant.isDone(); i++) {
             mExecutor.advance(20);
         }
@@ -91,6 +96,9 @@
         @Override
         public CompletableFuture<RowCommit> commit(RowTransaction transaction) {
             mCommitCount++;
+            if (transaction.writes().stream().anyMatch(write -> isTooLong(write.key()))) {
+                return outcomeUnknown();
+            }
             if (mUnresponsive) {
                 return new CompletableFuture<>();
             }
@@ -125,6 +133,10 @@
             }
         }
 
+        private static boolean isTooLong(RowKey key) {
+            return key.key().getBytes(StandardCharsets.UTF_8).length > RowKey.MAX_TEXT_BYTES;
+        }
+
         private static <T> CompletableFuture<T> unavailable() {
             return CompletableFuture.failedFuture(StoreException.unavailable("down", null));
         }
@@ -254,6 +266,30 @@
         assertThat(takenTokens()).as("the other gateway's turn").isEqualTo(MAX_TURN_TOKENS);
     }
 
+    /** Guards against a program whose row the store rejects, and which is tried for ever. */
+    @Test
+    void programWithLongIdHasRowOfItsOwn() {
+        String prefix = "w/" + "x".repeat(RowKey.MAX_TEXT_BYTES);
+        BudgetLedger ledger = createLedger();
+        assertThat(reserve(ledger, prefix + "1", LIMIT_TOKENS)).isEqualTo(BudgetOutcome.GRANTED);
+        assertThat(reserve(ledger, prefix + "2", LIMIT_TOKENS)).isEqualTo(BudgetOutcome.GRANTED);
+        assertThat(reserve(createLedger(), prefix + "1", LIMIT_TOKENS))
+                .isEqualTo(BudgetOutcome.EXHAUSTED);
+    }
+
+    /** Guards against programs that stay in memory because the store does not reply for one. */
+    @Test
+    void evictsProgramsBehindOneWithPendingStoreCall() {
+        BudgetLedger ledger = createLedger();
+        mStore.mUnresponsive = true;
+        ledger.reserve("w/pending", LIMIT_TOKENS, MAX_TURN_TOKENS);
+        mStore.mUnresponsive = false;
+        ledger.reserve("w/idle", LIMIT_TOKENS, MAX_TURN_TOKENS);
+        mExecutor.advance(BudgetLedger.IDLE_EVICTION_MILLIS + 1);
+        ledger.reserve("w/new", LIMIT_TOKENS, MAX_TURN_TOKENS);
+        assertThat(ledger.programCount()).isEqualTo(2);
+    }
+
     @Test
     void writeWithLostReplyCountsOnce() {
         BudgetLedger ledger = createLedger();
