Send a read over a new connection when the one to the store went silent

Cause: a read that had timed out was relayed to a peer, whose connections were silent as well, and waited a second time. The other idle connections of the channel stayed in use, so that the next requests waited too.

Change: a timeout closes the idle connections. A read whose connection was lost or silent goes out directly, over a new connection, and through a peer at the same time; the first reply counts. Writes are not sent twice, as before.

--- a/src/main/java/org/heathercourse/gateway/store/DirectChannel.java
+++ b/src/main/java/org/heathercourse/gateway/store/DirectChannel.java
@@ -23,6 +23,7 @@
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
 import java.util.Deque;
+import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import org.heathercourse.platform.StoreException;
@@ -113,6 +114,15 @@
                         });
     }
 
+    /**
+     * Closes the idle connections after a timeout. What made one connection silent, such as a
+     * change of the network, has often made all of them silent that were open at that time.
+     */
+    private void closeIdle() {
+        List.copyOf(mIdle).forEach(Connection::close);
+        mIdle.clear();
+    }
+
     /** One request and its reply. */
     private final class Exchange {
         private final Request mRequest;
@@ -137,6 +147,7 @@
                             : StoreException.outcomeUnknown(message, null));
             if (mConnection != null) {
                 mConnection.close();
+                closeIdle();
             }
         }
 
--- a/src/main/java/org/heathercourse/gateway/store/RelayingChannel.java
+++ b/src/main/java/org/heathercourse/gateway/store/RelayingChannel.java
@@ -12,9 +12,10 @@
  *
  * <p>After a direct request has failed and a peer has relayed it, all requests go through peers.
  * Every {@link #PROBE_PERIOD_MILLIS} a copy of a read with a short timeout probes the direct
- * channel; the first success ends the relaying. If the peers fail too, they are not used for {@link
- * #PEER_BACKOFF_MILLIS}, because the store is then probably down for all gateways. Safe for use by
- * several threads.
+ * channel; the first success ends the relaying. A read whose connection was lost or went silent is
+ * also sent directly once more, over a new connection. If the peers fail too, they are not used for
+ * {@link #PEER_BACKOFF_MILLIS}, because the store is then probably down for all gateways. Safe for
+ * use by several threads.
  */
 public final class RelayingChannel implements StoreChannel {
     /** Minimum time in milliseconds between two probes of the direct channel. */
@@ -81,6 +82,9 @@
                     if (!fallBackToPeer) {
                         return sendDirectly(request, timeoutMillis);
                     }
+                    if (isOutcomeUnknown(error)) {
+                        return sendOverNewConnections(request, timeoutMillis);
+                    }
                     return canUsePeers()
                             ? sendViaPeer(request, timeoutMillis)
                                     .whenComplete((reply, failure) -> onPeerFallback(failure))
@@ -88,6 +92,48 @@
                 });
     }
 
+    /**
+     * Sends a read once more after its connection was lost or went silent: directly, and at the
+     * same time through a peer, whose own connection may be silent too. The first reply counts.
+     */
+    private CompletableFuture<Reply> sendOverNewConnections(Request request, long timeoutMillis) {
+        CompletableFuture<Reply> direct = sendDirectly(request, timeoutMillis);
+        if (!canUsePeers()) {
+            return direct;
+        }
+        CompletableFuture<Reply> viaPeer =
+                sendViaPeer(request, timeoutMillis)
+                        .whenComplete(
+                                (reply, failure) -> {
+                                    if (!hasSucceeded(direct)) {
+                                        onPeerFallback(failure);
+                                    }
+                                });
+        return firstSuccess(direct, viaPeer);
+    }
+
+    private static boolean hasSucceeded(CompletableFuture<?> future) {
+        return future.isDone() && !future.isCompletedExceptionally();
+    }
+
+    /** Completes with the first success, or with the failure of the first if both fail. */
+    private static CompletableFuture<Reply> firstSuccess(
+            CompletableFuture<Reply> first, CompletableFuture<Reply> second) {
+        CompletableFuture<Reply> result = new CompletableFuture<>();
+        first.thenAccept(result::complete);
+        second.thenAccept(result::complete);
+        first.exceptionally(
+                error -> {
+                    second.exceptionally(
+                            ignored -> {
+                                result.completeExceptionally(error);
+                                return null;
+                            });
+                    return null;
+                });
+        return result;
+    }
+
     private boolean canUsePeers() {
         return mPeerChannel != null && mTicker.readMillis() >= mPeerBackoffUntilMillis;
     }
@@ -149,8 +195,11 @@
 
     /** Returns whether the failed request can be sent again without taking effect twice. */
     private static boolean isSafeToResend(Request request, Throwable error) {
+        return request.method().equals("GET") || !isOutcomeUnknown(error);
+    }
+
+    private static boolean isOutcomeUnknown(Throwable error) {
         Throwable cause = error instanceof CompletionException e ? e.getCause() : error;
-        return request.method().equals("GET")
-                || cause instanceof StoreException e && !e.outcomeUnknown();
+        return !(cause instanceof StoreException e) || e.outcomeUnknown();
     }
 }
--- a/src/main/java/org/heathercourse/testing/hosted/StoreStandIn.java
+++ b/src/main/java/org/heathercourse/testing/hosted/StoreStandIn.java
@@ -52,6 +52,10 @@
     private final MemoryRows mRows;
     private final StandInServer mServer;
     private final AtomicInteger mRequestCount = new AtomicInteger();
+
+    /** Increases each time the open connections go silent. */
+    private volatile int mGeneration;
+
     private volatile Mode mMode = Mode.SERVES;
 
     /** Opens a store without rows on a free port. */
@@ -114,12 +118,22 @@
         mServer.close();
     }
 
+    /** Stops replying on the connections that are open now; later ones work. */
+    public void silenceOpenConnections() {
+        mGeneration++;
+    }
+
     /** Handles one connection of a gateway. Confined to its event loop. */
     private final class Handler extends SimpleChannelInboundHandler<FullHttpRequest> {
+        private final int mOpenedInGeneration = mGeneration;
+
         @Override
         protected void channelRead0(ChannelHandlerContext context, FullHttpRequest request)
                 throws IOException {
             mRequestCount.incrementAndGet();
+            if (mOpenedInGeneration != mGeneration) {
+                return;
+            }
             QueryStringDecoder uri = new QueryStringDecoder(request.uri());
             boolean write = uri.path().equals("/api/rows-tx");
             switch (mMode) {
--- a/src/test/java/org/heathercourse/gateway/store/RelayingChannelTest.java
+++ b/src/test/java/org/heathercourse/gateway/store/RelayingChannelTest.java
@@ -75,6 +75,33 @@
         assertThat(sendSucceeds(READ)).isTrue();
     }
 
+    /**
+     * Guards against a read that waits twice, because the connections of the peer that relays it
+     * are as silent as the one that it was sent over.
+     */
+    @Test
+    void readIsSentOverNewConnectionWhilePeerIsSilent() {
+        CompletableFuture<StoreChannel.Reply> lost = new CompletableFuture<>();
+        mDirectReply = lost;
+        mPeerReply = new CompletableFuture<>();
+        CompletableFuture<StoreChannel.Reply> reply = mChannel.send(READ, TIMEOUT_MILLIS);
+        mDirectReply = ok();
+        lost.completeExceptionally(StoreException.outcomeUnknown("no reply", null));
+        assertThat(reply).isCompleted();
+        assertThat(mPeerCalls).isEqualTo(1);
+        assertThat(mChannel.usesPeers()).isFalse();
+    }
+
+    @Test
+    void readFailsOnceNewConnectionAndPeerHaveFailed() {
+        mDirectReply = outcomeUnknown();
+        mPeerReply = new CompletableFuture<>();
+        CompletableFuture<StoreChannel.Reply> reply = mChannel.send(READ, TIMEOUT_MILLIS);
+        assertThat(reply).isNotDone();
+        mPeerReply.completeExceptionally(StoreException.unavailable("refused", null));
+        assertThat(reply).isCompletedExceptionally();
+    }
+
     @Test
     void treatsConflictsAndLostHistoryAsReplies() {
         mDirectReply = replyWithStatus(412);
