Remove the budget rows of programs that have ended from the store

What operators would see (the review, by reading): rows of the table "budget" are never removed, so that the table grows with each program.

Cause: nobody reports the end of a program, and no row was ever removed.

Change: the leader visits each part of the table once an hour and removes the rows that were not written since its visit before, on the condition that they still have their version.

--- a/src/main/java/org/heathercourse/gateway/control/BudgetLedger.java
+++ b/src/main/java/org/heathercourse/gateway/control/BudgetLedger.java
@@ -55,7 +55,7 @@
      */
     private static final long MAX_ROW_AGE_MILLIS = 500;
 
-    private static final String TABLE = "budget";
+    static final String TABLE = "budget";
     private static final EventLog LOG = EventLog.of(BudgetLedger.class);
 
     private final RowStore mStore;
--- a/src/main/java/org/heathercourse/gateway/control/ControlPlane.java
+++ b/src/main/java/org/heathercourse/gateway/control/ControlPlane.java
@@ -161,6 +161,7 @@
                                 return;
                             }
                             mMembers.start();
+                            new BudgetSweeper(mStore, mControl, this::isLeader).start();
                             mControl.scheduleWithFixedDelay(
                                     budgets::returnUnownedTokens,
                                     TOKEN_RETURN_PERIOD_MILLIS,
@@ -173,6 +174,13 @@
                         });
     }
 
+    private boolean isLeader() {
+        return mClusterView.fleet().leaderOrder().stream()
+                .findFirst()
+                .filter(leader -> leader.vm().equals(mSelf.vm()))
+                .isPresent();
+    }
+
     /** Returns the latest configuration, targets and gateways. */
     public ClusterView clusterView() {
         return mClusterView;
