Bound the sum of the bytes of heads that have not arrived completely

What callers would see: 600 callers that each send 50 KB of a head and stop fill a small heap; short requests of others got no answer.

Cause: a decoder keeps an unfinished head, up to its limit, on each connection.

Change: the handlers before the codecs count what was read since the head began. Unfinished heads may use the budget up to half of it; a caller's connection is closed beyond that without having read a request, and a target's response fails. MemoryBudget gives them reservations of their own. HeaderTimeoutHandler is now UnfinishedHeadHandler, InputEndHandler is InputObserver.

--- a/src/main/java/org/heathercourse/core/limits/MemoryBudget.java
+++ b/src/main/java/org/heathercourse/core/limits/MemoryBudget.java
@@ -15,8 +15,12 @@
     /** Fraction of the budget that larger reservations may use. */
     private static final double LARGE_FRACTION = 0.75;
 
+    /** Fraction of the budget that may be in use when the unfinished head of a message grows. */
+    private static final double HEAD_FRACTION = 0.5;
+
     private final long mLimitBytes;
     private final long mLargeLimitBytes;
+    private final long mHeadLimitBytes;
     private long mUsedBytes;
     private long mPeakBytes;
     private long mRefusedCount;
@@ -29,11 +33,21 @@
     public MemoryBudget(long limitBytes) {
         mLimitBytes = limitBytes;
         mLargeLimitBytes = (long) (limitBytes * LARGE_FRACTION);
+        mHeadLimitBytes = (long) (limitBytes * HEAD_FRACTION);
     }
 
     /** Returns a reservation of no bytes. */
     public Reservation reserveNothing() {
-        return new Reservation();
+        return new Reservation(mLimitBytes, mLargeLimitBytes);
+    }
+
+    /**
+     * Returns a reservation of no bytes for the unfinished head of a message. Nothing runs for such
+     * a message yet, and a sound peer sends its head at once, so that heads get no more than what
+     * requests under way leave of a half of the budget.
+     */
+    public Reservation reserveHead() {
+        return new Reservation(mHeadLimitBytes, mHeadLimitBytes);
     }
 
     /** Returns the sum of all reservations in bytes. */
@@ -53,9 +67,20 @@
 
     /** Bytes that one connection or call keeps. Must be released when it ends. Not thread-safe. */
     public final class Reservation {
+        private final long mSmallBoundBytes;
+        private final long mLargeBoundBytes;
         private long mBytes;
 
-        private Reservation() {}
+        /**
+         * Creates a reservation of no bytes.
+         *
+         * @param smallBoundBytes bytes that may be in use when the reservation is small
+         * @param largeBoundBytes bytes that may be in use when the reservation is larger
+         */
+        private Reservation(long smallBoundBytes, long largeBoundBytes) {
+            mSmallBoundBytes = smallBoundBytes;
+            mLargeBoundBytes = largeBoundBytes;
+        }
 
         /**
          * Changes the reservation.
@@ -65,8 +90,8 @@
          */
         public boolean resize(long bytes) {
             long used = mUsedBytes - mBytes + bytes;
-            long limit = bytes <= MAX_SMALL_BYTES ? mLimitBytes : mLargeLimitBytes;
-            if (bytes > mBytes && used > limit) {
+            long boundBytes = bytes <= MAX_SMALL_BYTES ? mSmallBoundBytes : mLargeBoundBytes;
+            if (bytes > mBytes && used > boundBytes) {
                 mRefusedCount++;
                 return false;
             }
--- a/src/main/java/org/heathercourse/gateway/Gateway.java
+++ b/src/main/java/org/heathercourse/gateway/Gateway.java
@@ -132,6 +132,7 @@
                         ticker,
                         platform.callFormat(),
                         callMetrics,
+                        mMemory,
                         target -> recordLeaving(target, callMetrics));
         Zone zone = settings.zone();
         mControl.start();
--- a/src/main/java/org/heathercourse/gateway/http/CallerConnection.java
+++ b/src/main/java/org/heathercourse/gateway/http/CallerConnection.java
@@ -314,8 +314,8 @@
         }
     }
 
-    HeaderTimeoutHandler headerTimeoutHandler(String name) {
-        return (HeaderTimeoutHandler) mContext.pipeline().get(name);
+    UnfinishedHeadHandler unfinishedHeadHandler(String name) {
+        return (UnfinishedHeadHandler) mContext.pipeline().get(name);
     }
 
     // Responses
--- a/src/main/java/org/heathercourse/gateway/http/CallerServer.java
+++ b/src/main/java/org/heathercourse/gateway/http/CallerServer.java
@@ -22,7 +22,7 @@
  * confined to the traffic loop.
  */
 public final class CallerServer {
-    private static final String HEADER_TIMEOUT_HANDLER = "head-timer";
+    private static final String HEAD_HANDLER = "unfinished-head";
     private static final String IDLE_TIMEOUT_HANDLER = "idle-timer";
 
     /**
@@ -71,8 +71,9 @@
                         .setMaxHeaderSize(decoderLimitBytes);
         ChannelPipeline pipeline = channel.pipeline();
         pipeline.addLast(
-                HEADER_TIMEOUT_HANDLER,
-                new HeaderTimeoutHandler(() -> limits().headerTimeoutMillis()));
+                HEAD_HANDLER,
+                new UnfinishedHeadHandler(
+                        () -> limits().headerTimeoutMillis(), mCallDependencies.memory()));
         pipeline.addLast(new HttpServerCodec(decoder));
         pipeline.addLast(IDLE_TIMEOUT_HANDLER, idleTimeoutHandler(limits));
         pipeline.addLast(new CallerConnection(this, limits));
@@ -112,7 +113,7 @@
     }
 
     void onHeadRead(CallerConnection connection) {
-        connection.headerTimeoutHandler(HEADER_TIMEOUT_HANDLER).onHeadRead();
+        connection.unfinishedHeadHandler(HEAD_HANDLER).onHeadRead();
     }
 
     void onCallStarted() {
@@ -121,7 +122,7 @@
 
     void onCallEnded(CallerConnection connection) {
         mActiveCalls--;
-        connection.headerTimeoutHandler(HEADER_TIMEOUT_HANDLER).onRequestEnded();
+        connection.unfinishedHeadHandler(HEAD_HANDLER).onRequestEnded();
     }
 
     /** Closes the connection if the server is stopping and the connection is not busy. */
--- /dev/null
+++ b/src/main/java/org/heathercourse/gateway/target/InputObserver.java
@@ -0,0 +1,37 @@
+package org.heathercourse.gateway.target;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.socket.ChannelInputShutdownEvent;
+
+/**
+ * Tells a connection what cannot be seen behind the codec.
+ *
+ * <p>First, how many bytes were read, because the codec keeps those of an unfinished head. Second,
+ * that the target has ended its output in order, as opposed to a connection that was reset or that
+ * this process has closed: the codec reports the end of a body that ends with its connection in
+ * each of these cases. The channel must allow half-closure; otherwise there is no such event.
+ */
+final class InputObserver extends ChannelInboundHandlerAdapter {
+    private final TargetConnection mConnection;
+
+    InputObserver(TargetConnection connection) {
+        mConnection = connection;
+    }
+
+    @Override
+    public void channelRead(ChannelHandlerContext context, Object message) {
+        int bytes = message instanceof ByteBuf buffer ? buffer.readableBytes() : 0;
+        context.fireChannelRead(message);
+        mConnection.onBytesRead(bytes);
+    }
+
+    @Override
+    public void userEventTriggered(ChannelHandlerContext context, Object event) {
+        if (event instanceof ChannelInputShutdownEvent) {
+            mConnection.onInputEnded();
+        }
+        context.fireUserEventTriggered(event);
+    }
+}
--- a/src/main/java/org/heathercourse/gateway/target/TargetConnection.java
+++ b/src/main/java/org/heathercourse/gateway/target/TargetConnection.java
@@ -19,6 +19,7 @@
 import java.util.Set;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
+import org.heathercourse.core.limits.MemoryBudget;
 import org.heathercourse.platform.entry.AnswerFacts;
 import org.heathercourse.platform.entry.CallFormat;
 
@@ -51,6 +52,7 @@
     private final TargetPool mPool;
     private final CallFormat mFormat;
     private final Set<String> mRefusedRequestIds = new HashSet<>();
+    private final MemoryBudget.Reservation mHeadMemory;
     private ChannelHandlerContext mContext;
     private ChannelFuture mWriteFuture;
     private ResponseListener mListener;
@@ -60,6 +62,7 @@
     private HttpMethod mRequestMethod;
     private boolean mSkippingResponse;
     private boolean mHeadDelivered;
+    private int mUnfinishedHeadBytes;
     private boolean mSkippingInformational;
     private int mSkippedResponses;
     private long mSkippedBytes;
@@ -70,9 +73,17 @@
     private long mIdleSinceMillis;
     private long mKeepAliveMillis = TargetPool.DEFAULT_KEEP_ALIVE_MILLIS;
 
-    TargetConnection(TargetPool pool, CallFormat format) {
+    /**
+     * Creates a connection that is not open yet.
+     *
+     * @param pool pool of the connection
+     * @param format parses the platform's response headers
+     * @param memory budget of the process
+     */
+    TargetConnection(TargetPool pool, CallFormat format, MemoryBudget memory) {
         mPool = pool;
         mFormat = format;
+        mHeadMemory = memory.reserveHead();
     }
 
     @Override
@@ -120,6 +131,7 @@
         mSkippingResponse = false;
         mSkippedResponses = 0;
         mSkippedBytes = 0;
+        mUnfinishedHeadBytes = 0;
         mReusable = false;
         mWriteFuture = mContext.writeAndFlush(request);
     }
@@ -148,6 +160,7 @@
     void close() {
         if (!mClosed) {
             mClosed = true;
+            mHeadMemory.release();
             mContext.close();
             mPool.onClosed(this);
         }
@@ -173,7 +186,30 @@
         }
     }
 
+    /**
+     * Called when bytes of the target were read, after what they complete was handled. They are
+     * kept if they belong to a head that is not finished.
+     *
+     * @param bytes number of bytes
+     */
+    void onBytesRead(int bytes) {
+        boolean isAwaitingHead =
+                mListener != null
+                        && !mHeadDelivered
+                        && !mSkippingInformational
+                        && !mSkippingResponse;
+        if (!isAwaitingHead) {
+            return;
+        }
+        mUnfinishedHeadBytes += bytes;
+        if (!mHeadMemory.resize(mUnfinishedHeadBytes)) {
+            fail("there is no memory left for the rest of the response head");
+        }
+    }
+
     private void onHead(HttpResponse response) {
+        mUnfinishedHeadBytes = 0;
+        mHeadMemory.release();
         if (response.decoderResult().isFailure()) {
             failInHead(response.decoderResult().cause());
             return;
--- a/src/main/java/org/heathercourse/gateway/target/TargetPool.java
+++ b/src/main/java/org/heathercourse/gateway/target/TargetPool.java
@@ -17,6 +17,7 @@
 import java.util.List;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import org.heathercourse.core.limits.MemoryBudget;
 import org.heathercourse.core.target.Target;
 import org.heathercourse.core.target.TargetLoad;
 import org.heathercourse.core.time.Ticker;
@@ -56,6 +57,7 @@
     private final Ticker mTicker;
     private final CallFormat mFormat;
     private final PoolEvents mEvents;
+    private final MemoryBudget mMemory;
     private final Consumer<Target> mOnLeaving;
     private final Deque<TargetConnection> mIdle = new ArrayDeque<>();
     private final List<Consumer<ProcessState>> mProcessCheckListeners = new ArrayList<>();
@@ -132,6 +134,7 @@
      * @param ticker monotonic clock
      * @param format parses the platform's response headers
      * @param events listener for events of the pool
+     * @param memory budget for the heads of responses
      * @param onLeaving called with each response in which the target says that it leaves
      */
     TargetPool(
@@ -140,12 +143,14 @@
             Ticker ticker,
             CallFormat format,
             PoolEvents events,
+            MemoryBudget memory,
             Consumer<Target> onLeaving) {
         mTarget = target;
         mLoop = loop;
         mTicker = ticker;
         mFormat = format;
         mEvents = events;
+        mMemory = memory;
         mOnLeaving = onLeaving;
     }
 
@@ -205,7 +210,7 @@
 
     private void connect(AcquireListener listener) {
         mConnectionCount++;
-        TargetConnection connection = new TargetConnection(this, mFormat);
+        TargetConnection connection = new TargetConnection(this, mFormat, mMemory);
         new Bootstrap()
                 .group(mLoop)
                 .channel(NioSocketChannel.class)
@@ -238,7 +243,7 @@
     }
 
     static void addHandlers(ChannelPipeline pipeline, TargetConnection connection) {
-        pipeline.addLast(new InputEndHandler(connection))
+        pipeline.addLast(new InputObserver(connection))
                 .addLast(new HttpClientCodec(MAX_LINE_BYTES, MAX_HEADER_BYTES, MAX_CHUNK_BYTES))
                 .addLast(connection);
     }
--- a/src/main/java/org/heathercourse/gateway/target/TargetPools.java
+++ b/src/main/java/org/heathercourse/gateway/target/TargetPools.java
@@ -4,6 +4,7 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.function.Consumer;
+import org.heathercourse.core.limits.MemoryBudget;
 import org.heathercourse.core.target.Target;
 import org.heathercourse.core.target.TargetList;
 import org.heathercourse.core.time.Ticker;
@@ -15,6 +16,7 @@
     private final Ticker mTicker;
     private final CallFormat mFormat;
     private final TargetPool.PoolEvents mEvents;
+    private final MemoryBudget mMemory;
     private final Consumer<Target> mOnLeaving;
     private final Map<String, TargetPool> mPools = new HashMap<>();
 
@@ -25,6 +27,7 @@
      * @param ticker monotonic clock
      * @param format parses the platform's response headers
      * @param events listener for events of the pools
+     * @param memory budget for the heads of responses
      * @param onLeaving called with each response in which a target says that it leaves
      */
     public TargetPools(
@@ -32,11 +35,13 @@
             Ticker ticker,
             CallFormat format,
             TargetPool.PoolEvents events,
+            MemoryBudget memory,
             Consumer<Target> onLeaving) {
         mLoop = loop;
         mTicker = ticker;
         mFormat = format;
         mEvents = events;
+        mMemory = memory;
         mOnLeaving = onLeaving;
     }
 
@@ -47,7 +52,7 @@
             if (pool != null) {
                 pool.retire();
             }
-            pool = new TargetPool(target, mLoop, mTicker, mFormat, mEvents, mOnLeaving);
+            pool = new TargetPool(target, mLoop, mTicker, mFormat, mEvents, mMemory, mOnLeaving);
             mPools.put(target.id(), pool);
         }
         return pool;
--- a/src/test/java/org/heathercourse/core/limits/MemoryBudgetTest.java
+++ b/src/test/java/org/heathercourse/core/limits/MemoryBudgetTest.java
@@ -30,6 +30,17 @@
         assertThat(mBudget.refusedCount()).isEqualTo(2);
     }
 
+    /** Guards against requests that find no memory because of connections that send no request. */
+    @Test
+    void headsGetNoMoreThanHalf() {
+        int heads = 0;
+        while (mBudget.reserveHead().resize(SMALL_BYTES)) {
+            heads++;
+        }
+        assertThat(heads * SMALL_BYTES).isEqualTo(LIMIT_BYTES / 2);
+        assertThat(reserve(LARGE_BYTES)).isTrue();
+    }
+
     @Test
     void refusedGrowthChangesNothing() {
         MemoryBudget.Reservation reservation = mBudget.reserveNothing();
--- a/src/test/java/org/heathercourse/gateway/target/TargetConnectionTest.java
+++ b/src/test/java/org/heathercourse/gateway/target/TargetConnectionTest.java
@@ -13,6 +13,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
+import org.heathercourse.core.limits.MemoryBudget;
 import org.heathercourse.core.model.Zone;
 import org.heathercourse.core.target.Target;
 import org.heathercourse.core.time.TestTime;
@@ -29,6 +30,7 @@
  * requests that are taken for the response to the current one.
  */
 class TargetConnectionTest {
+    private static final long MAX_BUFFER_BYTES = 20_000;
     private static final String UNFRAMED = "HTTP/1.1 200 OK\r\nRequest-Id: r1\r\n\r\n";
     private static final Target TARGET =
             new Target("t1", 1, "s", "127.0.0.1", 80, new Zone("z"), 1, false);
@@ -36,6 +38,7 @@
     private final TestTime mTime = new TestTime();
     private final EmbeddedChannel mChannel = new EmbeddedChannel();
     private final List<Target> mLeaving = new ArrayList<>();
+    private final MemoryBudget mMemory = new MemoryBudget(MAX_BUFFER_BYTES);
     private final TargetPool mPool =
             new TargetPool(
                     TARGET,
@@ -43,8 +46,9 @@
                     mTime.ticker(),
                     new Format(),
                     new NoEvents(),
+                    mMemory,
                     mLeaving::add);
-    private final TargetConnection mConnection = new TargetConnection(mPool, new Format());
+    private final TargetConnection mConnection = new TargetConnection(mPool, new Format(), mMemory);
     private final Recorder mRecorder = new Recorder();
 
     /** Reads the facts of responses from short headers. */
@@ -116,7 +120,7 @@
     }
 
     private void send(String requestId) {
-        if (mChannel.pipeline().get(InputEndHandler.class) == null) {
+        if (mChannel.pipeline().get(InputObserver.class) == null) {
             TargetPool.addHandlers(mChannel.pipeline(), mConnection);
         }
         DefaultFullHttpRequest request =
@@ -187,6 +191,32 @@
         }
     }
 
+    /** Guards against heads without end of many connections, each within its limit. */
+    @Test
+    void unfinishedHeadsAreBoundedByMemory() {
+        send("r1");
+        receive("HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nX-Long: ");
+        String part = "h".repeat(4_000);
+        receive(part);
+        assertThat(mMemory.usedBytes()).isGreaterThan(part.length());
+        receive(part);
+        assertThat(mRecorder.mFailure).isNull();
+        receive(part);
+        assertThat(mRecorder.mFailure).isEqualTo(ResponseFailure.INVALID_RESPONSE);
+        assertThat(mMemory.usedBytes()).isZero();
+    }
+
+    @Test
+    void memoryOfHeadIsReleasedAtItsEnd() {
+        send("r1");
+        receive("HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nContent-Length: 2\r\n");
+        assertThat(mMemory.usedBytes()).isPositive();
+        receive("\r\no");
+        assertThat(mMemory.usedBytes()).isZero();
+        receive("k");
+        assertThat(mRecorder.mEnded).isTrue();
+    }
+
     @Test
     void idleConnectionClosesWithOutputOfTarget() {
         send("r1");
--- a/src/test/java/org/heathercourse/testing/hosted/BoundedMemoryTest.java
+++ b/src/test/java/org/heathercourse/testing/hosted/BoundedMemoryTest.java
@@ -13,6 +13,7 @@
 import java.util.Arrays;
 import java.util.List;
 import java.util.Map;
+import org.heathercourse.core.routing.CallerLimits;
 import org.heathercourse.core.time.Ticker;
 import org.heathercourse.daemon.settings.Setting;
 import org.heathercourse.daemon.settings.Settings;
@@ -36,6 +37,13 @@
     private static final int SHORT_REQUESTS = 20;
     private static final int LONG_BODY_BYTES = 1_000_000;
     private static final int LONG_BODIES = 40;
+    private static final int MAX_HEADER_BYTES = 60_000;
+    private static final int HEAD_BYTES = 50_000;
+    private static final int HEADS = 600;
+
+    /** Longer than the test needs for all heads. */
+    private static final long HEAD_MILLIS = 60_000;
+
     private static final int BURST_CALLERS = 60;
     private static final int CONNECT_MILLIS = 4_000;
 
@@ -188,6 +196,36 @@
         assertMemoryWasBounded();
     }
 
+    /** Callers send long heads and stop before their end; the decoders kept all of them. */
+    @Test
+    void unfinishedHeadsOfManyCallersAreBounded() throws Exception {
+        mDeployment.configure(
+                HostedDeployment.KEY,
+                10_000,
+                new CallerLimits(MAX_HEADER_BYTES, LONG_BODY_BYTES, HEAD_MILLIS, HEAD_MILLIS));
+        String head = request("GET /read/1", 0);
+        String unfinished =
+                head.substring(0, head.length() - 2) + "X-Long: " + "h".repeat(HEAD_BYTES);
+        await().atMost(MAX_WAIT).until(() -> isAccepted(unfinished + "\r\n\r\n"));
+        List<RawCaller> callers = new ArrayList<>();
+        for (int i = 0; i < HEADS; i++) {
+            callers.add(caller());
+            callers.get(i).send(unfinished);
+        }
+        assertShortRequestsAreAnswered();
+        assertMemoryWasBounded();
+        for (RawCaller caller : callers) {
+            caller.close();
+        }
+    }
+
+    private boolean isAccepted(String request) throws IOException {
+        try (RawCaller caller = caller()) {
+            caller.send(request);
+            return caller.readResponse().status() == 200;
+        }
+    }
+
     /** Callers send long bodies as fast as they can, again and again, and then stop. */
     @Test
     void gatewayAnswersAtOnceAfterBurstWithoutPace() throws Exception {
