Write the small events of a stream together, and read targets in small parts

What callers would see: 40 streams of targets that send events of 12 bytes without end delayed the short requests of other callers by 2.6 s.

Change: a caller's connection gathers what arrives within one turn of the event loop and writes it at the turn's end, or from 16 KB on. Reading from a target pauses when 16 KB wait for its caller (64 KB before), and one read takes 16 KB at most.

A count of the bytes that wait for slow callers was tried and taken out: the load did not reach it, because the sockets' buffers took all bytes.

--- a/src/main/java/org/heathercourse/gateway/http/CallerConnection.java
+++ b/src/main/java/org/heathercourse/gateway/http/CallerConnection.java
@@ -23,6 +23,7 @@
 import io.netty.handler.codec.http.TooLongHttpLineException;
 import io.netty.handler.timeout.IdleStateEvent;
 import io.netty.util.ReferenceCountUtil;
+import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.util.ArrayDeque;
 import java.util.Map;
@@ -63,6 +64,12 @@
      */
     private static final long BODY_LINGER_MILLIS = 4_000;
 
+    /**
+     * Size in bytes from which gathered parts of a body are written. Each write has objects of
+     * several hundred bytes, which many small events for a slow caller would multiply.
+     */
+    private static final int MAX_GATHERED_BYTES = 16 * 1024;
+
     private static final EventLog LOG = EventLog.of(CallerConnection.class);
 
     private final CallerServer mServer;
@@ -76,6 +83,8 @@
     private HttpRequest mHead;
     private final BodyBuffer mBody;
     private boolean mDiscardBody;
+    private ByteArrayOutputStream mGathered = new ByteArrayOutputStream();
+    private boolean mFlushScheduled;
     private Call mCall;
     private int mUnwrittenResponses;
     private boolean mKeepAlive;
@@ -345,15 +354,38 @@
         mContext.write(response);
     }
 
+    /** Gathers what arrives within one turn of the event loop, and writes it at the turn's end. */
     @Override
     public void write(byte[] bytes) {
-        if (bytes.length > 0 && !mIsHeadRequest) {
-            mContext.writeAndFlush(new DefaultHttpContent(Unpooled.wrappedBuffer(bytes)));
+        if (mIsHeadRequest) {
+            return;
+        }
+        mGathered.writeBytes(bytes);
+        if (mGathered.size() >= MAX_GATHERED_BYTES) {
+            flushGathered();
+        } else if (!mFlushScheduled) {
+            mFlushScheduled = true;
+            mContext.executor().execute(this::flushGathered);
+        }
+    }
+
+    private void flushGathered() {
+        mFlushScheduled = false;
+        writeGathered();
+        mContext.flush();
+    }
+
+    private void writeGathered() {
+        if (mGathered.size() > 0) {
+            byte[] bytes = mGathered.toByteArray();
+            mGathered = new ByteArrayOutputStream();
+            mContext.write(new DefaultHttpContent(Unpooled.wrappedBuffer(bytes)));
         }
     }
 
     @Override
     public void end() {
+        writeGathered();
         if (!mKeepAlive) {
             mLastResponseEnded = true;
             discardPendingMessages();
@@ -391,6 +423,7 @@
 
     @Override
     public void abort() {
+        flushGathered();
         // The close is reported later than the end of the call, which starts the next request.
         mLastResponseEnded = true;
         if (mBodyEndsWithConnection) {
--- a/src/main/java/org/heathercourse/gateway/http/CallerServer.java
+++ b/src/main/java/org/heathercourse/gateway/http/CallerServer.java
@@ -3,6 +3,7 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelPipeline;
 import io.netty.channel.EventLoopGroup;
+import io.netty.channel.WriteBufferWaterMark;
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpServerCodec;
 import io.netty.handler.timeout.IdleStateHandler;
@@ -32,6 +33,13 @@
      */
     private static final int MIN_DECODER_LIMIT_BYTES = 64 * 1024;
 
+    /**
+     * Bytes that wait for a slow caller from which on nothing more is read from its target, and up
+     * to which they must fall before that goes on.
+     */
+    private static final WriteBufferWaterMark UNSENT_BYTES =
+            new WriteBufferWaterMark(8 * 1024, 16 * 1024);
+
     private final CallDependencies mCallDependencies;
     private final Set<CallerConnection> mConnections = new HashSet<>();
     private final CompletableFuture<Void> mDrained = new CompletableFuture<>();
@@ -69,6 +77,7 @@
                 new HttpDecoderConfig()
                         .setMaxInitialLineLength(decoderLimitBytes)
                         .setMaxHeaderSize(decoderLimitBytes);
+        channel.config().setWriteBufferWaterMark(UNSENT_BYTES);
         ChannelPipeline pipeline = channel.pipeline();
         pipeline.addLast(
                 HEAD_HANDLER,
--- a/src/main/java/org/heathercourse/gateway/target/TargetPool.java
+++ b/src/main/java/org/heathercourse/gateway/target/TargetPool.java
@@ -1,6 +1,7 @@
 package org.heathercourse.gateway.target;
 
 import io.netty.bootstrap.Bootstrap;
+import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
@@ -46,6 +47,14 @@
      */
     private static final long PROCESS_CHECK_DELAY_MILLIS = 10;
 
+    /**
+     * Maximum size in bytes of one read. What was read is handled to its end even if the caller is
+     * slow, so that it bounds what is kept for one beyond the caller's own limit.
+     */
+    private static final int MAX_READ_BYTES = 16 * 1024;
+
+    private static final int MIN_READ_BYTES = 64;
+    private static final int INITIAL_READ_BYTES = 2 * 1024;
     private static final int CONNECT_TIMEOUT_MILLIS = 400;
     private static final int MAX_LINE_BYTES = 8 * 1024;
     private static final int MAX_HEADER_BYTES = 32 * 1024;
@@ -217,6 +226,10 @@
                 .option(ChannelOption.TCP_NODELAY, true)
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS)
                 .option(ChannelOption.ALLOW_HALF_CLOSURE, true)
+                .option(
+                        ChannelOption.RECVBUF_ALLOCATOR,
+                        new AdaptiveRecvByteBufAllocator(
+                                MIN_READ_BYTES, INITIAL_READ_BYTES, MAX_READ_BYTES))
                 .handler(
                         new ChannelInitializer<>() {
                             @Override
--- a/src/main/java/org/heathercourse/testing/hosted/TargetStandIn.java
+++ b/src/main/java/org/heathercourse/testing/hosted/TargetStandIn.java
@@ -64,6 +64,8 @@
         STALLED_EVENT,
         /** Sends an event without end, until the gateway closes the connection. */
         ENDLESS_EVENT,
+        /** Sends events without end. */
+        ENDLESS_EVENTS,
         /** Sends informational responses without end. */
         ENDLESS_INFORMATIONAL_RESPONSES,
         /** Sends a response to another request, whose body has no end. */
--- a/src/main/java/org/heathercourse/testing/hosted/TargetStandInConnection.java
+++ b/src/main/java/org/heathercourse/testing/hosted/TargetStandInConnection.java
@@ -110,6 +110,10 @@
                 sendStreamHead(context, request);
                 flood(context, "400000\r\ndata: ", "x");
             }
+            case ENDLESS_EVENTS -> {
+                sendStreamHead(context, request);
+                flood(context, "", "0c\r\ndata: more\n\n\r\n");
+            }
             case ENDLESS_INFORMATIONAL_RESPONSES ->
                     flood(context, "", "HTTP/1.1 102 Processing\r\n\r\n");
             case ENDLESS_EXTRA_ANSWER ->
--- a/src/test/java/org/heathercourse/testing/hosted/BoundedMemoryTest.java
+++ b/src/test/java/org/heathercourse/testing/hosted/BoundedMemoryTest.java
@@ -44,6 +44,8 @@
     /** Longer than the test needs for all heads. */
     private static final long HEAD_MILLIS = 60_000;
 
+    private static final int FLOODED_CALLERS = 40;
+    private static final int WINDOW_BYTES = 4_096;
     private static final int BURST_CALLERS = 60;
     private static final int CONNECT_MILLIS = 4_000;
 
@@ -131,14 +133,18 @@
 
     private void assertMemoryWasBounded() throws IOException {
         assertThat(Files.readString(mOutput)).doesNotContain("OutOfMemoryError");
+        assertThat(metric("buffered_bytes_peak")).isBetween(1L, (long) MAX_BUFFER_BYTES);
+    }
+
+    private long metric(String name) throws IOException {
         try (RawCaller caller = new RawCaller(mSettings.endpoint(Setting.METRICS_ADDRESS), 0)) {
             caller.send("GET /metrics HTTP/1.1\r\nHost: x\r\n\r\n");
-            String peak =
+            String line =
                     Arrays.stream(caller.readResponse().body().split("\n"))
-                            .filter(line -> line.startsWith("buffered_bytes_peak "))
+                            .filter(text -> text.startsWith(name + " "))
                             .findAny()
                             .orElseThrow();
-            assertThat(Long.parseLong(peak.split(" ")[1])).isBetween(1L, (long) MAX_BUFFER_BYTES);
+            return Long.parseLong(line.split(" ")[1]);
         }
     }
 
@@ -219,6 +225,28 @@
         }
     }
 
+    /**
+     * Targets send small events without end to callers who do not read. Each event was written by
+     * itself, which kept the traffic loop and the heap busy, and others were not answered.
+     */
+    @Test
+    void smallEventsWithoutEndDoNotDelayOthers() throws Exception {
+        Fault[] faults = new Fault[FLOODED_CALLERS];
+        Arrays.fill(faults, Fault.ENDLESS_EVENTS);
+        mDeployment.engineA().enqueueFaults(faults);
+        mDeployment.engineB().enqueueFaults(faults);
+        List<RawCaller> callers = new ArrayList<>();
+        for (int i = 0; i < FLOODED_CALLERS; i++) {
+            callers.add(new RawCaller(mSettings.endpoint(Setting.CALLER_ADDRESS), WINDOW_BYTES));
+            callers.get(i).send(request("POST /stream/1", 0));
+        }
+        assertShortRequestsAreAnswered();
+        for (RawCaller caller : callers) {
+            caller.close();
+        }
+        assertThat(Files.readString(mOutput)).doesNotContain("OutOfMemoryError");
+    }
+
     private boolean isAccepted(String request) throws IOException {
         try (RawCaller caller = caller()) {
             caller.send(request);
