End the event loops of a gateway before its process exits

What was seen (KNOWN-RED, PlannedStopSoakTest): processes exited up to 0.6 s after their grace period.

By what is known of the Java process, its exit waits 300 ms for threads that are in a system call, and an event loop is in one most of the time; close() did not wait for the loops.

Change: close() waits for the end of both loops, 100 ms each at most.

Measured: GatewayExitTest failed before and passes after; GatewayDrainTest and ReloadTest pass.

--- a/src/main/java/org/heathercourse/gateway/Gateway.java
+++ b/src/main/java/org/heathercourse/gateway/Gateway.java
@@ -71,6 +71,10 @@
     private static final int OK = 200;
     private static final int NOT_FOUND = 404;
     private static final int UNAVAILABLE = 503;
+
+    /** Maximum time in milliseconds that the end of an event loop takes. */
+    private static final long CLOSE_MILLIS = 100;
+
     private static final EventLog LOG = EventLog.of(Gateway.class);
 
     private volatile Settings mSettings;
@@ -424,10 +428,16 @@
         }
     }
 
-    /** Closes the peer links and shuts down the event loops. */
+    /**
+     * Closes the peer links and ends the event loops. Waits for their end, at most {@link
+     * #CLOSE_MILLIS} each: at its exit the Java process waits 300 ms for threads that are in a
+     * system call, as an event loop mostly is, and the stop grace period may end before.
+     */
     public void close() {
         mControl.close();
-        mTrafficGroup.shutdownGracefully(0, 100, TimeUnit.MILLISECONDS);
-        mControlGroup.shutdownGracefully(0, 100, TimeUnit.MILLISECONDS);
+        mTrafficGroup.shutdownGracefully(0, CLOSE_MILLIS, TimeUnit.MILLISECONDS);
+        mControlGroup.shutdownGracefully(0, CLOSE_MILLIS, TimeUnit.MILLISECONDS);
+        mTrafficGroup.terminationFuture().awaitUninterruptibly(CLOSE_MILLIS);
+        mControlGroup.terminationFuture().awaitUninterruptibly(CLOSE_MILLIS);
     }
 }
