--- a/src/main/java/org/heathercourse/core/limits/MemoryBudget.java
+++ b/src/main/java/org/heathercourse/core/limits/MemoryBudget.java
@@ -42,9 +42,9 @@
     }
 
     /**
-     * Returns a reservation of no bytes for the unfinished head of a message. Nothing runs for such
-     * a message yet, and a sound peer sends its head at once, so that heads get no more than what
-     * requests under way leave of a half of the budget.
+     * Returns a reservation of no bytes for the unfinished head of a message. It can grow only
+     * while less than half of the budget is in use, because requests under way go first and a sound
+     * peer sends its head at once.
      */
     public Reservation reserveHead() {
         return new Reservation(mHeadLimitBytes, mHeadLimitBytes);
--- a/src/main/java/org/heathercourse/gateway/http/CallerServer.java
+++ b/src/main/java/org/heathercourse/gateway/http/CallerServer.java
@@ -34,8 +34,8 @@
     private static final int MIN_DECODER_LIMIT_BYTES = 64 * 1024;
 
     /**
-     * Bytes that wait for a slow caller from which on nothing more is read from its target, and up
-     * to which they must fall before that goes on.
+     * Bytes that wait for a slow caller. Reading from its target pauses above the higher value and
+     * goes on below the lower one.
      */
     private static final WriteBufferWaterMark UNSENT_BYTES =
             new WriteBufferWaterMark(8 * 1024, 16 * 1024);
