Log which connection carried a call, and what a target sent beside answers

The record of the incident cannot tell its hypotheses apart: its lines name no connection, not how many requests that had carried, and not what was skipped on it or arrived while it was idle.

Change: the lines call and attempt_failed name the connection, the requests that it had carried, its age and idle time, the responses skipped on it and the target's status. The line call starts with outcome, status, target and these fields, as records are cut short. New events response_skipped and unexpected_bytes, the metric target_bytes_unexpected. No logic has changed.

--- a/src/main/java/org/heathercourse/gateway/call/Attempt.java
+++ b/src/main/java/org/heathercourse/gateway/call/Attempt.java
@@ -5,6 +5,7 @@
 import org.heathercourse.core.target.Target;
 import org.heathercourse.core.target.TargetState;
 import org.heathercourse.gateway.target.BodyFraming;
+import org.heathercourse.gateway.target.ConnectionUse;
 import org.heathercourse.gateway.target.Exchange;
 import org.heathercourse.gateway.target.ProcessState;
 import org.heathercourse.gateway.target.ResponseFailure;
@@ -48,6 +49,21 @@
         return mFraming;
     }
 
+    /** Returns what the connection had carried when the request was sent. */
+    ConnectionUse connectionUse() {
+        return mExchange == null ? ConnectionUse.NONE : mExchange.connectionUse();
+    }
+
+    /** Returns the number of responses to other requests that came before the own response. */
+    int skippedResponses() {
+        return mExchange == null ? 0 : mExchange.skippedResponses();
+    }
+
+    /** Returns the status of the target's response; 0 before the response's head. */
+    int status() {
+        return mStatus;
+    }
+
     boolean hasBeenSent() {
         return mExchange != null;
     }
@@ -214,7 +230,7 @@
         mEnded = true;
         mPool.load().recordSuccess(now() - mSentMillis);
         mCall.relay().onEnd(now());
-        mCall.onAnswered(this, mStatus);
+        mCall.onAnswered(this);
     }
 
     @Override
--- a/src/main/java/org/heathercourse/gateway/call/Call.java
+++ b/src/main/java/org/heathercourse/gateway/call/Call.java
@@ -272,14 +272,14 @@
     // Ends of attempts
 
     /** Called when an attempt has returned a complete response. */
-    void onAnswered(Attempt attempt, int status) {
+    void onAnswered(Attempt attempt) {
         mAttempt = null;
-        mCrashGuard.recordAnswer(status);
+        mCrashGuard.recordAnswer(attempt.status());
         long now = mDependencies.ticker().readMillis();
         long firstByteMillis = mRelay.firstByteMillis(mArrivedMillis, now);
         mDependencies.metrics().recordAnswered(firstByteMillis, now - mArrivedMillis);
         mDependencies.metrics().recordFraming(attempt.framing());
-        mLogEntry.recordAnswered(status, firstByteMillis, mRelay.eventCount(), attempt.framing());
+        mLogEntry.recordAnswered(attempt, firstByteMillis, mRelay.eventCount());
         finish();
     }
 
--- a/src/main/java/org/heathercourse/gateway/call/CallLogEntry.java
+++ b/src/main/java/org/heathercourse/gateway/call/CallLogEntry.java
@@ -6,6 +6,7 @@
 import org.heathercourse.core.target.TargetState;
 import org.heathercourse.gateway.control.BudgetService.Reservation;
 import org.heathercourse.gateway.target.BodyFraming;
+import org.heathercourse.gateway.target.ConnectionUse;
 import org.heathercourse.log.EventLog;
 import org.heathercourse.platform.entry.CallFacts;
 
@@ -27,6 +28,8 @@
     private String mOutcome = "open";
     private int mStatus;
     private String mFraming = "";
+    private ConnectionUse mConnectionUse = ConnectionUse.NONE;
+    private int mSkippedResponses;
     private String mReason = "";
     private long mFirstByteMillis = -1;
     private long mEventCount;
@@ -77,6 +80,7 @@
     void logFailedAttempt(
             Attempt attempt, TargetState state, Delivery delivery, boolean ended, String reason) {
         Target target = attempt.target();
+        ConnectionUse use = attempt.connectionUse();
         mFailedAttempts++;
         LOG.info(
                 "attempt_failed",
@@ -84,6 +88,18 @@
                 mFacts.requestId(),
                 "target",
                 target.id(),
+                "status",
+                attempt.status(),
+                "connection",
+                use.connectionId(),
+                "connectionRequests",
+                use.carriedRequests(),
+                "connectionAgeMillis",
+                use.ageMillis(),
+                "connectionIdleMillis",
+                use.idleMillis(),
+                "skippedResponses",
+                attempt.skippedResponses(),
                 "service",
                 target.service(),
                 "targetState",
@@ -112,10 +128,12 @@
                 target.service());
     }
 
-    void recordAnswered(int status, long firstByteMillis, long eventCount, BodyFraming framing) {
+    void recordAnswered(Attempt attempt, long firstByteMillis, long eventCount) {
         mOutcome = "answered";
-        mStatus = status;
-        mFraming = logName(framing);
+        mStatus = attempt.status();
+        mFraming = logName(attempt.framing());
+        mConnectionUse = attempt.connectionUse();
+        mSkippedResponses = attempt.skippedResponses();
         mFirstByteMillis = firstByteMillis;
         mEventCount = eventCount;
     }
@@ -159,11 +177,32 @@
                 nowMillis - mArrivedMillis);
     }
 
+    /**
+     * Logs the call; first what tells one case of a fault from another, as records are cut short.
+     */
     void log(long nowMillis, Target target) {
         LOG.info(
                 "call",
                 "id",
                 mFacts.requestId(),
+                "outcome",
+                mOutcome,
+                "status",
+                mStatus,
+                "target",
+                target == null ? "" : target.id(),
+                "failedAttempts",
+                mFailedAttempts,
+                "connection",
+                mConnectionUse.connectionId(),
+                "connectionRequests",
+                mConnectionUse.carriedRequests(),
+                "connectionAgeMillis",
+                mConnectionUse.ageMillis(),
+                "connectionIdleMillis",
+                mConnectionUse.idleMillis(),
+                "skippedResponses",
+                mSkippedResponses,
                 "program",
                 mFacts.programId(),
                 "route",
@@ -184,16 +223,8 @@
                 mBudget,
                 "budgetMillis",
                 mBudgetMillis,
-                "target",
-                target == null ? "" : target.id(),
                 "roomWaitMillis",
                 mCapacityWaitMillis,
-                "failedAttempts",
-                mFailedAttempts,
-                "outcome",
-                mOutcome,
-                "status",
-                mStatus,
                 "framing",
                 mFraming,
                 "events",
--- a/src/main/java/org/heathercourse/gateway/call/CallMetrics.java
+++ b/src/main/java/org/heathercourse/gateway/call/CallMetrics.java
@@ -23,6 +23,7 @@
     private final Meter mConnected;
     private final Meter mConnectFailed;
     private final Meter mSkippedResponses;
+    private final Meter mUnexpectedBytes;
 
     /**
      * Creates the metrics.
@@ -44,6 +45,7 @@
         mConnected = registry.meter("target_connections_opened");
         mConnectFailed = registry.meter("target_connections_failed");
         mSkippedResponses = registry.meter("target_answers_skipped");
+        mUnexpectedBytes = registry.meter("target_bytes_unexpected");
     }
 
     void recordAnswered(long firstByteMillis, long totalMillis) {
@@ -104,4 +106,9 @@
     public void onResponseSkipped() {
         mSkippedResponses.mark();
     }
+
+    @Override
+    public void onUnexpectedBytes() {
+        mUnexpectedBytes.mark();
+    }
 }
--- a/src/main/java/org/heathercourse/gateway/target/Exchange.java
+++ b/src/main/java/org/heathercourse/gateway/target/Exchange.java
@@ -5,6 +5,7 @@
 /** One request and its response on a connection to a target. Confined to the traffic loop. */
 public final class Exchange {
     private final TargetConnection mConnection;
+    private ConnectionUse mConnectionUse = ConnectionUse.NONE;
 
     Exchange(TargetConnection connection) {
         mConnection = connection;
@@ -18,9 +19,23 @@
      * @param listener receives the response
      */
     public void send(FullHttpRequest request, String requestId, ResponseListener listener) {
+        mConnectionUse = mConnection.use();
         mConnection.send(request, requestId, listener);
     }
 
+    /** Returns what the connection had carried when the request was sent. */
+    public ConnectionUse connectionUse() {
+        return mConnectionUse;
+    }
+
+    /**
+     * Returns the number of responses to other requests that came before the own response. To be
+     * called no later than at the end of the response.
+     */
+    public int skippedResponses() {
+        return mConnection.skippedResponses();
+    }
+
     /** Leaves the connection to other requests without sending one. */
     void releaseUnused() {
         mConnection.releaseUnused();
--- a/src/main/java/org/heathercourse/gateway/target/InputObserver.java
+++ b/src/main/java/org/heathercourse/gateway/target/InputObserver.java
@@ -23,6 +23,7 @@
     @Override
     public void channelRead(ChannelHandlerContext context, Object message) {
         int bytes = message instanceof ByteBuf buffer ? buffer.readableBytes() : 0;
+        mConnection.onBytesArriving(bytes);
         context.fireChannelRead(message);
         mConnection.onBytesRead(bytes);
     }
--- a/src/main/java/org/heathercourse/gateway/target/TargetConnection.java
+++ b/src/main/java/org/heathercourse/gateway/target/TargetConnection.java
@@ -20,6 +20,7 @@
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 import org.heathercourse.core.limits.MemoryBudget;
+import org.heathercourse.log.EventLog;
 import org.heathercourse.platform.entry.AnswerFacts;
 import org.heathercourse.platform.entry.CallFormat;
 
@@ -49,15 +50,18 @@
      */
     private static final int MAX_REFUSED_REQUESTS = 64;
 
+    private static final EventLog LOG = EventLog.of(TargetConnection.class);
+
     private final TargetPool mPool;
     private final CallFormat mFormat;
+    private final long mOpenedMillis;
     private final Set<String> mRefusedRequestIds = new HashSet<>();
     private final MemoryBudget.Reservation mHeadMemory;
     private ChannelHandlerContext mContext;
     private ChannelFuture mWriteFuture;
     private ResponseListener mListener;
+    private int mCarriedRequests;
     private boolean mIsFirstRequest;
-    private boolean mCarriedRequest;
     private String mRequestId;
     private HttpMethod mRequestMethod;
     private boolean mSkippingResponse;
@@ -84,6 +88,8 @@
         mPool = pool;
         mFormat = format;
         mHeadMemory = memory.reserveHead();
+        mOpenedMillis = pool.nowMillis();
+        mIdleSinceMillis = mOpenedMillis;
     }
 
     @Override
@@ -123,8 +129,8 @@
      */
     void send(FullHttpRequest request, String requestId, ResponseListener listener) {
         mListener = listener;
-        mIsFirstRequest = !mCarriedRequest;
-        mCarriedRequest = true;
+        mIsFirstRequest = mCarriedRequests == 0;
+        mCarriedRequests++;
         mRequestId = requestId;
         mRequestMethod = request.method();
         mHeadDelivered = false;
@@ -136,6 +142,22 @@
         mWriteFuture = mContext.writeAndFlush(request);
     }
 
+    /** Returns what the connection has carried until now. */
+    ConnectionUse use() {
+        long nowMillis = mPool.nowMillis();
+        return new ConnectionUse(
+                id(), mCarriedRequests, nowMillis - mOpenedMillis, idleMillis(nowMillis));
+    }
+
+    /** Returns the number of responses that were skipped before the one to the request. */
+    int skippedResponses() {
+        return mSkippedResponses;
+    }
+
+    private String id() {
+        return mContext.channel().id().asShortText();
+    }
+
     /** Makes a connection that has carried no request available to others. */
     void releaseUnused() {
         mIdleSinceMillis = mPool.nowMillis();
@@ -186,6 +208,31 @@
         }
     }
 
+    /**
+     * Called when bytes of the target were read, before they are decoded.
+     *
+     * @param bytes number of bytes
+     */
+    void onBytesArriving(int bytes) {
+        if (mListener == null && !mClosed) {
+            mPool.onUnexpectedBytes();
+            LOG.info(
+                    "unexpected_bytes",
+                    "target",
+                    mPool.target().id(),
+                    "connection",
+                    id(),
+                    "carriedRequests",
+                    mCarriedRequests,
+                    "lastId",
+                    mRequestId,
+                    "idleMillis",
+                    idleMillis(mPool.nowMillis()),
+                    "bytes",
+                    bytes);
+        }
+    }
+
     /**
      * Called when bytes of the target were read, after what they complete was handled. They are
      * kept if they belong to a head that is not finished.
@@ -228,6 +275,7 @@
         mSkippingResponse = belongsToOtherRequest(response, facts);
         if (mSkippingResponse) {
             mPool.onResponseSkipped();
+            logSkippedResponse(status, facts);
             countSkippedResponse();
             return;
         }
@@ -254,6 +302,23 @@
                         mFraming));
     }
 
+    private void logSkippedResponse(int status, AnswerFacts facts) {
+        LOG.info(
+                "response_skipped",
+                "id",
+                mRequestId,
+                "responseId",
+                facts.requestId(),
+                "status",
+                status,
+                "target",
+                mPool.target().id(),
+                "connection",
+                id(),
+                "carriedRequests",
+                mCarriedRequests);
+    }
+
     /** The codec reports a head that ends with its connection like one that is no valid HTTP. */
     private void failInHead(Throwable cause) {
         if (cause instanceof PrematureChannelClosureException) {
--- a/src/main/java/org/heathercourse/gateway/target/TargetPool.java
+++ b/src/main/java/org/heathercourse/gateway/target/TargetPool.java
@@ -84,6 +84,9 @@
 
         /** Called when a response to another request was skipped. */
         void onResponseSkipped();
+
+        /** Called when bytes arrived on a connection that awaits no response. */
+        void onUnexpectedBytes();
     }
 
     /** Receives the result of {@link TargetPool#acquire}. */
@@ -319,6 +322,10 @@
         mEvents.onResponseSkipped();
     }
 
+    void onUnexpectedBytes() {
+        mEvents.onUnexpectedBytes();
+    }
+
     /** Called when the target said in a response that it leaves. */
     void onLeaving() {
         mOnLeaving.accept(mTarget);
--- a/src/test/java/org/heathercourse/gateway/target/TargetConnectionTest.java
+++ b/src/test/java/org/heathercourse/gateway/target/TargetConnectionTest.java
@@ -89,6 +89,9 @@
 
         @Override
         public void onResponseSkipped() {}
+
+        @Override
+        public void onUnexpectedBytes() {}
     }
 
     /** Records what a listener is told. */
