Close an idle connection to a target when any byte arrives on it

Cause: bytes that complete no message stay in the HTTP decoder without a sign. The start of a second answer that arrives on an idle connection, or in one read with the end of the answer before, therefore left the connection in use, and the next answer was read as the rest of that head: the status of the copy with the id, the signature and the body of the real answer.

Change: what arrives while no response is awaited closes the connection before it is decoded; a connection with unread bytes at the end of a response closes too. The decoder is a class of its own that tells of unread bytes.

Bytes that arrive after the next request was sent are not covered by this.

--- a/src/main/java/org/heathercourse/gateway/target/TargetConnection.java
+++ b/src/main/java/org/heathercourse/gateway/target/TargetConnection.java
@@ -54,6 +54,7 @@
 
     private final TargetPool mPool;
     private final CallFormat mFormat;
+    private final ResponseDecoder mDecoder = new ResponseDecoder();
     private final long mOpenedMillis;
     private final Set<String> mRefusedRequestIds = new HashSet<>();
     private final MemoryBudget.Reservation mHeadMemory;
@@ -99,6 +100,11 @@
 
     // Use by the pool
 
+    /** Returns the decoder of this connection's pipeline. */
+    ResponseDecoder decoder() {
+        return mDecoder;
+    }
+
     boolean isOpen() {
         return !mClosed && mContext.channel().isActive();
     }
@@ -133,6 +139,7 @@
         mCarriedRequests++;
         mRequestId = requestId;
         mRequestMethod = request.method();
+        mDecoder.setRequestMethod(mRequestMethod);
         mHeadDelivered = false;
         mSkippingResponse = false;
         mSkippedResponses = 0;
@@ -209,28 +216,37 @@
     }
 
     /**
-     * Called when bytes of the target were read, before they are decoded.
+     * Called when bytes of the target were read, before they are decoded. Closes the connection if
+     * no response is expected: the decoder would keep an unfinished head without a sign, and read
+     * the next response as the rest of it.
      *
      * @param bytes number of bytes
+     * @return whether they are to be decoded
      */
-    void onBytesArriving(int bytes) {
+    boolean acceptsBytes(int bytes) {
         if (mListener == null && !mClosed) {
-            mPool.onUnexpectedBytes();
-            LOG.info(
-                    "unexpected_bytes",
-                    "target",
-                    mPool.target().id(),
-                    "connection",
-                    id(),
-                    "carriedRequests",
-                    mCarriedRequests,
-                    "lastId",
-                    mRequestId,
-                    "idleMillis",
-                    idleMillis(mPool.nowMillis()),
-                    "bytes",
-                    bytes);
+            reportUnexpectedBytes(bytes);
+            close();
         }
+        return mListener != null;
+    }
+
+    private void reportUnexpectedBytes(int bytes) {
+        mPool.onUnexpectedBytes();
+        LOG.info(
+                "unexpected_bytes",
+                "target",
+                mPool.target().id(),
+                "connection",
+                id(),
+                "carriedRequests",
+                mCarriedRequests,
+                "lastId",
+                mRequestId,
+                "idleMillis",
+                idleMillis(mPool.nowMillis()),
+                "bytes",
+                bytes);
     }
 
     /**
@@ -396,11 +412,15 @@
     private void completeResponse() {
         ResponseListener listener = mListener;
         mListener = null;
+        mIdleSinceMillis = mPool.nowMillis();
+        int unreadBytes = mDecoder.unreadBytes();
+        if (unreadBytes > 0) {
+            reportUnexpectedBytes(unreadBytes);
+        }
         // A target may respond before the request was written completely and then still expects the
         // rest of it; such a connection is not reused.
-        if (mReusable && mWriteFuture.isSuccess() && !mClosed) {
+        if (mReusable && mWriteFuture.isSuccess() && unreadBytes == 0 && !mClosed) {
             mContext.channel().config().setAutoRead(true);
-            mIdleSinceMillis = mPool.nowMillis();
             mPool.onIdle(this);
         } else {
             close();
--- a/src/main/java/org/heathercourse/gateway/target/TargetPool.java
+++ b/src/main/java/org/heathercourse/gateway/target/TargetPool.java
@@ -9,7 +9,7 @@
 import io.netty.channel.ConnectTimeoutException;
 import io.netty.channel.EventLoop;
 import io.netty.channel.socket.nio.NioSocketChannel;
-import io.netty.handler.codec.http.HttpClientCodec;
+import io.netty.handler.codec.http.HttpRequestEncoder;
 import java.net.ConnectException;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
@@ -56,9 +56,6 @@
     private static final int MIN_READ_BYTES = 64;
     private static final int INITIAL_READ_BYTES = 2 * 1024;
     private static final int CONNECT_TIMEOUT_MILLIS = 400;
-    private static final int MAX_LINE_BYTES = 8 * 1024;
-    private static final int MAX_HEADER_BYTES = 32 * 1024;
-    private static final int MAX_CHUNK_BYTES = 64 * 1024;
 
     private final Target mTarget;
     private final TargetLoad mLoad = new TargetLoad();
@@ -260,7 +257,8 @@
 
     static void addHandlers(ChannelPipeline pipeline, TargetConnection connection) {
         pipeline.addLast(new InputObserver(connection))
-                .addLast(new HttpClientCodec(MAX_LINE_BYTES, MAX_HEADER_BYTES, MAX_CHUNK_BYTES))
+                .addLast(connection.decoder())
+                .addLast(new HttpRequestEncoder())
                 .addLast(connection);
     }
 
--- a/src/test/java/org/heathercourse/gateway/target/TargetConnectionTest.java
+++ b/src/test/java/org/heathercourse/gateway/target/TargetConnectionTest.java
@@ -6,7 +6,6 @@
 import io.netty.channel.embedded.EmbeddedChannel;
 import io.netty.channel.socket.ChannelInputShutdownEvent;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
-import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpVersion;
 import java.io.IOException;
@@ -17,10 +16,6 @@
 import org.heathercourse.core.model.Zone;
 import org.heathercourse.core.target.Target;
 import org.heathercourse.core.time.TestTime;
-import org.heathercourse.platform.entry.AnswerFacts;
-import org.heathercourse.platform.entry.CallFacts;
-import org.heathercourse.platform.entry.CallFormat;
-import org.heathercourse.platform.entry.Dispatch;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
@@ -44,83 +39,13 @@
                     TARGET,
                     mChannel.eventLoop(),
                     mTime.ticker(),
-                    new Format(),
-                    new NoEvents(),
+                    new ShortHeaderFormat(),
+                    new NoPoolEvents(),
                     mMemory,
                     mLeaving::add);
-    private final TargetConnection mConnection = new TargetConnection(mPool, new Format(), mMemory);
-    private final Recorder mRecorder = new Recorder();
-
-    /** Reads the facts of responses from short headers. */
-    private static final class Format implements CallFormat {
-        @Override
-        public CallFacts read(HttpHeaders headers) {
-            throw new UnsupportedOperationException();
-        }
-
-        @Override
-        public void removeReserved(HttpHeaders headers) {
-            throw new UnsupportedOperationException();
-        }
-
-        @Override
-        public void write(HttpHeaders headers, Dispatch dispatch) {
-            throw new UnsupportedOperationException();
-        }
-
-        @Override
-        public AnswerFacts readAnswer(int status, HttpHeaders headers) {
-            boolean notRun = headers.contains("Not-Run");
-            return new AnswerFacts(
-                    headers.get("Request-Id"),
-                    true,
-                    notRun,
-                    status == 421,
-                    headers.contains("Leaving"));
-        }
-    }
-
-    private static final class NoEvents implements TargetPool.PoolEvents {
-        @Override
-        public void onConnect() {}
-
-        @Override
-        public void onConnectFailed() {}
-
-        @Override
-        public void onResponseSkipped() {}
-
-        @Override
-        public void onUnexpectedBytes() {}
-    }
-
-    /** Records what a listener is told. */
-    private static final class Recorder implements ResponseListener {
-        private final StringBuilder mBody = new StringBuilder();
-        private ResponseHead mHead;
-        private ResponseFailure mFailure;
-        private boolean mEnded;
-
-        @Override
-        public void onHead(ResponseHead head) {
-            mHead = head;
-        }
-
-        @Override
-        public void onBody(byte[] bytes) {
-            mBody.append(new String(bytes, StandardCharsets.US_ASCII));
-        }
-
-        @Override
-        public void onEnd() {
-            mEnded = true;
-        }
-
-        @Override
-        public void onFailure(ResponseFailure failure, String reason) {
-            mFailure = failure;
-        }
-    }
+    private final TargetConnection mConnection =
+            new TargetConnection(mPool, new ShortHeaderFormat(), mMemory);
+    private final ResponseRecorder mRecorder = new ResponseRecorder();
 
     private void send(String requestId) {
         if (mChannel.pipeline().get(InputObserver.class) == null) {
@@ -143,12 +68,12 @@
     void unframedResponseEndsWithOutputOfTarget() {
         send("r1");
         receive(UNFRAMED + "abc");
-        assertThat(mRecorder.mHead.framing()).isEqualTo(BodyFraming.CONNECTION_END);
-        assertThat(mRecorder.mEnded).isFalse();
+        assertThat(mRecorder.head().framing()).isEqualTo(BodyFraming.CONNECTION_END);
+        assertThat(mRecorder.ended()).isFalse();
         endInput();
-        assertThat(mRecorder.mEnded).isTrue();
-        assertThat(mRecorder.mBody).hasToString("abc");
-        assertThat(mRecorder.mFailure).isNull();
+        assertThat(mRecorder.ended()).isTrue();
+        assertThat(mRecorder.body()).isEqualTo("abc");
+        assertThat(mRecorder.failure()).isNull();
     }
 
     /** Such a connection has ended; it must not be given to the next request. */
@@ -165,8 +90,8 @@
         send("r1");
         receive(UNFRAMED + "abc");
         mChannel.close();
-        assertThat(mRecorder.mEnded).isFalse();
-        assertThat(mRecorder.mFailure).isEqualTo(ResponseFailure.CONNECTION_LOST);
+        assertThat(mRecorder.ended()).isFalse();
+        assertThat(mRecorder.failure()).isEqualTo(ResponseFailure.CONNECTION_LOST);
     }
 
     @Test
@@ -174,8 +99,8 @@
         send("r1");
         receive(UNFRAMED + "abc");
         mChannel.pipeline().fireExceptionCaught(new IOException("Connection reset"));
-        assertThat(mRecorder.mEnded).isFalse();
-        assertThat(mRecorder.mFailure).isEqualTo(ResponseFailure.CONNECTION_LOST);
+        assertThat(mRecorder.ended()).isFalse();
+        assertThat(mRecorder.failure()).isEqualTo(ResponseFailure.CONNECTION_LOST);
         assertThat(mConnection.isOpen()).isFalse();
     }
 
@@ -187,8 +112,8 @@
             test.receive("HTTP/1.1 200 OK\r\nRequest-Id: r1\r\n" + framing + "\r\n\r\n");
             test.receive("3\r\n\r");
             test.endInput();
-            assertThat(test.mRecorder.mEnded).as(framing).isFalse();
-            assertThat(test.mRecorder.mFailure)
+            assertThat(test.mRecorder.ended()).as(framing).isFalse();
+            assertThat(test.mRecorder.failure())
                     .as(framing)
                     .isEqualTo(ResponseFailure.CONNECTION_LOST);
         }
@@ -203,9 +128,9 @@
         receive(part);
         assertThat(mMemory.usedBytes()).isGreaterThan(part.length());
         receive(part);
-        assertThat(mRecorder.mFailure).isNull();
+        assertThat(mRecorder.failure()).isNull();
         receive(part);
-        assertThat(mRecorder.mFailure).isEqualTo(ResponseFailure.INVALID_RESPONSE);
+        assertThat(mRecorder.failure()).isEqualTo(ResponseFailure.INVALID_RESPONSE);
         assertThat(mMemory.usedBytes()).isZero();
     }
 
@@ -217,14 +142,14 @@
         receive("\r\no");
         assertThat(mMemory.usedBytes()).isZero();
         receive("k");
-        assertThat(mRecorder.mEnded).isTrue();
+        assertThat(mRecorder.ended()).isTrue();
     }
 
     @Test
     void idleConnectionClosesWithOutputOfTarget() {
         send("r1");
         receive("HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nContent-Length: 2\r\n\r\nok");
-        assertThat(mRecorder.mEnded).isTrue();
+        assertThat(mRecorder.ended()).isTrue();
         assertThat(mConnection.isOpen()).isTrue();
         endInput();
         assertThat(mConnection.isOpen()).isFalse();
@@ -266,8 +191,8 @@
             test.receive(response.substring(0, length));
             end.apply(test);
             String cut = end + " after " + length + " bytes of " + response;
-            assertThat(test.mRecorder.mEnded).as(cut).isFalse();
-            assertThat(test.mRecorder.mFailure).as(cut).isEqualTo(ResponseFailure.CONNECTION_LOST);
+            assertThat(test.mRecorder.ended()).as(cut).isFalse();
+            assertThat(test.mRecorder.failure()).as(cut).isEqualTo(ResponseFailure.CONNECTION_LOST);
         }
     }
 
@@ -296,7 +221,7 @@
     void connectionToTargetThatSaysItLeavesIsNotReused() {
         send("r1");
         receive("HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nLeaving: 1\r\nContent-Length: 0\r\n\r\n");
-        assertThat(mRecorder.mEnded).isTrue();
+        assertThat(mRecorder.ended()).isTrue();
         assertThat(mLeaving).containsExactly(TARGET);
         assertThat(mConnection.isOpen()).isFalse();
     }
@@ -309,6 +234,6 @@
         assertThat(mLeaving).isEmpty();
         receive("HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nLeaving: 1\r\nContent-Length: 0\r\n\r\n");
         assertThat(mLeaving).containsExactly(TARGET);
-        assertThat(mRecorder.mHead).isNull();
+        assertThat(mRecorder.head()).isNull();
     }
 }
