Send no request id twice on one connection to a target

Cause: a response was matched by its id alone. The ids of refused requests were excluded from a connection, those answered in another way were not.

Change: a connection keeps the ids of all its requests, 256 at most, and carries none of them again. If all connections that a gateway may have to a target are idle and carried the id, the oldest is closed for a new one: a caller that always sends the same id is served.

--- a/src/main/java/org/heathercourse/gateway/target/TargetConnection.java
+++ b/src/main/java/org/heathercourse/gateway/target/TargetConnection.java
@@ -44,11 +44,8 @@
     /** Maximum size in bytes of the bodies of skipped responses. */
     private static final int MAX_SKIPPED_BYTES = 1024 * 1024;
 
-    /**
-     * Maximum number of requests that are refused on a connection before it closes. Their ids are
-     * kept.
-     */
-    private static final int MAX_REFUSED_REQUESTS = 64;
+    /** Maximum number of requests on a connection before it closes. Their ids are kept. */
+    private static final int MAX_REQUESTS = 256;
 
     private static final EventLog LOG = EventLog.of(TargetConnection.class);
 
@@ -56,7 +53,7 @@
     private final CallFormat mFormat;
     private final ResponseDecoder mDecoder = new ResponseDecoder();
     private final long mOpenedMillis;
-    private final Set<String> mRefusedRequestIds = new HashSet<>();
+    private final Set<String> mCarriedRequestIds = new HashSet<>();
     private final MemoryBudget.Reservation mHeadMemory;
     private ChannelHandlerContext mContext;
     private ChannelFuture mWriteFuture;
@@ -114,11 +111,11 @@
     }
 
     /**
-     * Returns whether the target refused a request here. The refusal may arrive once more, and
-     * would then be taken for the response to the same request if that were sent here again.
+     * Returns whether a request with this id was sent here before. Its response may arrive once
+     * more, and would then be taken for the response to the request that is sent again.
      */
-    boolean hasRefused(String requestId) {
-        return mRefusedRequestIds.contains(requestId);
+    boolean hasCarried(String requestId) {
+        return mCarriedRequestIds.contains(requestId);
     }
 
     /** Returns the time after which the target closes the connection if idle, in milliseconds. */
@@ -137,6 +134,7 @@
         mListener = listener;
         mIsFirstRequest = mCarriedRequests == 0;
         mCarriedRequests++;
+        mCarriedRequestIds.add(requestId);
         mRequestId = requestId;
         mRequestMethod = request.method();
         mDecoder.setRequestMethod(mRequestMethod);
@@ -299,14 +297,11 @@
             fail("an error response without a request id may belong to an earlier request");
             return;
         }
-        if (facts.notRun()) {
-            mRefusedRequestIds.add(mRequestId);
-        }
         mFraming = BodyFraming.of(mRequestMethod, response);
         mReusable =
                 mFraming.keepsConnection()
                         && HttpUtil.isKeepAlive(response)
-                        && mRefusedRequestIds.size() < MAX_REFUSED_REQUESTS;
+                        && mCarriedRequests < MAX_REQUESTS;
         parseKeepAlive(response.headers().get("Keep-Alive"));
         mHeadDelivered = true;
         mListener.onHead(
--- a/src/main/java/org/heathercourse/gateway/target/TargetPool.java
+++ b/src/main/java/org/heathercourse/gateway/target/TargetPool.java
@@ -180,7 +180,7 @@
     /**
      * Acquires an idle connection or opens a new one.
      *
-     * @param requestId identity of the request; it gets no connection on which it was refused
+     * @param requestId identity of the request; it gets no connection on which it was sent before
      * @param maxConnections maximum number of connections of this gateway to the target
      * @param listener receives the connection
      */
@@ -188,7 +188,7 @@
         TargetConnection idle = pollIdle(requestId);
         if (idle != null) {
             listener.onConnection(new Exchange(idle));
-        } else if (mConnectionCount >= maxConnections) {
+        } else if (mConnectionCount >= maxConnections && !closeOldestIdle()) {
             listener.onUnavailable(
                     Unavailability.ALL_IN_USE, "all connections to the target are in use");
         } else {
@@ -196,7 +196,8 @@
         }
     }
 
-    private TargetConnection pollIdle(String requestId) {
+    /** Takes an idle connection that may carry a request; returns null if there is none. */
+    TargetConnection pollIdle(String requestId) {
         long now = nowMillis();
         Iterator<TargetConnection> newestFirst = mIdle.descendingIterator();
         TargetConnection found = null;
@@ -209,7 +210,7 @@
                 connection.close();
             } else if (found == null
                     && idleMillis >= MIN_IDLE_MILLIS
-                    && !connection.hasRefused(requestId)) {
+                    && !connection.hasCarried(requestId)) {
                 newestFirst.remove();
                 found = connection;
             }
@@ -217,6 +218,15 @@
         return found;
     }
 
+    /** Makes place for a connection that may carry what the idle ones may not. */
+    private boolean closeOldestIdle() {
+        TargetConnection oldest = mIdle.peekFirst();
+        if (oldest != null) {
+            oldest.close();
+        }
+        return oldest != null;
+    }
+
     private void connect(AcquireListener listener) {
         mConnectionCount++;
         TargetConnection connection = new TargetConnection(this, mFormat, mMemory);
--- a/src/test/java/org/heathercourse/gateway/GatewayFixture.java
+++ b/src/test/java/org/heathercourse/gateway/GatewayFixture.java
@@ -85,6 +85,11 @@
         return "r" + mRequestCount;
     }
 
+    /** Gives the next request the identity of the last one. */
+    void repeatRequestId() {
+        mRequestCount--;
+    }
+
     /** Returns how often the targets have run the last request. */
     long runCount() {
         return List.of(mDeployment.engineA(), mDeployment.engineB(), mDeployment.plain()).stream()
