Reuse no connection to a target after a skipped response

Change: the connection closes after the answer that follows a skipped response. A skipped response whose end cannot be found fails the exchange at once. Connections that carried HEAD are not reused, as a copy of that response has a length and no body; before the answer to HEAD nothing is skipped.

--- a/src/main/java/org/heathercourse/gateway/target/TargetConnection.java
+++ b/src/main/java/org/heathercourse/gateway/target/TargetConnection.java
@@ -66,6 +66,7 @@
     private boolean mHeadDelivered;
     private int mUnfinishedHeadBytes;
     private boolean mSkippingInformational;
+    private int mInformationalResponses;
     private int mSkippedResponses;
     private long mSkippedBytes;
     private BodyFraming mFraming = BodyFraming.NO_BODY;
@@ -140,6 +141,7 @@
         mDecoder.setRequestMethod(mRequestMethod);
         mHeadDelivered = false;
         mSkippingResponse = false;
+        mInformationalResponses = 0;
         mSkippedResponses = 0;
         mSkippedBytes = 0;
         mUnfinishedHeadBytes = 0;
@@ -277,7 +279,8 @@
         }
         mSkippingInformational = response.status().codeClass() == HttpStatusClass.INFORMATIONAL;
         if (mSkippingInformational) {
-            countSkippedResponse();
+            mInformationalResponses++;
+            checkSkippedResponses();
             return;
         }
         int status = response.status().code();
@@ -288,9 +291,7 @@
         }
         mSkippingResponse = belongsToOtherRequest(response, facts);
         if (mSkippingResponse) {
-            mPool.onResponseSkipped();
-            logSkippedResponse(status, facts);
-            countSkippedResponse();
+            skipResponse(response, facts);
             return;
         }
         if (facts.requestId() == null && !mIsFirstRequest) {
@@ -298,9 +299,12 @@
             return;
         }
         mFraming = BodyFraming.of(mRequestMethod, response);
+        // A copy of a response to HEAD has a length and no body, which other requests cannot know.
         mReusable =
                 mFraming.keepsConnection()
                         && HttpUtil.isKeepAlive(response)
+                        && mSkippedResponses == 0
+                        && !HttpMethod.HEAD.equals(mRequestMethod)
                         && mCarriedRequests < MAX_REQUESTS;
         parseKeepAlive(response.headers().get("Keep-Alive"));
         mHeadDelivered = true;
@@ -313,6 +317,25 @@
                         mFraming));
     }
 
+    /**
+     * Skips a response to another request, if its end can be found. What follows on the connection
+     * is uncertain from then on, so that it carries no further request.
+     */
+    private void skipResponse(HttpResponse response, AnswerFacts facts) {
+        mSkippedResponses++;
+        mPool.onResponseSkipped();
+        logSkippedResponse(response.status().code(), facts);
+        checkSkippedResponses();
+        if (mListener == null) {
+            return;
+        }
+        if (HttpMethod.HEAD.equals(mRequestMethod)) {
+            fail("it is unknown whether a response to another request has a body");
+        } else if (!BodyFraming.of(mRequestMethod, response).keepsConnection()) {
+            fail("a response to another request ends with the connection");
+        }
+    }
+
     private void logSkippedResponse(int status, AnswerFacts facts) {
         LOG.info(
                 "response_skipped",
@@ -339,9 +362,10 @@
         }
     }
 
-    private void countSkippedResponse() {
-        if (++mSkippedResponses > MAX_SKIPPED_RESPONSES) {
-            fail("the target sent " + mSkippedResponses + " responses to other requests");
+    private void checkSkippedResponses() {
+        int skipped = mInformationalResponses + mSkippedResponses;
+        if (skipped > MAX_SKIPPED_RESPONSES) {
+            fail("the target sent " + skipped + " responses that do not answer the request");
         }
     }
 
--- a/src/test/java/org/heathercourse/gateway/target/SecondAnswerTest.java
+++ b/src/test/java/org/heathercourse/gateway/target/SecondAnswerTest.java
@@ -2,6 +2,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import io.netty.handler.codec.http.HttpMethod;
 import org.junit.jupiter.api.Test;
 
 /**
@@ -62,4 +63,61 @@
         assertThat(target.mayCarry("r2")).isFalse();
         assertThat(target.mayCarry("r3")).isTrue();
     }
+
+    private static TargetExchanges afterAnswerTo(String requestId) {
+        TargetExchanges target = new TargetExchanges();
+        target.send(requestId);
+        target.receive(COPY);
+        assertThat(target.isIdle()).isTrue();
+        return target;
+    }
+
+    /** A target that answers twice may do so again, also with a cut copy. */
+    @Test
+    void connectionIsNotReusedAfterSkippedResponse() {
+        TargetExchanges target = afterAnswerTo("r1");
+        target.send("r2");
+        target.receive(COPY);
+        target.receive(FAILURE);
+        assertThat(target.answer()).isEqualTo("500 failed");
+        assertThat(target.isIdle()).isFalse();
+    }
+
+    /** Informational responses belong to the request; they say nothing about copies. */
+    @Test
+    void connectionIsReusedAfterInformationalResponse() {
+        TargetExchanges target = new TargetExchanges();
+        target.send("r1");
+        target.receive("HTTP/1.1 100 Continue\r\n\r\n" + COPY);
+        assertThat(target.answer()).isEqualTo("200 ok");
+        assertThat(target.isIdle()).isTrue();
+    }
+
+    /** Its body would take in the answer, so that the caller would wait until its deadline. */
+    @Test
+    void responseToOtherRequestWithoutFramingFailsExchangeAtOnce() {
+        TargetExchanges target = afterAnswerTo("r1");
+        target.send("r2");
+        target.receive("HTTP/1.1 200 OK\r\nRequest-Id: r1\r\n\r\n" + FAILURE);
+        assertThat(target.answer()).isEqualTo("INVALID_RESPONSE");
+        assertThat(target.isIdle()).isFalse();
+    }
+
+    /** Guards against a body without its head, and a head whose body is taken from the next one. */
+    @Test
+    void connectionThatCarriedHeadRequestIsNotReused() {
+        TargetExchanges target = new TargetExchanges();
+        target.send(HttpMethod.HEAD, "r1");
+        target.receive("HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nContent-Length: 2\r\n\r\n");
+        assertThat(target.answer()).isEqualTo("200 ");
+        assertThat(target.isIdle()).isFalse();
+    }
+
+    @Test
+    void copyBeforeAnswerToHeadRequestFailsExchange() {
+        TargetExchanges target = afterAnswerTo("r1");
+        target.send(HttpMethod.HEAD, "r2");
+        target.receive(COPY);
+        assertThat(target.answer()).isEqualTo("INVALID_RESPONSE");
+    }
 }
