Reject response heads that are parts of two responses

An idle connection cannot show it.

Cause: where the cut falls into the reason phrase or a header's value, the start of one head and the rest of the next are valid HTTP together.

Change: a head fails the exchange if its reason phrase or the value of a header contains a status line, or if the request id or the signature is there twice. The outcome of the attempt is unknown then; only repeatable requests are sent again.

A target that sends a status line in a header of its own is no longer served.

--- a/src/main/java/org/heathercourse/gateway/target/TargetConnection.java
+++ b/src/main/java/org/heathercourse/gateway/target/TargetConnection.java
@@ -285,6 +285,10 @@
         }
         int status = response.status().code();
         AnswerFacts facts = mFormat.readAnswer(status, response.headers());
+        if (ResponseHeadCheck.isMixed(response, facts)) {
+            fail("the response head contains the start of another one");
+            return;
+        }
         // It holds whichever request the response belongs to, unless another target sent it.
         if (facts.leaving() && !facts.wrongTarget()) {
             mPool.onLeaving();
--- a/src/main/java/org/heathercourse/platform/entry/AnswerFacts.java
+++ b/src/main/java/org/heathercourse/platform/entry/AnswerFacts.java
@@ -8,10 +8,13 @@
  * @param notRun whether the target reports that it did not and will not run the request
  * @param wrongTarget whether the request reached a target other than the intended one
  * @param leaving whether the target that sent the response says that it leaves
+ * @param ambiguous whether a header that a target sends once is there several times, which shows
+ *     that the head consists of parts of two responses
  */
 public record AnswerFacts(
         String requestId,
         boolean hasSignature,
         boolean notRun,
         boolean wrongTarget,
-        boolean leaving) {}
+        boolean leaving,
+        boolean ambiguous) {}
--- a/src/main/java/org/heathercourse/platform/hosted/HeaderFormat.java
+++ b/src/main/java/org/heathercourse/platform/hosted/HeaderFormat.java
@@ -76,6 +76,12 @@
                 headers.contains(WireNames.SIGNATURE),
                 wrongTarget || headers.contains(WireNames.NOT_RUN),
                 wrongTarget,
-                headers.contains(WireNames.LEAVING));
+                headers.contains(WireNames.LEAVING),
+                isRepeated(headers, WireNames.REQUEST_ID)
+                        || isRepeated(headers, WireNames.SIGNATURE));
+    }
+
+    private static boolean isRepeated(HttpHeaders headers, String name) {
+        return headers.getAll(name).size() > 1;
     }
 }
--- a/src/test/java/org/heathercourse/gateway/target/SecondAnswerTest.java
+++ b/src/test/java/org/heathercourse/gateway/target/SecondAnswerTest.java
@@ -120,4 +120,33 @@
         target.receive(COPY);
         assertThat(target.answer()).isEqualTo("INVALID_RESPONSE");
     }
+
+    /** At each byte at which a late copy can be cut before the answer comes. */
+    @Test
+    void startOfCopyBeforeAnswerDoesNotChangeItsStatus() {
+        for (int length = 1; length <= COPY.length(); length++) {
+            TargetExchanges target = afterAnswerTo("r1");
+            target.send("r2");
+            target.receive(COPY.substring(0, length));
+            target.receive(FAILURE);
+            assertThat(target.answer())
+                    .as("after %d bytes of a copy", length)
+                    .isIn("500 failed", "INVALID_RESPONSE", "none");
+        }
+    }
+
+    /** A copy without an id before the cut leaves one id, and its status, in the head. */
+    @Test
+    void startOfRefusalBeforeSuccessDoesNotChangeItsStatus() {
+        String refusal = "HTTP/1.1 503 Service Unavailable\r\nNot-Run: 1\r\nRequest-Id: r1\r\n\r\n";
+        for (int length = 1; length <= refusal.length(); length++) {
+            TargetExchanges target = afterAnswerTo("r1");
+            target.send("r2");
+            target.receive(refusal.substring(0, length));
+            target.receive(COPY.replace("r1", "r2"));
+            assertThat(target.answer())
+                    .as("after %d bytes of a refusal", length)
+                    .isIn("200 ok", "INVALID_RESPONSE", "none");
+        }
+    }
 }
--- a/src/test/java/org/heathercourse/gateway/target/ShortHeaderFormat.java
+++ b/src/test/java/org/heathercourse/gateway/target/ShortHeaderFormat.java
@@ -31,6 +31,7 @@
                 true,
                 notRun,
                 status == 421,
-                headers.contains("Leaving"));
+                headers.contains("Leaving"),
+                headers.getAll("Request-Id").size() > 1);
     }
 }
--- a/src/test/java/org/heathercourse/gateway/target/TargetExchanges.java
+++ b/src/test/java/org/heathercourse/gateway/target/TargetExchanges.java
@@ -53,7 +53,11 @@
                 mRecorder);
     }
 
+    /** Receives bytes, which are lost if the connection is closed. */
     void receive(String text) {
+        if (!mChannel.isOpen()) {
+            return;
+        }
         mChannel.writeInbound(Unpooled.copiedBuffer(text, StandardCharsets.US_ASCII));
     }
 
