Reject header lines without a colon, and statuses of four digits

Cause: the HTTP decoder ends a header's name at the first blank and drops the rest of a line that has no colon. If a cut second answer and other bytes, such as "x y", come before the answer, its status line is that rest: status 200 of the copy, with id, signature and body of a 500. A status of "5", "1" and "00" of three writes was given out as 5100.

Change: a header line without a colon behind its name, and a status outside 100 to 599, fail the exchange.

A target that writes a blank between name and colon is no longer served; HTTP forbids it.

--- a/src/main/java/org/heathercourse/gateway/target/ResponseDecoder.java
+++ b/src/main/java/org/heathercourse/gateway/target/ResponseDecoder.java
@@ -4,6 +4,7 @@
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpResponseDecoder;
+import io.netty.util.AsciiString;
 
 /**
  * Decodes the responses of a target, and tells whether bytes follow a response at its end.
@@ -36,6 +37,18 @@
         return actualReadableBytes();
     }
 
+    /**
+     * Rejects a line without a colon and blanks behind a name. The library would drop the rest of
+     * such a line, in which the status line of the next response may stand.
+     */
+    @Override
+    protected AsciiString splitHeaderName(byte[] line, int start, int length) {
+        if (line[start + length] != ':') {
+            throw new IllegalArgumentException("no colon follows the name of a header");
+        }
+        return super.splitHeaderName(line, start, length);
+    }
+
     @Override
     protected boolean isContentAlwaysEmpty(HttpMessage message) {
         return HttpMethod.HEAD.equals(mRequestMethod) || super.isContentAlwaysEmpty(message);
--- a/src/main/java/org/heathercourse/gateway/target/ResponseHeadCheck.java
+++ b/src/main/java/org/heathercourse/gateway/target/ResponseHeadCheck.java
@@ -1,6 +1,7 @@
 package org.heathercourse.gateway.target;
 
 import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpStatusClass;
 import java.util.Map;
 import java.util.regex.Pattern;
 import org.heathercourse.platform.entry.AnswerFacts;
@@ -17,8 +18,14 @@
 
     private ResponseHeadCheck() {}
 
-    /** Returns whether the head contains the status line of another response or a header twice. */
+    /**
+     * Returns whether the head contains the status line of another response or a header twice, or
+     * its status is none, such as one with digits of two.
+     */
     static boolean isMixed(HttpResponse response, AnswerFacts facts) {
+        if (response.status().codeClass() == HttpStatusClass.UNKNOWN) {
+            return true;
+        }
         if (facts.ambiguous() || hasStatusLine(response.status().reasonPhrase())) {
             return true;
         }
--- a/src/test/java/org/heathercourse/gateway/target/SecondAnswerTest.java
+++ b/src/test/java/org/heathercourse/gateway/target/SecondAnswerTest.java
@@ -124,6 +124,10 @@
     /** At each byte at which a late copy can be cut before the answer comes. */
     @Test
     void startOfCopyBeforeAnswerDoesNotChangeItsStatus() {
+        TargetExchanges withoutCopy = afterAnswerTo("r1");
+        withoutCopy.send("r2");
+        withoutCopy.receive(FAILURE);
+        assertThat(withoutCopy.answer()).isEqualTo("500 failed");
         for (int length = 1; length <= COPY.length(); length++) {
             TargetExchanges target = afterAnswerTo("r1");
             target.send("r2");
@@ -149,4 +153,29 @@
                     .isIn("200 ok", "INVALID_RESPONSE", "none");
         }
     }
+
+    private static String answerToSecond(String... reads) {
+        TargetExchanges target = afterAnswerTo("r1");
+        target.send("r2");
+        for (String read : reads) {
+            target.receive(read);
+        }
+        return target.answer();
+    }
+
+    /** Guards against a status line that is dropped as the rest of a line without a colon. */
+    @Test
+    void headerWithoutColonDoesNotHideStatusOfAnswer() {
+        String start = "HTTP/1.1 200 OK\r\n";
+        assertThat(answerToSecond(start + "x y", FAILURE)).isEqualTo("INVALID_RESPONSE");
+        assertThat(answerToSecond(start + "Date ", FAILURE)).isEqualTo("INVALID_RESPONSE");
+        assertThat(answerToSecond(start + "Request-Id : r2\r\nContent-Length: 0\r\n\r\n"))
+                .isEqualTo("INVALID_RESPONSE");
+    }
+
+    /** Guards against a status with digits of two responses, given to the caller. */
+    @Test
+    void statusOfFourDigitsIsRejected() {
+        assertThat(answerToSecond(FAILURE.replace("500", "5100"))).isEqualTo("INVALID_RESPONSE");
+    }
 }
--- a/src/test/java/org/heathercourse/gateway/target/TargetExchanges.java
+++ b/src/test/java/org/heathercourse/gateway/target/TargetExchanges.java
@@ -47,6 +47,8 @@
 
     void send(HttpMethod method, String requestId) {
         mRecorder = new ResponseRecorder();
+        mTime.advanceMillis(REUSE_DELAY_MILLIS);
+        mPool.pollIdle(requestId);
         mConnection.send(
                 new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, method, "/"),
                 requestId,
