Fail exchanges at once that no answer can follow; accept odd Keep-Alive headers

A good answer with a Keep-Alive timeout of 20 digits failed.

Change: 101 fails the exchange, as no request asks for it. An empty id counts as missing. Longer numbers in Keep-Alive are cut to nine digits.

--- a/src/main/java/org/heathercourse/gateway/target/TargetConnection.java
+++ b/src/main/java/org/heathercourse/gateway/target/TargetConnection.java
@@ -10,6 +10,7 @@
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
@@ -32,7 +33,7 @@
  * outstanding closes the connection. Confined to the traffic loop.
  */
 final class TargetConnection extends ChannelInboundHandlerAdapter {
-    private static final Pattern KEEP_ALIVE_TIMEOUT = Pattern.compile("timeout\\s*=\\s*(\\d+)");
+    private static final Pattern KEEP_ALIVE_TIMEOUT = Pattern.compile("timeout\\s*=\\s*(\\d{1,9})");
     private static final long MILLIS_PER_SECOND = 1_000;
 
     /**
@@ -44,7 +45,7 @@
     /** Maximum size in bytes of the bodies of skipped responses. */
     private static final int MAX_SKIPPED_BYTES = 1024 * 1024;
 
-    /** Maximum number of requests on a connection before it closes. Their ids are kept. */
+    /** Maximum number of requests on a connection before it closes, as their ids are kept. */
     private static final int MAX_REQUESTS = 256;
 
     private static final EventLog LOG = EventLog.of(TargetConnection.class);
@@ -53,6 +54,7 @@
     private final CallFormat mFormat;
     private final ResponseDecoder mDecoder = new ResponseDecoder();
     private final long mOpenedMillis;
+
     private final Set<String> mCarriedRequestIds = new HashSet<>();
     private final MemoryBudget.Reservation mHeadMemory;
     private ChannelHandlerContext mContext;
@@ -277,6 +279,10 @@
             failInHead(response.decoderResult().cause());
             return;
         }
+        if (response.status().equals(HttpResponseStatus.SWITCHING_PROTOCOLS)) {
+            fail("the target switches to another protocol");
+            return;
+        }
         mSkippingInformational = response.status().codeClass() == HttpStatusClass.INFORMATIONAL;
         if (mSkippingInformational) {
             mInformationalResponses++;
--- a/src/main/java/org/heathercourse/platform/hosted/HeaderFormat.java
+++ b/src/main/java/org/heathercourse/platform/hosted/HeaderFormat.java
@@ -71,8 +71,9 @@
     @Override
     public AnswerFacts readAnswer(int status, HttpHeaders headers) {
         boolean wrongTarget = status == WRONG_TARGET_STATUS;
+        String requestId = headers.get(WireNames.REQUEST_ID);
         return new AnswerFacts(
-                headers.get(WireNames.REQUEST_ID),
+                requestId == null || requestId.isEmpty() ? null : requestId,
                 headers.contains(WireNames.SIGNATURE),
                 wrongTarget || headers.contains(WireNames.NOT_RUN),
                 wrongTarget,
--- a/src/test/java/org/heathercourse/gateway/target/SecondAnswerTest.java
+++ b/src/test/java/org/heathercourse/gateway/target/SecondAnswerTest.java
@@ -178,4 +178,20 @@
     void statusOfFourDigitsIsRejected() {
         assertThat(answerToSecond(FAILURE.replace("500", "5100"))).isEqualTo("INVALID_RESPONSE");
     }
+
+    /** Guards against callers that wait until their deadline, as nothing after it is decoded. */
+    @Test
+    void switchOfProtocolsFailsExchangeAtOnce() {
+        assertThat(answerToSecond("HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\n\r\n"))
+                .isEqualTo("INVALID_RESPONSE");
+        assertThat(answerToSecond("HTTP/1.1 101 Switching Protocols\r\n\r\n"))
+                .isEqualTo("INVALID_RESPONSE");
+    }
+
+    /** Guards against the failure of an answer because of a number that no timeout can have. */
+    @Test
+    void keepAliveWithLongNumberFailsNoAnswer() {
+        String answer = COPY.replace("r1", "r2").replace("timeout=5", "timeout=" + "9".repeat(20));
+        assertThat(answerToSecond(answer)).isEqualTo("200 ok");
+    }
 }
--- a/src/test/java/org/heathercourse/platform/hosted/UsersPlatformTest.java
+++ b/src/test/java/org/heathercourse/platform/hosted/UsersPlatformTest.java
@@ -118,6 +118,27 @@
         assertThat(mCalls.readAnswer(503, headers).notRun()).isTrue();
     }
 
+    /** Guards against a head of two responses that is taken for one of them. */
+    @Test
+    void repeatedIdentityOrSignatureIsAmbiguous() {
+        for (String name :
+                List.of("X-Heathercourse-Request-Id", "X-Heathercourse-Response-Signature")) {
+            HttpHeaders headers = new DefaultHttpHeaders();
+            headers.add(name, "a");
+            assertThat(mCalls.readAnswer(200, headers).ambiguous()).as(name).isFalse();
+            headers.add(name, "b");
+            assertThat(mCalls.readAnswer(200, headers).ambiguous()).as(name).isTrue();
+        }
+    }
+
+    /** Guards against a failure that is skipped as one to another request. */
+    @Test
+    void emptyRequestIdCountsAsMissing() {
+        HttpHeaders headers = new DefaultHttpHeaders();
+        headers.set("X-Heathercourse-Request-Id", "");
+        assertThat(mCalls.readAnswer(500, headers).requestId()).isNull();
+    }
+
     // Rows of operators and targets
 
     @Test
