Bound the memory of request ids kept per connection; close no connection in vain

Callers choose the ids, and 256 of several kilobytes would have been kept for each connection, outside the memory budget: hashes are kept in their place. Ids with the same hash only keep each other from a connection.

At its limit of connections a gateway closed its oldest idle one for any request that found none, also if the idle ones had only answered a moment before: it now closes one only if that may not carry the request.

--- a/src/main/java/org/heathercourse/gateway/target/TargetConnection.java
+++ b/src/main/java/org/heathercourse/gateway/target/TargetConnection.java
@@ -55,7 +55,12 @@
     private final ResponseDecoder mDecoder = new ResponseDecoder();
     private final long mOpenedMillis;
 
-    private final Set<String> mCarriedRequestIds = new HashSet<>();
+    /**
+     * Hashes of the request ids, which callers choose and may be long. Two ids with the same hash
+     * only keep the second from this connection.
+     */
+    private final Set<Integer> mCarriedIdHashes = new HashSet<>();
+
     private final MemoryBudget.Reservation mHeadMemory;
     private ChannelHandlerContext mContext;
     private ChannelFuture mWriteFuture;
@@ -118,7 +123,7 @@
      * more, and would then be taken for the response to the request that is sent again.
      */
     boolean hasCarried(String requestId) {
-        return mCarriedRequestIds.contains(requestId);
+        return mCarriedIdHashes.contains(requestId.hashCode());
     }
 
     /** Returns the time after which the target closes the connection if idle, in milliseconds. */
@@ -137,7 +142,7 @@
         mListener = listener;
         mIsFirstRequest = mCarriedRequests == 0;
         mCarriedRequests++;
-        mCarriedRequestIds.add(requestId);
+        mCarriedIdHashes.add(requestId.hashCode());
         mRequestId = requestId;
         mRequestMethod = request.method();
         mDecoder.setRequestMethod(mRequestMethod);
--- a/src/main/java/org/heathercourse/gateway/target/TargetPool.java
+++ b/src/main/java/org/heathercourse/gateway/target/TargetPool.java
@@ -188,7 +188,7 @@
         TargetConnection idle = pollIdle(requestId);
         if (idle != null) {
             listener.onConnection(new Exchange(idle));
-        } else if (mConnectionCount >= maxConnections && !closeOldestIdle()) {
+        } else if (mConnectionCount >= maxConnections && !closeIdleThatCarried(requestId)) {
             listener.onUnavailable(
                     Unavailability.ALL_IN_USE, "all connections to the target are in use");
         } else {
@@ -218,13 +218,15 @@
         return found;
     }
 
-    /** Makes place for a connection that may carry what the idle ones may not. */
-    private boolean closeOldestIdle() {
-        TargetConnection oldest = mIdle.peekFirst();
-        if (oldest != null) {
-            oldest.close();
+    /** Closes an idle connection that may not carry a request, to make place for another one. */
+    private boolean closeIdleThatCarried(String requestId) {
+        for (TargetConnection connection : mIdle) {
+            if (connection.hasCarried(requestId)) {
+                connection.close();
+                return true;
+            }
         }
-        return oldest != null;
+        return false;
     }
 
     private void connect(AcquireListener listener) {
