Close connections to the store on bytes that belong to no reply

What could happen: a reply of the store, or the start of one, was taken for a part of the reply to the next request on the connection.

Cause: the HTTP decoder keeps an unfinished head without a sign, so that a connection with such bytes was used again, and an interim response (1xx) ended the request, so that its real reply came on an idle connection.

The decoder is now asked at the end of each reply whether bytes are left, bytes without a waiting request close the connection before they are decoded, an interim response is no reply and ends the reuse, and an exchange ends only when all bytes were read that had arrived with its reply. A connection whose reply came before its request was written is not used again either.

A copy that arrives whole after the next request was sent still cannot be told from its reply, as replies of the store carry no id.

--- a/src/main/java/org/heathercourse/gateway/store/DirectChannel.java
+++ b/src/main/java/org/heathercourse/gateway/store/DirectChannel.java
@@ -4,6 +4,7 @@
 import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
@@ -12,13 +13,16 @@
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
-import io.netty.handler.codec.http.HttpClientCodec;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpRequestEncoder;
+import io.netty.handler.codec.http.HttpResponseDecoder;
+import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
+import io.netty.util.ReferenceCountUtil;
 import io.netty.util.concurrent.ScheduledFuture;
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
@@ -32,9 +36,10 @@
 /**
  * Sends requests to the store over direct HTTP connections.
  *
- * <p>A connection carries one request at a time. It is closed if a request times out, because a
- * late reply would otherwise be taken for the reply to the next request. Safe for use by several
- * threads; all work runs on one event loop.
+ * <p>A connection carries one request at a time. Replies carry no id, so that a connection is not
+ * used again once a reply on it may belong to another request: it is closed if a request times out,
+ * if an interim response or bytes behind a reply have arrived, and by any byte that arrives while
+ * it is idle. Safe for use by several threads; all work runs on one event loop.
  */
 public final class DirectChannel implements StoreChannel {
     private static final int CONNECT_TIMEOUT_MILLIS = 500;
@@ -96,7 +101,8 @@
                             @Override
                             protected void initChannel(Channel channel) {
                                 channel.pipeline()
-                                        .addLast(new HttpClientCodec())
+                                        .addLast(new HttpRequestEncoder())
+                                        .addLast(connection.mDecoder)
                                         .addLast(new HttpObjectAggregator(MAX_REPLY_BYTES))
                                         .addLast(connection);
                             }
@@ -162,11 +168,43 @@
         }
     }
 
+    /**
+     * Decodes replies. No request has the method HEAD or CONNECT, so that a reply can be decoded
+     * without its request.
+     */
+    private static final class ReplyDecoder extends HttpResponseDecoder {
+        private boolean mAwaitsReply;
+
+        /** Closes the connection if no request waits; a decoder would keep the bytes for later. */
+        @Override
+        public void channelRead(ChannelHandlerContext context, Object message) throws Exception {
+            if (mAwaitsReply) {
+                super.channelRead(context, message);
+            } else {
+                ReferenceCountUtil.release(message);
+                context.close();
+            }
+        }
+
+        /** Expects no more bytes; returns whether some have arrived behind the reply. */
+        boolean endReply() {
+            mAwaitsReply = false;
+            return actualReadableBytes() > 0;
+        }
+    }
+
     /** A connection to the store. Confined to the event loop. */
     private final class Connection extends SimpleChannelInboundHandler<FullHttpResponse> {
+        private final ReplyDecoder mDecoder = new ReplyDecoder();
         private ChannelHandlerContext mContext;
+        private ChannelFuture mWriteFuture;
         private Exchange mExchange;
 
+        /** Reply to the current request, whose end is the last that was read; else null. */
+        private Reply mReply;
+
+        private boolean mReusable;
+
         @Override
         public void handlerAdded(ChannelHandlerContext context) {
             mContext = context;
@@ -186,6 +224,8 @@
                 return;
             }
             mExchange = exchange;
+            mReusable = true;
+            mDecoder.mAwaitsReply = true;
             exchange.mConnection = this;
             Request request = exchange.mRequest;
             DefaultFullHttpRequest message =
@@ -201,29 +241,56 @@
                         .set(HttpHeaderNames.CONTENT_TYPE, HttpHeaderValues.APPLICATION_JSON)
                         .set(HttpHeaderNames.CONTENT_LENGTH, request.body().length);
             }
-            mContext.writeAndFlush(message);
+            mWriteFuture = mContext.writeAndFlush(message);
         }
 
         @Override
         protected void channelRead0(ChannelHandlerContext context, FullHttpResponse response) {
-            Exchange exchange = mExchange;
-            mExchange = null;
-            if (exchange == null || response.decoderResult().isFailure()) {
-                context.close();
-                if (exchange != null) {
-                    exchange.fail(
-                            StoreException.outcomeUnknown(
-                                    "the store's reply is not valid HTTP", null));
-                }
+            if (mReply != null) {
                 return;
             }
-            byte[] body = ByteBufUtil.getBytes(response.content());
-            if (HttpUtil.isKeepAlive(response)) {
+            if (response.decoderResult().isFailure()) {
+                fail("the store's reply is not valid HTTP", null);
+                context.close();
+            } else if (response.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
+                mReusable = false;
+            } else {
+                boolean hasRemainder = mDecoder.endReply();
+                // A reply before the end of its request is no reply to the whole of it.
+                mReusable &=
+                        !hasRemainder && mWriteFuture.isSuccess() && HttpUtil.isKeepAlive(response);
+                byte[] body = ByteBufUtil.getBytes(response.content());
+                mReply = new Reply(response.status().code(), body);
+            }
+        }
+
+        /** Ends the exchange once all bytes were read that have arrived with the reply. */
+        @Override
+        public void channelReadComplete(ChannelHandlerContext context) {
+            if (mReply != null) {
+                completeExchange();
+            }
+        }
+
+        private void completeExchange() {
+            Exchange exchange = mExchange;
+            Reply reply = mReply;
+            mExchange = null;
+            mReply = null;
+            if (mReusable && isActive()) {
                 release();
             } else {
-                context.close();
+                mContext.close();
+            }
+            exchange.complete(reply);
+        }
+
+        private void fail(String message, Throwable cause) {
+            Exchange exchange = mExchange;
+            mExchange = null;
+            if (exchange != null) {
+                exchange.fail(StoreException.outcomeUnknown(message, cause));
             }
-            exchange.complete(new Reply(response.status().code(), body));
         }
 
         private void release() {
@@ -237,24 +304,23 @@
         @Override
         public void channelInactive(ChannelHandlerContext context) {
             mIdle.remove(this);
-            Exchange exchange = mExchange;
-            mExchange = null;
-            if (exchange != null) {
-                exchange.fail(
-                        StoreException.outcomeUnknown(
-                                "the store closed the connection without a reply", null));
+            if (mReply != null) {
+                mReusable = false;
+                completeExchange();
+            } else {
+                fail("the store closed the connection without a reply", null);
             }
         }
 
         @Override
         public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
-            Exchange exchange = mExchange;
-            mExchange = null;
-            if (exchange != null) {
-                exchange.fail(
-                        StoreException.outcomeUnknown("the connection to the store failed", cause));
+            if (mReply != null) {
+                mReusable = false;
+                completeExchange();
+            } else {
+                fail("the connection to the store failed", cause);
+                context.close();
             }
-            context.close();
         }
     }
 }
