Send no length of 0 with responses to HEAD and with 304

What callers saw: "Content-Length: 0" in a response to HEAD or in a 304, although the length of such a response is that of the body that GET returns. It breaks no framing, as neither response has a body.

Cause: the relay passes on the number of bytes that it has received, which is 0, and the connection wrote it into the header.

The connection now leaves the header out of such a response if its body is empty, as the length of the other body is not known there.

Evidence: in NoBodyResponseTest, on an embedded channel, the tests for HEAD and 304 failed before ("content-length" was written); those for 204 and for an empty 200 passed. All four pass now, and so do PipelinedResponsesTest and GatewayTest.

--- a/src/main/java/org/heathercourse/gateway/http/CallerConnection.java
+++ b/src/main/java/org/heathercourse/gateway/http/CallerConnection.java
@@ -341,7 +341,9 @@
         boolean keepAlive = mKeepAlive && !(mServer.isLeaving() && mPendingMessages.isEmpty());
         mBodyEndsWithConnection = lengthBytes == UNKNOWN_LENGTH && !mSupportsChunked;
         if (lengthBytes != UNKNOWN_LENGTH) {
-            response.headers().set(HttpHeaderNames.CONTENT_LENGTH, lengthBytes);
+            if (lengthBytes > 0 || !isLengthOfOtherBody(status)) {
+                response.headers().set(HttpHeaderNames.CONTENT_LENGTH, lengthBytes);
+            }
         } else if (!mBodyEndsWithConnection) {
             response.headers().set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED);
         } else {
@@ -354,6 +356,14 @@
         mContext.write(response);
     }
 
+    /**
+     * Returns whether a length in a response without a body would be that of another response's
+     * body, which is not known here.
+     */
+    private boolean isLengthOfOtherBody(int status) {
+        return mIsHeadRequest || status == HttpResponseStatus.NOT_MODIFIED.code();
+    }
+
     /** Gathers what arrives within one turn of the event loop, and writes it at the turn's end. */
     @Override
     public void write(byte[] bytes) {
