Use a connection for one exchange to stores and for reports of engines

What was seen: a read, a scan or a commit at the table service, an object, the list of VMs, the status of the weight store and each report of an engine got the copy of the reply before it. A commit that was answered with 500, after the start of a copy of an earlier success had come, read as committed.

Cause: these clients shared a pool of connections. Replies do not name their requests, and the library keeps surplus bytes in the connection's buffer.

Change: no client keeps connections, as calls to targets already did; a second reply then has no request to meet. The settings of the pool go. The socket is reset on close after the reply was read, as closed connections would occupy local ports. A request header "Connection: close" is not sent: servers may then omit the length of a body, which proves that it is whole.

Cost: a connection for each store call and report.

--- a/src/main/java/org/heathercourse/platform/http/HttpSettings.java
+++ b/src/main/java/org/heathercourse/platform/http/HttpSettings.java
@@ -8,16 +8,12 @@
  * @param writeTimeoutMillis maximum time in which no byte of a request can be sent, in milliseconds
  * @param callTimeoutMillis timeout of a whole blocking exchange with a store or an engine, in
  *     milliseconds; plain requests and streams carry their own limit
- * @param maxIdleConnections maximum number of idle connections that are kept open
- * @param keepAliveMillis time after which an idle connection is closed, in milliseconds
  */
 public record HttpSettings(
         long connectTimeoutMillis,
         long readTimeoutMillis,
         long writeTimeoutMillis,
-        long callTimeoutMillis,
-        int maxIdleConnections,
-        long keepAliveMillis) {
+        long callTimeoutMillis) {
     /** Returns a builder with the defaults. */
     public static Builder builder() {
         return new Builder();
@@ -29,10 +25,6 @@
         private long mReadTimeoutMillis = 3_000;
         private long mWriteTimeoutMillis = 3_000;
         private long mCallTimeoutMillis = 5_000;
-        private int mMaxIdleConnections = 256;
-        // Shorter than the idle timeout of common servers (5 s), so that a request that must not be
-        // repeated is not sent on a connection that the server is closing.
-        private long mKeepAliveMillis = 4_000;
 
         private Builder() {}
 
@@ -60,27 +52,13 @@
             return this;
         }
 
-        /** Sets the maximum number of idle connections that are kept open. */
-        public Builder maxIdleConnections(int connections) {
-            mMaxIdleConnections = connections;
-            return this;
-        }
-
-        /** Sets the time after which an idle connection is closed, in milliseconds. */
-        public Builder keepAliveMillis(long millis) {
-            mKeepAliveMillis = millis;
-            return this;
-        }
-
         /** Creates the settings. */
         public HttpSettings build() {
             return new HttpSettings(
                     mConnectTimeoutMillis,
                     mReadTimeoutMillis,
                     mWriteTimeoutMillis,
-                    mCallTimeoutMillis,
-                    mMaxIdleConnections,
-                    mKeepAliveMillis);
+                    mCallTimeoutMillis);
         }
     }
 }
--- a/src/main/java/org/heathercourse/platform/http/HttpTransport.java
+++ b/src/main/java/org/heathercourse/platform/http/HttpTransport.java
@@ -22,7 +22,10 @@
 import okhttp3.Response;
 
 /**
- * The HTTP client and connection pool that the HTTP adapters share.
+ * The HTTP client that the HTTP adapters share.
+ *
+ * <p>A connection carries one exchange: a reply does not name its request, so that a late copy of
+ * an earlier reply would be taken for the reply to the next request.
  *
  * <p>The library neither repeats requests nor follows redirects: a repeat could run a
  * non-idempotent request twice. Safe for use by several threads. Closing it cancels all exchanges.
@@ -33,8 +36,8 @@
 
     private static final String HIDDEN_RETRY_AFTER = "X-Held-Retry-After";
 
-    private final OkHttpClient mClient;
     private final OkHttpClient mTargetClient;
+    private final OkHttpClient mClient;
     private final ExecutorService mExecutor;
     private final HttpSettings mSettings;
 
@@ -63,14 +66,11 @@
         // them without regard to their deadlines.
         dispatcher.setMaxRequests(Integer.MAX_VALUE);
         dispatcher.setMaxRequestsPerHost(Integer.MAX_VALUE);
-        mClient =
+        mTargetClient =
                 new OkHttpClient.Builder()
                         .dispatcher(dispatcher)
-                        .connectionPool(
-                                new ConnectionPool(
-                                        settings.maxIdleConnections(),
-                                        settings.keepAliveMillis(),
-                                        TimeUnit.MILLISECONDS))
+                        // Keeps no idle connection, so that each exchange opens its own.
+                        .connectionPool(new ConnectionPool(0, 1, TimeUnit.MILLISECONDS))
                         .connectTimeout(settings.connectTimeoutMillis(), TimeUnit.MILLISECONDS)
                         .readTimeout(settings.readTimeoutMillis(), TimeUnit.MILLISECONDS)
                         .writeTimeout(settings.writeTimeoutMillis(), TimeUnit.MILLISECONDS)
@@ -83,15 +83,13 @@
                         .addInterceptor(HttpTransport::applyReadTimeout)
                         .addNetworkInterceptor(HttpTransport::hideRetryAfter)
                         .build();
-        ConnectionPool unpooled = new ConnectionPool(0, 1, TimeUnit.MILLISECONDS);
-        mTargetClient = mClient.newBuilder().connectionPool(unpooled).build();
+        mClient = mTargetClient.newBuilder().socketFactory(new ResettingSocketFactory()).build();
     }
 
     @Override
     public void close() {
         mClient.dispatcher().cancelAll();
         mExecutor.shutdown();
-        mClient.connectionPool().evictAll();
     }
 
     /** Records whether any byte of a request may have been sent. */
@@ -138,11 +136,7 @@
         }
     }
 
-    /**
-     * Prepares a request whose answer goes to a caller. Its connection carries nothing else: an
-     * answer does not name its request, so that a late copy of an earlier answer would be taken for
-     * the answer to the next request.
-     */
+    /** Prepares a request whose answer goes to a caller. */
     Call newCall(Request request) {
         return mTargetClient.newCall(request);
     }
