End the body of a caller's request with the request

What was seen: a caller streams a body, its key is withdrawn before the target has read the body, and the connection is kept. The body of the next request on the connection is then sent to the target as the body of the ended request, and the next request loses it.

Cause: the server uses its input stream again for the next request of a connection, while the thread of the ended request still holds it. Only bodies that are streamed are concerned: chunked ones, or above 64 KiB, of calls without a program.

Change: the body fails reads after the end of its request. If a read is in progress at the end, the connection is closed after the response.

--- a/src/main/java/org/heathercourse/daemon/http/CallerHandlers.java
+++ b/src/main/java/org/heathercourse/daemon/http/CallerHandlers.java
@@ -8,7 +8,6 @@
 import io.javalin.http.Context;
 import jakarta.servlet.http.HttpServletRequest;
 import java.io.IOException;
-import java.io.InputStream;
 import java.nio.charset.StandardCharsets;
 import java.time.Clock;
 import java.util.HexFormat;
@@ -286,19 +285,20 @@
                                 PlainHeaders.filterRequestHeaders(
                                         CallerRequest.headers(request), key))
                         .build();
-        return writeAnswer(context, principal, gate, openCall(call, request, gate));
+        return writeAnswer(context, principal, gate, openCall(call, context, gate));
     }
 
-    private Answer openCall(CallRequest call, HttpServletRequest request, DrainGate gate)
-            throws IOException {
+    private Answer openCall(CallRequest call, Context context, DrainGate gate) throws IOException {
+        HttpServletRequest request = context.req();
         long length = request.getContentLengthLong();
         boolean buffered =
                 length >= 0 && length <= MAX_BUFFERED_BODY_BYTES
                         || length < 0 && request.getHeader("Transfer-Encoding") == null;
         if (call.ephemeral() && !buffered) {
             gate.requireTime(call.deadlineMillis());
-            InputStream stream = CallerRequest.limitedBody(request, mSettings.bodyLimitBytes());
-            return mCalls.openEphemeral(call, null, stream);
+            StreamedBody stream = CallerRequest.limitedBody(request, mSettings.bodyLimitBytes());
+            Answer answer = mCalls.openEphemeral(call, null, stream);
+            return new StreamedBodyAnswer(answer, stream, request, context.res());
         }
         return open(call, CallerRequest.readBody(request, mSettings.bodyLimitBytes()), gate);
     }
--- a/src/main/java/org/heathercourse/daemon/http/CallerRequest.java
+++ b/src/main/java/org/heathercourse/daemon/http/CallerRequest.java
@@ -2,7 +2,6 @@
 
 import jakarta.servlet.http.HttpServletRequest;
 import java.io.IOException;
-import java.io.InputStream;
 import java.util.Collections;
 import java.util.List;
 import java.util.Locale;
@@ -149,11 +148,11 @@
     }
 
     /** Returns a body as a stream whose reads fail once it exceeds the limit in bytes. */
-    static InputStream limitedBody(HttpServletRequest request, int limitBytes) throws IOException {
+    static StreamedBody limitedBody(HttpServletRequest request, int limitBytes) throws IOException {
         if (request.getContentLengthLong() > limitBytes) {
             throw bodyTooLarge(limitBytes);
         }
-        return new LimitedInputStream(request.getInputStream(), limitBytes);
+        return new StreamedBody(request.getInputStream(), limitBytes);
     }
 
     private static HeathercourseException bodyTooLarge(int limitBytes) {
@@ -162,36 +161,4 @@
                 "the body exceeds " + limitBytes + " bytes",
                 "send a smaller body");
     }
-
-    /** An input stream whose reads fail once more than a maximum number of bytes was read. */
-    private static final class LimitedInputStream extends InputStream {
-        private final InputStream mInput;
-        private long mRemainingBytes;
-
-        LimitedInputStream(InputStream in, long limitBytes) {
-            mInput = in;
-            mRemainingBytes = limitBytes;
-        }
-
-        @Override
-        public int read() throws IOException {
-            byte[] one = new byte[1];
-            return read(one, 0, 1) < 0 ? -1 : one[0] & 0xff;
-        }
-
-        @Override
-        public int read(byte[] buffer, int offset, int length) throws IOException {
-            int n = mInput.read(buffer, offset, length);
-            mRemainingBytes -= Math.max(0, n);
-            if (mRemainingBytes < 0) {
-                throw new IOException("the body exceeds the limit");
-            }
-            return n;
-        }
-
-        @Override
-        public void close() throws IOException {
-            mInput.close();
-        }
-    }
 }
--- a/src/test/java/org/heathercourse/daemon/call/FakeTargets.java
+++ b/src/test/java/org/heathercourse/daemon/call/FakeTargets.java
@@ -8,6 +8,7 @@
 import java.util.Map;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.function.BiFunction;
+import java.util.function.IntConsumer;
 import org.heathercourse.core.model.Usage;
 import org.heathercourse.platform.EngineClient;
 import org.heathercourse.platform.PlainClient;
@@ -28,6 +29,10 @@
     public final List<String> releasedSessions = new CopyOnWriteArrayList<>();
     public final List<Request> plainRequests = new CopyOnWriteArrayList<>();
     public final List<String> plainBodies = new CopyOnWriteArrayList<>();
+
+    /** Runs before the body of a plain request is read, with the number of requests so far. */
+    public volatile IntConsumer beforePlainBody = count -> {};
+
     public final List<EngineScript> nextEngineScripts = new CopyOnWriteArrayList<>();
     public volatile EngineScript engineScript = FakeTargets::answer;
     public volatile BiFunction<TargetAddress, Request, Response> plainScript =
@@ -101,6 +106,7 @@
     @Override
     public Response send(TargetAddress target, Request request) {
         plainRequests.add(request);
+        beforePlainBody.accept(plainRequests.size());
         try {
             plainBodies.add(
                     request.body() == null
