Reject a response whose head contains a second one

What was seen: a target or store sends the start of a success, then a whole failure on the same connection, as an answer given twice may come when the first is cut. The daemon read status 200 with the body of the failure; a failed commit read as committed.

Cause: the library accepts header lines without a colon and any text in the reason and in values, so that the second status line became a part of the head.

Change: a head with a line without a name, a name with a blank, or a status line in its reason or a value is rejected. A success that is cut in its body is not covered: a continuation of the right length cannot be told from the body.

--- a/src/main/java/org/heathercourse/platform/http/HttpTransport.java
+++ b/src/main/java/org/heathercourse/platform/http/HttpTransport.java
@@ -82,6 +82,7 @@
                         .addInterceptor(HttpTransport::restoreRetryAfter)
                         .addInterceptor(HttpTransport::applyReadTimeout)
                         .addNetworkInterceptor(HttpTransport::hideRetryAfter)
+                        .addNetworkInterceptor(ResponseHead::requireSingle)
                         .build();
         mClient = mTargetClient.newBuilder().socketFactory(new ResettingSocketFactory()).build();
     }
