Wait for the threads of a gateway's event loops at its close

Callers saw nothing; a process could exit after its stop grace period, because the exit of a Java process waits for threads that are in a system call.

Cause: close() waited for the futures of the event loops, at most 100 ms each. Such a future completes on the loop's thread, which then still closes its selector or starts the thread that notifies of the end.

Both loops now share one limit of 200 ms, the sum of the limits before, and close() logs event_loop_still_runs for each thread that is alive at its end.

--- a/src/main/java/org/heathercourse/gateway/Gateway.java
+++ b/src/main/java/org/heathercourse/gateway/Gateway.java
@@ -7,7 +7,6 @@
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
-import io.netty.util.concurrent.DefaultThreadFactory;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.time.Clock;
@@ -16,6 +15,7 @@
 import java.util.SplittableRandom;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ExecutionException;
+import java.util.concurrent.ThreadFactory;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
 import java.util.random.RandomGenerator;
@@ -72,16 +72,20 @@
     private static final int NOT_FOUND = 404;
     private static final int UNAVAILABLE = 503;
 
-    /** Maximum time in milliseconds that the end of an event loop takes. */
-    private static final long CLOSE_MILLIS = 100;
+    /** Time in milliseconds after which an event loop that ends takes no more tasks. */
+    private static final long LOOP_END_MILLIS = 100;
+
+    /** Maximum time in milliseconds to wait for the threads of all event loops together. */
+    private static final long CLOSE_MILLIS = 200;
 
     private static final EventLog LOG = EventLog.of(Gateway.class);
 
     private volatile Settings mSettings;
     private final EntryFormat mEntryFormat;
-    private final EventLoopGroup mControlGroup = newEventLoopGroup("control");
-    private final EventLoopGroup mTrafficGroup = newEventLoopGroup("traffic");
-    private final EventLoop mTraffic = mTrafficGroup.next();
+    private final LoopThreads mLoopThreads;
+    private final EventLoopGroup mControlGroup;
+    private final EventLoopGroup mTrafficGroup;
+    private final EventLoop mTraffic;
     private final MetricRegistry mMetrics = new MetricRegistry();
     private final ControlPlane mControl;
     private final WorkspaceRates mRates;
@@ -115,6 +119,10 @@
             RandomGenerator random) {
         mSettings = settings;
         mTicker = ticker;
+        mLoopThreads = new LoopThreads(ticker);
+        mControlGroup = newEventLoopGroup(mLoopThreads.factory("control"));
+        mTrafficGroup = newEventLoopGroup(mLoopThreads.factory("traffic"));
+        mTraffic = mTrafficGroup.next();
         mEntryFormat = platform.entryFormat();
         mTrafficRandom = new SplittableRandom(random.nextLong());
         mControl =
@@ -199,9 +207,8 @@
         }
     }
 
-    private static EventLoopGroup newEventLoopGroup(String name) {
-        return new MultiThreadIoEventLoopGroup(
-                1, new DefaultThreadFactory(name, true), NioIoHandler.newFactory());
+    private static EventLoopGroup newEventLoopGroup(ThreadFactory threads) {
+        return new MultiThreadIoEventLoopGroup(1, threads, NioIoHandler.newFactory());
     }
 
     private static Member describeSelf(Settings settings, Clock clock) {
@@ -429,15 +436,40 @@
     }
 
     /**
-     * Closes the peer links and ends the event loops. Waits for their end, at most {@link
-     * #CLOSE_MILLIS} each: at its exit the Java process waits 300 ms for threads that are in a
+     * Closes the peer links and ends the event loops. Waits for the end of their threads, at most
+     * {@link #CLOSE_MILLIS}: at its exit the Java process waits 300 ms for threads that are in a
      * system call, as an event loop mostly is, and the stop grace period may end before.
      */
     public void close() {
+        close(CLOSE_MILLIS);
+    }
+
+    /**
+     * Does the same as {@link #close()}, with another limit.
+     *
+     * @param timeoutMillis maximum time to wait for the threads, in milliseconds
+     */
+    void close(long timeoutMillis) {
         mControl.close();
-        mTrafficGroup.shutdownGracefully(0, CLOSE_MILLIS, TimeUnit.MILLISECONDS);
-        mControlGroup.shutdownGracefully(0, CLOSE_MILLIS, TimeUnit.MILLISECONDS);
-        mTrafficGroup.terminationFuture().awaitUninterruptibly(CLOSE_MILLIS);
-        mControlGroup.terminationFuture().awaitUninterruptibly(CLOSE_MILLIS);
+        mTrafficGroup.shutdownGracefully(0, LOOP_END_MILLIS, TimeUnit.MILLISECONDS);
+        mControlGroup.shutdownGracefully(0, LOOP_END_MILLIS, TimeUnit.MILLISECONDS);
+        try {
+            mLoopThreads.awaitEnd(timeoutMillis).forEach(this::logRunning);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    private void logRunning(Thread thread) {
+        LOG.warn(
+                "event_loop_still_runs",
+                "thread",
+                thread.getName(),
+                "state",
+                thread.getState(),
+                "trafficEnded",
+                mTrafficGroup.isTerminated(),
+                "controlEnded",
+                mControlGroup.isTerminated());
     }
 }
