--- a/src/test/java/org/heathercourse/gateway/GatewayExitTest.java
+++ b/src/test/java/org/heathercourse/gateway/GatewayExitTest.java
@@ -5,6 +5,7 @@
 import java.util.HashSet;
 import java.util.Set;
 import java.util.function.Consumer;
+import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 
 /**
@@ -20,9 +21,15 @@
 
     private static final int CLOSES = 3;
 
-    /** Guards against a close that does not wait for the threads themselves. */
+    @Tag("known-red")
     @Test
     void noEventLoopRunsAfterClose() {
+        assertThat(loopsAfter(Gateway::close)).isEmpty();
+    }
+
+    /** Guards against a close that does not wait for the threads themselves. */
+    @Test
+    void noEventLoopRunsAfterCloseWithTimeForThem() {
         for (int i = 0; i < CLOSES; i++) {
             assertThat(loopsAfter(gateway -> gateway.close(MAX_CLOSE_MILLIS))).isEmpty();
         }
