Read targets in parts of 4 KB

KNOWN-RED, BoundedMemoryTest.smallEventsWithoutEndDoNotDelayOthers: 40 streams of small events without end delayed a short request by up to 2.1 s.

Cause: not 16 reads a turn, as was presumed: the allocator that the pool sets reads once in a turn (printed). A read of 16 KB holds about 900 chunks of 18 bytes, each of which is decoded and gathered before another caller is served.

Long bodies need up to four times as many reads; that cost was not measured. The entry stays until the test itself has passed repeatedly.

--- a/src/main/java/org/heathercourse/gateway/target/TargetPool.java
+++ b/src/main/java/org/heathercourse/gateway/target/TargetPool.java
@@ -49,9 +49,11 @@
 
     /**
      * Maximum size in bytes of one read. What was read is handled to its end even if the caller is
-     * slow, so that it bounds what is kept for one beyond the caller's own limit.
+     * slow, so that it bounds what is kept for one beyond the caller's own limit. A connection is
+     * read once in a turn of the loop, so that it also bounds how long the small events of one
+     * target delay other callers.
      */
-    private static final int MAX_READ_BYTES = 16 * 1024;
+    private static final int MAX_READ_BYTES = 4 * 1024;
 
     private static final int MIN_READ_BYTES = 64;
     private static final int INITIAL_READ_BYTES = 2 * 1024;
