Add targets that answer twice, and a soak of gateways in front of them

TargetStandIn.answerTwice makes a target write one of three answers for the second time, 0 to 500 ms after the first, on the same connection: a success with a body of two bytes, the same without an id or without a length, the true answer, a head that is cut, or several copies. True answers have the statuses 200, 500 and 503, and their signatures name run and status. SecondAnswerSoakTest sends requests through two gateway processes to such targets and compares each answer with the run that its signature names.

--- a/src/main/java/org/heathercourse/testing/hosted/TargetStandIn.java
+++ b/src/main/java/org/heathercourse/testing/hosted/TargetStandIn.java
@@ -1,5 +1,6 @@
 package org.heathercourse.testing.hosted;
 
+import io.netty.channel.ChannelHandler;
 import io.netty.handler.codec.http.HttpHeaders;
 import java.util.List;
 import java.util.Map;
@@ -93,6 +94,7 @@
     private volatile String mCrashText;
     private volatile Runnable mOnRestart = () -> {};
     private volatile int mStarts = 1;
+    private volatile SecondAnswers mSecondAnswers;
 
     /**
      * A received request.
@@ -118,7 +120,24 @@
      */
     public TargetStandIn(String id) {
         mId = id;
-        mServer = new StandInServer("target-stand-in", () -> new TargetStandInConnection(this));
+        mServer = new StandInServer("target-stand-in", this::newConnection);
+    }
+
+    private ChannelHandler newConnection() {
+        SecondAnswers secondAnswers = mSecondAnswers;
+        return secondAnswers == null
+                ? new TargetStandInConnection(this)
+                : new SecondAnswerConnection(secondAnswers);
+    }
+
+    /**
+     * Makes the target answer requests twice on the connections that are opened from now on,
+     * without faults and without records of its own.
+     *
+     * @param secondAnswers decides on the answers and records them
+     */
+    public void answerTwice(SecondAnswers secondAnswers) {
+        mSecondAnswers = secondAnswers;
     }
 
     /** Returns the identity of the target. */
--- a/src/test/java/org/heathercourse/testing/hosted/PlannedStopSoakTest.java
+++ b/src/test/java/org/heathercourse/testing/hosted/PlannedStopSoakTest.java
@@ -105,27 +105,12 @@
                             Setting.STOP_GRACE_SECONDS.environmentVariable(),
                             Integer.toString(GRACE_SECONDS));
             mGateways.add(
-                    new SoakGateway(mDeployment, vm, gatewayCommand(), variables, output, mTicker));
+                    new SoakGateway(
+                            mDeployment, vm, SoakGateway.command(), variables, output, mTicker));
         }
         await("a gateway is not ready", () -> serving().size() == GATEWAYS);
     }
 
-    private static List<String> gatewayCommand() {
-        return List.of(
-                Path.of(System.getProperty("java.home"), "bin", "java").toString(),
-                "-Xmx72m",
-                "-Xss256k",
-                "-XX:+UseSerialGC",
-                "-XX:TieredStopAtLevel=1",
-                "-XX:MaxMetaspaceSize=64m",
-                "-Dio.netty.allocator.type=unpooled",
-                "-Dio.netty.noPreferDirect=true",
-                "-cp",
-                System.getProperty("java.class.path"),
-                "org.heathercourse.cli.Main",
-                "gateway");
-    }
-
     private List<SoakGateway> serving() {
         return new ArrayList<>(mGateways.stream().filter(SoakGateway::isServing).toList());
     }
--- a/src/test/java/org/heathercourse/testing/hosted/SoakGateway.java
+++ b/src/test/java/org/heathercourse/testing/hosted/SoakGateway.java
@@ -3,6 +3,7 @@
 import java.io.File;
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
@@ -96,6 +97,23 @@
         startRun();
     }
 
+    /** Returns program and arguments that start a gateway with little memory. */
+    static List<String> command() {
+        return List.of(
+                Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+                "-Xmx72m",
+                "-Xss256k",
+                "-XX:+UseSerialGC",
+                "-XX:TieredStopAtLevel=1",
+                "-XX:MaxMetaspaceSize=64m",
+                "-Dio.netty.allocator.type=unpooled",
+                "-Dio.netty.noPreferDirect=true",
+                "-cp",
+                System.getProperty("java.class.path"),
+                "org.heathercourse.cli.Main",
+                "gateway");
+    }
+
     private void startRun() {
         Run run = new Run(mName + "/" + (mRuns.size() + 1));
         mProcess.exitCode()
