--- a/src/main/java/org/heathercourse/gateway/target/TargetConnection.java
+++ b/src/main/java/org/heathercourse/gateway/target/TargetConnection.java
@@ -20,6 +20,7 @@
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 import org.heathercourse.core.limits.MemoryBudget;
+import org.heathercourse.log.EventLog;
 import org.heathercourse.platform.entry.AnswerFacts;
 import org.heathercourse.platform.entry.CallFormat;
 
@@ -43,27 +44,29 @@
     /** Maximum size in bytes of the bodies of skipped responses. */
     private static final int MAX_SKIPPED_BYTES = 1024 * 1024;
 
-    /**
-     * Maximum number of requests that are refused on a connection before it closes. Their ids are
-     * kept.
-     */
-    private static final int MAX_REFUSED_REQUESTS = 64;
+    /** Maximum number of requests on a connection before it closes. Their ids are kept. */
+    private static final int MAX_REQUESTS = 256;
+
+    private static final EventLog LOG = EventLog.of(TargetConnection.class);
 
     private final TargetPool mPool;
     private final CallFormat mFormat;
-    private final Set<String> mRefusedRequestIds = new HashSet<>();
+    private final ResponseDecoder mDecoder = new ResponseDecoder();
+    private final long mOpenedMillis;
+    private final Set<String> mCarriedRequestIds = new HashSet<>();
     private final MemoryBudget.Reservation mHeadMemory;
     private ChannelHandlerContext mContext;
     private ChannelFuture mWriteFuture;
     private ResponseListener mListener;
+    private int mCarriedRequests;
     private boolean mIsFirstRequest;
-    private boolean mCarriedRequest;
     private String mRequestId;
     private HttpMethod mRequestMethod;
     private boolean mSkippingResponse;
     private boolean mHeadDelivered;
     private int mUnfinishedHeadBytes;
     private boolean mSkippingInformational;
+    private int mInformationalResponses;
     private int mSkippedResponses;
     private long mSkippedBytes;
     private BodyFraming mFraming = BodyFraming.NO_BODY;
@@ -84,6 +87,8 @@
         mPool = pool;
         mFormat = format;
         mHeadMemory = memory.reserveHead();
+        mOpenedMillis = pool.nowMillis();
+        mIdleSinceMillis = mOpenedMillis;
     }
 
     @Override
@@ -93,6 +98,11 @@
 
     // Use by the pool
 
+    /** Returns the decoder of this connection's pipeline. */
+    ResponseDecoder decoder() {
+        return mDecoder;
+    }
+
     boolean isOpen() {
         return !mClosed && mContext.channel().isActive();
     }
@@ -102,11 +112,11 @@
     }
 
     /**
-     * Returns whether the target refused a request here. The refusal may arrive once more, and
-     * would then be taken for the response to the same request if that were sent here again.
+     * Returns whether a request with this id was sent here before. Its response may arrive once
+     * more, and would then be taken for the response to the request that is sent again.
      */
-    boolean hasRefused(String requestId) {
-        return mRefusedRequestIds.contains(requestId);
+    boolean hasCarried(String requestId) {
+        return mCarriedRequestIds.contains(requestId);
     }
 
     /** Returns the time after which the target closes the connection if idle, in milliseconds. */
@@ -123,12 +133,15 @@
      */
     void send(FullHttpRequest request, String requestId, ResponseListener listener) {
         mListener = listener;
-        mIsFirstRequest = !mCarriedRequest;
-        mCarriedRequest = true;
+        mIsFirstRequest = mCarriedRequests == 0;
+        mCarriedRequests++;
+        mCarriedRequestIds.add(requestId);
         mRequestId = requestId;
         mRequestMethod = request.method();
+        mDecoder.setRequestMethod(mRequestMethod);
         mHeadDelivered = false;
         mSkippingResponse = false;
+        mInformationalResponses = 0;
         mSkippedResponses = 0;
         mSkippedBytes = 0;
         mUnfinishedHeadBytes = 0;
@@ -136,6 +149,22 @@
         mWriteFuture = mContext.writeAndFlush(request);
     }
 
+    /** Returns what the connection has carried until now. */
+    ConnectionUse use() {
+        long nowMillis = mPool.nowMillis();
+        return new ConnectionUse(
+                id(), mCarriedRequests, nowMillis - mOpenedMillis, idleMillis(nowMillis));
+    }
+
+    /** Returns the number of responses that were skipped before the one to the request. */
+    int skippedResponses() {
+        return mSkippedResponses;
+    }
+
+    private String id() {
+        return mContext.channel().id().asShortText();
+    }
+
     /** Makes a connection that has carried no request available to others. */
     void releaseUnused() {
         mIdleSinceMillis = mPool.nowMillis();
@@ -186,6 +215,40 @@
         }
     }
 
+    /**
+     * Called when bytes of the target were read, before they are decoded. Closes the connection if
+     * no response is expected: the decoder would keep an unfinished head without a sign, and read
+     * the next response as the rest of it.
+     *
+     * @param bytes number of bytes
+     * @return whether they are to be decoded
+     */
+    boolean acceptsBytes(int bytes) {
+        if (mListener == null && !mClosed) {
+            reportUnexpectedBytes(bytes);
+            close();
+        }
+        return mListener != null;
+    }
+
+    private void reportUnexpectedBytes(int bytes) {
+        mPool.onUnexpectedBytes();
+        LOG.info(
+                "unexpected_bytes",
+                "target",
+                mPool.target().id(),
+                "connection",
+                id(),
+                "carriedRequests",
+                mCarriedRequests,
+                "lastId",
+                mRequestId,
+                "idleMillis",
+                idleMillis(mPool.nowMillis()),
+                "bytes",
+                bytes);
+    }
+
     /**
      * Called when bytes of the target were read, after what they complete was handled. They are
      * kept if they belong to a head that is not finished.
@@ -216,33 +279,37 @@
         }
         mSkippingInformational = response.status().codeClass() == HttpStatusClass.INFORMATIONAL;
         if (mSkippingInformational) {
-            countSkippedResponse();
+            mInformationalResponses++;
+            checkSkippedResponses();
             return;
         }
         int status = response.status().code();
         AnswerFacts facts = mFormat.readAnswer(status, response.headers());
+        if (ResponseHeadCheck.isMixed(response, facts)) {
+            fail("the response head contains the start of another one");
+            return;
+        }
         // It holds whichever request the response belongs to, unless another target sent it.
         if (facts.leaving() && !facts.wrongTarget()) {
             mPool.onLeaving();
         }
         mSkippingResponse = belongsToOtherRequest(response, facts);
         if (mSkippingResponse) {
-            mPool.onResponseSkipped();
-            countSkippedResponse();
+            skipResponse(response, facts);
             return;
         }
         if (facts.requestId() == null && !mIsFirstRequest) {
             fail("an error response without a request id may belong to an earlier request");
             return;
         }
-        if (facts.notRun()) {
-            mRefusedRequestIds.add(mRequestId);
-        }
         mFraming = BodyFraming.of(mRequestMethod, response);
+        // A copy of a response to HEAD has a length and no body, which other requests cannot know.
         mReusable =
                 mFraming.keepsConnection()
                         && HttpUtil.isKeepAlive(response)
-                        && mRefusedRequestIds.size() < MAX_REFUSED_REQUESTS;
+                        && mSkippedResponses == 0
+                        && !HttpMethod.HEAD.equals(mRequestMethod)
+                        && mCarriedRequests < MAX_REQUESTS;
         parseKeepAlive(response.headers().get("Keep-Alive"));
         mHeadDelivered = true;
         mListener.onHead(
@@ -254,6 +321,42 @@
                         mFraming));
     }
 
+    /**
+     * Skips a response to another request, if its end can be found. What follows on the connection
+     * is uncertain from then on, so that it carries no further request.
+     */
+    private void skipResponse(HttpResponse response, AnswerFacts facts) {
+        mSkippedResponses++;
+        mPool.onResponseSkipped();
+        logSkippedResponse(response.status().code(), facts);
+        checkSkippedResponses();
+        if (mListener == null) {
+            return;
+        }
+        if (HttpMethod.HEAD.equals(mRequestMethod)) {
+            fail("it is unknown whether a response to another request has a body");
+        } else if (!BodyFraming.of(mRequestMethod, response).keepsConnection()) {
+            fail("a response to another request ends with the connection");
+        }
+    }
+
+    private void logSkippedResponse(int status, AnswerFacts facts) {
+        LOG.info(
+                "response_skipped",
+                "id",
+                mRequestId,
+                "responseId",
+                facts.requestId(),
+                "status",
+                status,
+                "target",
+                mPool.target().id(),
+                "connection",
+                id(),
+                "carriedRequests",
+                mCarriedRequests);
+    }
+
     /** The codec reports a head that ends with its connection like one that is no valid HTTP. */
     private void failInHead(Throwable cause) {
         if (cause instanceof PrematureChannelClosureException) {
@@ -263,9 +366,10 @@
         }
     }
 
-    private void countSkippedResponse() {
-        if (++mSkippedResponses > MAX_SKIPPED_RESPONSES) {
-            fail("the target sent " + mSkippedResponses + " responses to other requests");
+    private void checkSkippedResponses() {
+        int skipped = mInformationalResponses + mSkippedResponses;
+        if (skipped > MAX_SKIPPED_RESPONSES) {
+            fail("the target sent " + skipped + " responses that do not answer the request");
         }
     }
 
@@ -331,11 +435,15 @@
     private void completeResponse() {
         ResponseListener listener = mListener;
         mListener = null;
+        mIdleSinceMillis = mPool.nowMillis();
+        int unreadBytes = mDecoder.unreadBytes();
+        if (unreadBytes > 0) {
+            reportUnexpectedBytes(unreadBytes);
+        }
         // A target may respond before the request was written completely and then still expects the
         // rest of it; such a connection is not reused.
-        if (mReusable && mWriteFuture.isSuccess() && !mClosed) {
+        if (mReusable && mWriteFuture.isSuccess() && unreadBytes == 0 && !mClosed) {
             mContext.channel().config().setAutoRead(true);
-            mIdleSinceMillis = mPool.nowMillis();
             mPool.onIdle(this);
         } else {
             close();
--- a/src/main/java/org/heathercourse/gateway/target/TargetPool.java
+++ b/src/main/java/org/heathercourse/gateway/target/TargetPool.java
@@ -9,7 +9,7 @@
 import io.netty.channel.ConnectTimeoutException;
 import io.netty.channel.EventLoop;
 import io.netty.channel.socket.nio.NioSocketChannel;
-import io.netty.handler.codec.http.HttpClientCodec;
+import io.netty.handler.codec.http.HttpRequestEncoder;
 import java.net.ConnectException;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
@@ -56,9 +56,6 @@
     private static final int MIN_READ_BYTES = 64;
     private static final int INITIAL_READ_BYTES = 2 * 1024;
     private static final int CONNECT_TIMEOUT_MILLIS = 400;
-    private static final int MAX_LINE_BYTES = 8 * 1024;
-    private static final int MAX_HEADER_BYTES = 32 * 1024;
-    private static final int MAX_CHUNK_BYTES = 64 * 1024;
 
     private final Target mTarget;
     private final TargetLoad mLoad = new TargetLoad();
@@ -84,6 +81,9 @@
 
         /** Called when a response to another request was skipped. */
         void onResponseSkipped();
+
+        /** Called when bytes arrived on a connection that awaits no response. */
+        void onUnexpectedBytes();
     }
 
     /** Receives the result of {@link TargetPool#acquire}. */
@@ -180,7 +180,7 @@
     /**
      * Acquires an idle connection or opens a new one.
      *
-     * @param requestId identity of the request; it gets no connection on which it was refused
+     * @param requestId identity of the request; it gets no connection on which it was sent before
      * @param maxConnections maximum number of connections of this gateway to the target
      * @param listener receives the connection
      */
@@ -188,7 +188,7 @@
         TargetConnection idle = pollIdle(requestId);
         if (idle != null) {
             listener.onConnection(new Exchange(idle));
-        } else if (mConnectionCount >= maxConnections) {
+        } else if (mConnectionCount >= maxConnections && !closeOldestIdle()) {
             listener.onUnavailable(
                     Unavailability.ALL_IN_USE, "all connections to the target are in use");
         } else {
@@ -196,7 +196,8 @@
         }
     }
 
-    private TargetConnection pollIdle(String requestId) {
+    /** Takes an idle connection that may carry a request; returns null if there is none. */
+    TargetConnection pollIdle(String requestId) {
         long now = nowMillis();
         Iterator<TargetConnection> newestFirst = mIdle.descendingIterator();
         TargetConnection found = null;
@@ -209,7 +210,7 @@
                 connection.close();
             } else if (found == null
                     && idleMillis >= MIN_IDLE_MILLIS
-                    && !connection.hasRefused(requestId)) {
+                    && !connection.hasCarried(requestId)) {
                 newestFirst.remove();
                 found = connection;
             }
@@ -217,6 +218,15 @@
         return found;
     }
 
+    /** Makes place for a connection that may carry what the idle ones may not. */
+    private boolean closeOldestIdle() {
+        TargetConnection oldest = mIdle.peekFirst();
+        if (oldest != null) {
+            oldest.close();
+        }
+        return oldest != null;
+    }
+
     private void connect(AcquireListener listener) {
         mConnectionCount++;
         TargetConnection connection = new TargetConnection(this, mFormat, mMemory);
@@ -257,7 +267,8 @@
 
     static void addHandlers(ChannelPipeline pipeline, TargetConnection connection) {
         pipeline.addLast(new InputObserver(connection))
-                .addLast(new HttpClientCodec(MAX_LINE_BYTES, MAX_HEADER_BYTES, MAX_CHUNK_BYTES))
+                .addLast(connection.decoder())
+                .addLast(new HttpRequestEncoder())
                 .addLast(connection);
     }
 
@@ -319,6 +330,10 @@
         mEvents.onResponseSkipped();
     }
 
+    void onUnexpectedBytes() {
+        mEvents.onUnexpectedBytes();
+    }
+
     /** Called when the target said in a response that it leaves. */
     void onLeaving() {
         mOnLeaving.accept(mTarget);
