Let some attempts of the soak of second answers be refused in all their runs

Targets now refuse every run of some attempts, and the judge expects that a refusal reached a caller. The number of callers can be set as well.

--- a/src/main/java/org/heathercourse/testing/hosted/SecondAnswers.java
+++ b/src/main/java/org/heathercourse/testing/hosted/SecondAnswers.java
@@ -4,7 +4,9 @@
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
+import java.util.Set;
 import java.util.SplittableRandom;
 
 /**
@@ -23,10 +25,14 @@
     /** One of this number of answers is written for the second time. */
     private static final int ANSWERS_PER_COPY = 3;
 
+    /** One of this number of refused attempts is refused in all its runs. */
+    private static final int REFUSALS_PER_LASTING_REFUSAL = 8;
+
     private final SplittableRandom mRandom;
     private final List<SecondAnswer> mVariants;
     private final List<Run> mRuns = new ArrayList<>();
     private final List<Copy> mCopies = new ArrayList<>();
+    private final Set<String> mRefusedAttempts = new HashSet<>();
 
     /** Status of a true answer. */
     private enum TrueStatus {
@@ -154,6 +160,7 @@
 
     synchronized Run begin(String connection, FullHttpRequest request) {
         HttpHeaders headers = request.headers();
+        String attempt = headers.get(ATTEMPT_HEADER, "none");
         boolean streaming = request.uri().contains("stream");
         int lastEvent = Integer.parseInt(headers.get("Last-Event-Id", "0"));
         Run run =
@@ -161,13 +168,23 @@
                         mRuns.size(),
                         connection,
                         headers.get(TargetStandIn.REQUEST_ID_HEADER, "none"),
-                        headers.get(ATTEMPT_HEADER, "none"),
-                        TrueStatus.draw(mRandom),
+                        attempt,
+                        drawStatus(attempt),
                         streaming ? lastEvent + 1 : 0);
         mRuns.add(run);
         return run;
     }
 
+    /** Draws the status of a run; callers receive a refusal only if each run is refused. */
+    private int drawStatus(String attempt) {
+        int status = TrueStatus.draw(mRandom);
+        if (status == TrueStatus.REFUSAL.mCode
+                && mRandom.nextInt(REFUSALS_PER_LASTING_REFUSAL) == 0) {
+            mRefusedAttempts.add(attempt);
+        }
+        return mRefusedAttempts.contains(attempt) ? TrueStatus.REFUSAL.mCode : status;
+    }
+
     synchronized int drawAnswerDelayMillis() {
         return mRandom.nextInt(MAX_ANSWER_DELAY_MILLIS);
     }
--- a/src/test/java/org/heathercourse/testing/hosted/SecondAnswerJudge.java
+++ b/src/test/java/org/heathercourse/testing/hosted/SecondAnswerJudge.java
@@ -4,6 +4,7 @@
 import java.util.EnumMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.TreeMap;
 import java.util.function.Function;
 import java.util.regex.Matcher;
@@ -19,6 +20,7 @@
     private static final Pattern SIGNATURE = Pattern.compile("sig-.*-(\\d+)-\\d+");
     private static final Pattern EVENT_RUN = Pattern.compile("data: token \\d+ of (\\d+)\n\n");
     private static final int HTTP_OK = 200;
+    private static final Set<String> PROMISE_STATUSES = Set.of("429", "503");
 
     private final List<Run> mRuns;
     private final List<Copy> mCopies;
@@ -165,6 +167,9 @@
                 mViolations.add("no success of type " + type);
             }
         }
+        if (mAnswers.keySet().stream().noneMatch(PROMISE_STATUSES::contains)) {
+            mViolations.add("no refusal reached a caller");
+        }
         for (SecondAnswer variant : variants) {
             if (mCopies.stream().noneMatch(copy -> copy.variant() == variant)) {
                 mViolations.add("no second answer " + variant);
--- a/src/test/java/org/heathercourse/testing/hosted/SecondAnswerSoakTest.java
+++ b/src/test/java/org/heathercourse/testing/hosted/SecondAnswerSoakTest.java
@@ -19,9 +19,9 @@
 /**
  * Sends requests through gateway processes to targets that answer twice, the second time late.
  *
- * <p>The system properties secondAnswerSoak.seed, .seconds, .gateways and .variants (names of
- * {@link SecondAnswer}, separated by commas) change its course. The output of the gateways goes to
- * target/second-answer-soak.
+ * <p>The system properties secondAnswerSoak.seed, .seconds, .gateways, .callers and .variants
+ * (names of {@link SecondAnswer}, separated by commas) change its course. The output of the
+ * gateways goes to target/second-answer-soak.
  */
 class SecondAnswerSoakTest {
     private static final String PROPERTIES = "secondAnswerSoak.";
@@ -36,8 +36,8 @@
     /** Longest work of a target on one request, in milliseconds, with a margin. */
     private static final long MAX_WORK_MILLIS = 1_000;
 
-    /** Callers of each gateway that keep their connections, and callers that do not. */
-    private static final int CALLERS_OF_EACH_BEHAVIOR = 6;
+    /** Callers of each gateway; every other one keeps its connection. */
+    private static final int CALLERS = Integer.getInteger(PROPERTIES + "callers", 12);
 
     private final SplittableRandom mRandom = new SplittableRandom(SEED);
     private final HostedDeployment mDeployment = new HostedDeployment();
@@ -96,7 +96,7 @@
     }
 
     private void startCallers(SoakGateway gateway) {
-        for (int i = 0; i < 2 * CALLERS_OF_EACH_BEHAVIOR; i++) {
+        for (int i = 0; i < CALLERS; i++) {
             SecondAnswerCaller caller =
                     new SecondAnswerCaller(
                             "c" + mCallers.size(), gateway.address(), i % 2 == 0, mRandom.split());
