Reject store replies whose head consists of parts of two replies

What could happen: a refused commit (412) read as a success, so that a lease or a budget would be believed that the store had refused.

Cause: as at targets: the start of a second reply that arrives after the next request was sent and the rest of the real reply are valid HTTP together, with the status of the first.

Change: the channel to the store uses the decoder and the check of the connections to targets, which now have a package of their own, gateway.codec.

A second reply that is whole and arrives after the next request was sent is still taken for its reply, as replies of the store carry no id.

--- a/src/main/java/org/heathercourse/gateway/target/ResponseDecoder.java
+++ b/src/main/java/org/heathercourse/gateway/codec/ResponseDecoder.java
@@ -1,4 +1,4 @@
-package org.heathercourse.gateway.target;
+package org.heathercourse.gateway.codec;
 
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpMessage;
@@ -7,19 +7,20 @@
 import io.netty.util.AsciiString;
 
 /**
- * Decodes the responses of a target, and tells whether bytes follow a response at its end.
+ * Decodes the responses on one connection, and tells whether bytes follow a response at its end.
  *
  * <p>Bytes that complete no message are kept without a sign to the handlers behind, and would
  * become the start of the next response.
  */
-final class ResponseDecoder extends HttpResponseDecoder {
+public class ResponseDecoder extends HttpResponseDecoder {
     private static final int MAX_LINE_BYTES = 8 * 1024;
     private static final int MAX_HEADER_BYTES = 32 * 1024;
     private static final int MAX_CHUNK_BYTES = 64 * 1024;
 
     private HttpMethod mRequestMethod;
 
-    ResponseDecoder() {
+    /** Creates a decoder for responses to requests of other methods than HEAD. */
+    public ResponseDecoder() {
         super(
                 new HttpDecoderConfig()
                         .setMaxInitialLineLength(MAX_LINE_BYTES)
@@ -28,12 +29,12 @@
     }
 
     /** Sets the method of the request that the next responses answer. */
-    void setRequestMethod(HttpMethod method) {
+    public void setRequestMethod(HttpMethod method) {
         mRequestMethod = method;
     }
 
     /** Returns the number of bytes that were received and belong to no message so far. */
-    int unreadBytes() {
+    public final int unreadBytes() {
         return actualReadableBytes();
     }
 
--- a/src/main/java/org/heathercourse/gateway/target/ResponseHeadCheck.java
+++ b/src/main/java/org/heathercourse/gateway/codec/ResponseHeadCheck.java
@@ -1,32 +1,31 @@
-package org.heathercourse.gateway.target;
+package org.heathercourse.gateway.codec;
 
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpStatusClass;
 import java.util.Map;
 import java.util.regex.Pattern;
-import org.heathercourse.platform.entry.AnswerFacts;
 
 /**
  * Recognises heads that consist of the start of one response and the rest of another.
  *
- * <p>A target that stops within a second answer and then answers the next request leaves such a
- * head: the status of the first, and the identity, signature and body of the second. Where the cut
- * falls into the reason phrase or the value of a header, the result is valid HTTP.
+ * <p>A server that stops within a second response and then answers the next request leaves such a
+ * head: the status of the first, and the headers and the body of the second. Where the cut falls
+ * into the reason phrase or the value of a header, the result is valid HTTP.
  */
-final class ResponseHeadCheck {
+public final class ResponseHeadCheck {
     private static final Pattern STATUS_LINE = Pattern.compile("HTTP/\\d\\.\\d \\d{3}");
 
     private ResponseHeadCheck() {}
 
     /**
-     * Returns whether the head contains the status line of another response or a header twice, or
-     * its status is none, such as one with digits of two.
+     * Returns whether the head contains the status line of another response, or its status is none,
+     * such as one with digits of two.
      */
-    static boolean isMixed(HttpResponse response, AnswerFacts facts) {
+    public static boolean isMixed(HttpResponse response) {
         if (response.status().codeClass() == HttpStatusClass.UNKNOWN) {
             return true;
         }
-        if (facts.ambiguous() || hasStatusLine(response.status().reasonPhrase())) {
+        if (hasStatusLine(response.status().reasonPhrase())) {
             return true;
         }
         for (Map.Entry<String, String> header : response.headers()) {
--- a/src/main/java/org/heathercourse/gateway/store/DirectChannel.java
+++ b/src/main/java/org/heathercourse/gateway/store/DirectChannel.java
@@ -18,7 +18,6 @@
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObjectAggregator;
 import io.netty.handler.codec.http.HttpRequestEncoder;
-import io.netty.handler.codec.http.HttpResponseDecoder;
 import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
@@ -30,6 +29,8 @@
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import org.heathercourse.gateway.codec.ResponseDecoder;
+import org.heathercourse.gateway.codec.ResponseHeadCheck;
 import org.heathercourse.platform.StoreException;
 import org.heathercourse.platform.rows.StoreChannel;
 
@@ -172,7 +173,7 @@
      * Decodes replies. No request has the method HEAD or CONNECT, so that a reply can be decoded
      * without its request.
      */
-    private static final class ReplyDecoder extends HttpResponseDecoder {
+    private static final class ReplyDecoder extends ResponseDecoder {
         private boolean mAwaitsReply;
 
         /** Closes the connection if no request waits; a decoder would keep the bytes for later. */
@@ -189,7 +190,7 @@
         /** Expects no more bytes; returns whether some have arrived behind the reply. */
         boolean endReply() {
             mAwaitsReply = false;
-            return actualReadableBytes() > 0;
+            return unreadBytes() > 0;
         }
     }
 
@@ -249,7 +250,7 @@
             if (mReply != null) {
                 return;
             }
-            if (response.decoderResult().isFailure()) {
+            if (response.decoderResult().isFailure() || ResponseHeadCheck.isMixed(response)) {
                 fail("the store's reply is not valid HTTP", null);
                 context.close();
             } else if (response.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
--- a/src/main/java/org/heathercourse/gateway/target/TargetConnection.java
+++ b/src/main/java/org/heathercourse/gateway/target/TargetConnection.java
@@ -21,6 +21,8 @@
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 import org.heathercourse.core.limits.MemoryBudget;
+import org.heathercourse.gateway.codec.ResponseDecoder;
+import org.heathercourse.gateway.codec.ResponseHeadCheck;
 import org.heathercourse.log.EventLog;
 import org.heathercourse.platform.entry.AnswerFacts;
 import org.heathercourse.platform.entry.CallFormat;
@@ -296,7 +298,7 @@
         }
         int status = response.status().code();
         AnswerFacts facts = mFormat.readAnswer(status, response.headers());
-        if (ResponseHeadCheck.isMixed(response, facts)) {
+        if (facts.ambiguous() || ResponseHeadCheck.isMixed(response)) {
             fail("the response head contains the start of another one");
             return;
         }
--- a/src/test/java/org/heathercourse/gateway/store/StoreReplyMatchTest.java
+++ b/src/test/java/org/heathercourse/gateway/store/StoreReplyMatchTest.java
@@ -37,6 +37,8 @@
             "HTTP/1.1 412 Precondition Failed\r\nContent-Length: 6\r\n\r\nsecond";
 
     /** Ends a script after which the stand-in closes the connection. */
+    private static final String END_OF_HEAD = "\r\n\r\n";
+
     private static final String END_OF_CONNECTION = "<end>";
 
     private static final StoreChannel.Request READ =
@@ -103,6 +105,20 @@
         }
     }
 
+    /** Guards against a refused commit that reads as a success: status of a copy, body of a 412. */
+    @Test
+    void startOfCopyBeforeReplyDoesNotChangeItsStatus() {
+        int headBytes = COPY.indexOf(END_OF_HEAD) + END_OF_HEAD.length();
+        for (int length = 1; length < headBytes; length++) {
+            mStore.replyWith(COPY.substring(0, length) + SECOND_REPLY);
+            Integer status =
+                    mChannel.send(READ, TIMEOUT_MILLIS)
+                            .handle((reply, error) -> error == null ? reply.status() : null)
+                            .join();
+            assertThat(status).as("after %d bytes of a copy", length).isIn(null, 412);
+        }
+    }
+
     /** Guards against an interim response that ends a request whose reply then is the next's. */
     @Test
     void interimResponseIsNoReply() {
