--- a/src/main/java/org/heathercourse/gateway/codec/ResponseHeadCheck.java
+++ b/src/main/java/org/heathercourse/gateway/codec/ResponseHeadCheck.java
@@ -18,8 +18,8 @@
     private ResponseHeadCheck() {}
 
     /**
-     * Returns whether the head contains the status line of another response, or its status is none,
-     * such as one with digits of two.
+     * Returns whether the head contains the status line of another response, or a status outside
+     * 100 to 599, which digits of two responses can form.
      */
     public static boolean isMixed(HttpResponse response) {
         if (response.status().codeClass() == HttpStatusClass.UNKNOWN) {
