--- /dev/null
+++ b/src/main/java/org/heathercourse/core/history/package-info.java
@@ -0,0 +1,2 @@
+/** Histories of turns that the system keeps: their composition and their retention. */
+package org.heathercourse.core.history;
--- a/src/main/java/org/heathercourse/core/routing/Route.java
+++ b/src/main/java/org/heathercourse/core/routing/Route.java
@@ -16,6 +16,10 @@
  * @param priority priority of requests; 0 is served first
  * @param allowsAnonymous whether requests are accepted without a key
  * @param resumable whether an interrupted answer may be resumed after its last event
+ * @param sessionAffinity whether requests that concern the same object go to the same target
+ * @param retainsHistory whether requests carry only their new input, and the system keeps what came
+ *     before
+ * @param retentionMillis time for which a history is kept after its last turn, in milliseconds
  */
 public record Route(
         String name,
@@ -28,7 +32,10 @@
         int maxTargets,
         int priority,
         boolean allowsAnonymous,
-        boolean resumable) {
+        boolean resumable,
+        boolean sessionAffinity,
+        boolean retainsHistory,
+        long retentionMillis) {
     /** Copies the list of services and rejects an empty one. */
     public Route {
         services = List.copyOf(services);
@@ -73,6 +80,7 @@
         private static final long DEFAULT_TIMEOUT_MILLIS = 60_000;
         private static final long DEFAULT_OBJECTIVE_MILLIS = 1_000;
         private static final int DEFAULT_MAX_TARGETS = 2;
+        private static final long DEFAULT_RETENTION_MILLIS = 60_000;
 
         private String mName = "";
         private String mHost = "";
@@ -85,6 +93,9 @@
         private int mPriority;
         private boolean mOpen;
         private boolean mResumable;
+        private boolean mSessionAffinity;
+        private boolean mRetainsHistory;
+        private long mRetentionMillis = DEFAULT_RETENTION_MILLIS;
 
         private Builder() {}
 
@@ -154,6 +165,24 @@
             return this;
         }
 
+        /** Sets whether requests that concern the same object go to the same target. */
+        public Builder sessionAffinity(boolean sessionAffinity) {
+            mSessionAffinity = sessionAffinity;
+            return this;
+        }
+
+        /** Sets whether the system keeps the histories of turns. */
+        public Builder retainsHistory(boolean retainsHistory) {
+            mRetainsHistory = retainsHistory;
+            return this;
+        }
+
+        /** Sets the time for which a history is kept after its last turn, in milliseconds. */
+        public Builder retentionMillis(long retentionMillis) {
+            mRetentionMillis = retentionMillis;
+            return this;
+        }
+
         /** Creates the route. */
         public Route build() {
             return new Route(
@@ -167,7 +196,10 @@
                     mMaxTargets,
                     mPriority,
                     mOpen,
-                    mResumable);
+                    mResumable,
+                    mSessionAffinity,
+                    mRetainsHistory,
+                    mRetentionMillis);
         }
     }
 }
--- a/src/main/java/org/heathercourse/platform/entry/CallFacts.java
+++ b/src/main/java/org/heathercourse/platform/entry/CallFacts.java
@@ -17,6 +17,8 @@
  * @param promptTokens estimated tokens of the prompt; 0 if the request is not a turn
  * @param maxOutputTokens maximum number of tokens that the turn generates; 0 if the request is not
  *     a turn
+ * @param previousTurnId request id of the turn that this one continues; null if it continues none
+ * @param affinityKey object that the request concerns; null if it names none
  */
 public record CallFacts(
         String requestId,
@@ -26,7 +28,9 @@
         OptionalLong programDeadlineMillis,
         OptionalLong budgetTokens,
         long promptTokens,
-        long maxOutputTokens) {
+        long maxOutputTokens,
+        String previousTurnId,
+        String affinityKey) {
     @Override
     public String toString() {
         return "CallFacts[requestId=" + requestId + ", programId=" + programId + "]";
--- a/src/main/java/org/heathercourse/platform/hosted/HeaderFormat.java
+++ b/src/main/java/org/heathercourse/platform/hosted/HeaderFormat.java
@@ -1,5 +1,6 @@
 package org.heathercourse.platform.hosted;
 
+import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
 import java.util.OptionalLong;
 import org.heathercourse.platform.entry.AnswerFacts;
@@ -23,7 +24,22 @@
                 number(headers.get(WireNames.PROGRAM_DEADLINE)),
                 number(headers.get(WireNames.BUDGET)),
                 tokens[0],
-                tokens[1]);
+                tokens[1],
+                headers.get(WireNames.PREVIOUS_TURN),
+                affinityKey(headers));
+    }
+
+    /** Returns the value of the affinity cookie; null if there is none. */
+    private static String affinityKey(HttpHeaders headers) {
+        for (String header : headers.getAll(HttpHeaderNames.COOKIE)) {
+            for (String cookie : header.split(";")) {
+                String pair = cookie.trim();
+                if (pair.startsWith(WireNames.AFFINITY_COOKIE + "=")) {
+                    return pair.substring(WireNames.AFFINITY_COOKIE.length() + 1);
+                }
+            }
+        }
+        return null;
     }
 
     private static OptionalLong number(String text) {
--- a/src/main/java/org/heathercourse/platform/hosted/OperatorRows.java
+++ b/src/main/java/org/heathercourse/platform/hosted/OperatorRows.java
@@ -27,6 +27,11 @@
     /** Maximum number of connections to a target whose service declares none. */
     private static final int DEFAULT_MAX_CONNECTIONS = 128;
 
+    /** Time in seconds for which histories are kept if the route declares none. */
+    private static final double DEFAULT_RETENTION_SECONDS = 60;
+
+    private static final double MILLIS_PER_SECOND = 1_000;
+
     @Override
     public RowKey configurationRow() {
         return new RowKey(WireNames.OPERATOR_TABLE, "", WireNames.CONFIGURATION_KEY);
@@ -91,9 +96,16 @@
                 .priority(route.path("priority").asInt(0))
                 .allowsAnonymous(route.path("public").asBoolean(false))
                 .resumable(route.path("resumable").asBoolean(false))
+                .sessionAffinity(route.path("session_affinity").asBoolean(false))
+                .retainsHistory(route.path("retains_history").asBoolean(false))
+                .retentionMillis(retentionMillis(route.path("retention_s")))
                 .build();
     }
 
+    private static long retentionMillis(JsonNode seconds) {
+        return (long) (seconds.asDouble(DEFAULT_RETENTION_SECONDS) * MILLIS_PER_SECOND);
+    }
+
     /** Converts a route type; an unknown one is treated as non-idempotent, the most restrictive. */
     private static RouteKind kind(String type) {
         return switch (type) {
--- a/src/main/java/org/heathercourse/platform/hosted/WireNames.java
+++ b/src/main/java/org/heathercourse/platform/hosted/WireNames.java
@@ -27,6 +27,12 @@
 
     static final String LAST_EVENT = "Last-Event-Id";
 
+    /** Request id of the turn that a turn continues. */
+    static final String PREVIOUS_TURN = "X-Heathercourse-Previous-Turn";
+
+    /** Name of a cookie, not of a header. */
+    static final String AFFINITY_COOKIE = "X-Heathercourse-Affinity-Key";
+
     // Headers that only gateways set
 
     static final String WORKSPACE = "X-Heathercourse-Tenant";
