Divide callers and owners by the processor time of VMs

Where histories are retained, VMs of a quarter of a core got as many callers as VMs of one and a half cores, since callers pick an address at random. Each directory names a VM with a probability in proportion to its processor time, and owners of budgets and rates are VMs with at least half of the most. Heartbeats carry the processor time only where the configuration has a route that retains histories, so other deployments are served as before. Not measured on a deployment yet.

--- a/src/main/java/org/heathercourse/core/fleet/Fleet.java
+++ b/src/main/java/org/heathercourse/core/fleet/Fleet.java
@@ -64,9 +64,15 @@
      * @param zone zone of the caller
      * @param maxCount maximum number of addresses to return
      * @param random selects the addresses to leave out if there are too many
+     * @param directory gateway that answers the caller; see {@link CapacityShare}
      */
-    public List<String> recommendedAddresses(Zone zone, int maxCount, RandomGenerator random) {
-        List<Member> chosen = readyMembers(zone);
+    public List<String> recommendedAddresses(
+            Zone zone, int maxCount, RandomGenerator random, VmId directory) {
+        List<Member> inZone = readyMembers(zone);
+        List<Member> chosen = CapacityShare.select(inZone, directory);
+        if (chosen.size() < MIN_GATEWAYS_IN_ZONE) {
+            chosen = inZone;
+        }
         if (chosen.size() < MIN_GATEWAYS_IN_ZONE) {
             readyMembers().stream().filter(m -> !m.zone().equals(zone)).forEach(chosen::add);
         }
--- a/src/main/java/org/heathercourse/core/fleet/Member.java
+++ b/src/main/java/org/heathercourse/core/fleet/Member.java
@@ -15,6 +15,7 @@
  * @param state state that the gateway reports
  * @param heartbeat number that increases with each heartbeat
  * @param periodMillis time between heartbeats in milliseconds
+ * @param processorCores processor time that the VM has, in cores; 0 if unknown
  */
 public record Member(
         VmId vm,
@@ -25,14 +26,33 @@
         int peerPort,
         MemberState state,
         long heartbeat,
-        long periodMillis) {
+        long periodMillis,
+        double processorCores) {
     /**
      * Returns whether another row describes the same process in the same state.
      *
      * @param other the other row; null for none
      */
     public boolean isSameProcessAndState(Member other) {
-        return other != null && incarnation == other.incarnation && state == other.state;
+        return other != null
+                && incarnation == other.incarnation
+                && state == other.state
+                && processorCores == other.processorCores;
+    }
+
+    /** Returns this member with unknown processor time, so that all gateways count alike. */
+    public Member withoutCapacity() {
+        return new Member(
+                vm,
+                incarnation,
+                zone,
+                callerAddress,
+                peerHost,
+                peerPort,
+                state,
+                heartbeat,
+                periodMillis,
+                0);
     }
 
     /** Returns this member with the values of its next heartbeat. */
@@ -46,6 +66,7 @@
                 peerPort,
                 newState,
                 heartbeat + 1,
-                newPeriodMillis);
+                newPeriodMillis,
+                processorCores);
     }
 }
--- a/src/main/java/org/heathercourse/core/fleet/OwnerSelection.java
+++ b/src/main/java/org/heathercourse/core/fleet/OwnerSelection.java
@@ -19,8 +19,8 @@
  * square of the fleet. With few owners each gateway reuses few links. Fleets of up to {@link
  * #MIN_RATE_OWNERS} gateways have no other gateways than owners.
  *
- * <p>The ranking of a gateway depends on its VM only, so a gateway that comes or goes replaces one
- * owner at most. Stateless and thread-safe.
+ * <p>The ranking of a gateway depends on its VM only, apart from the most processor time, so a
+ * gateway that comes or goes replaces one owner at most. Stateless and thread-safe.
  */
 final class OwnerSelection {
     /** Minimum number of gateways that own rates; fewer if the fleet is smaller. */
@@ -32,6 +32,9 @@
     /** Number of gateways for each owner in a large fleet, which bounds the load of an owner. */
     private static final int GATEWAYS_PER_OWNER = 8;
 
+    /** Fraction of the most processor time of a VM from which on a gateway is preferred. */
+    private static final double STRONG_FRACTION = 0.5;
+
     private static final String RANKING_KEY = "owner";
 
     /** A gateway with its weight, which is computed once. */
@@ -39,11 +42,21 @@
 
     private OwnerSelection() {}
 
-    /** Returns the gateways in an order that does not change when others come or go. */
+    /**
+     * Returns the gateways in an order that does not change when others come or go. Those with at
+     * least half of the most processor time come first where it is known: each turn and each
+     * request with a rate waits for an owner.
+     */
     static List<Member> rank(Collection<Member> members) {
+        double strongCores =
+                members.stream().mapToDouble(Member::processorCores).max().orElse(0)
+                        * STRONG_FRACTION;
         return members.stream()
                 .map(m -> new Ranked(m, Rendezvous.weight(RANKING_KEY, m.vm().value())))
-                .sorted(Comparator.comparingLong(Ranked::weight).reversed())
+                .sorted(
+                        Comparator.comparing(
+                                        (Ranked r) -> r.member().processorCores() < strongCores)
+                                .thenComparing(Comparator.comparingLong(Ranked::weight).reversed()))
                 .map(Ranked::member)
                 .toList();
     }
--- a/src/main/java/org/heathercourse/daemon/settings/Setting.java
+++ b/src/main/java/org/heathercourse/daemon/settings/Setting.java
@@ -67,6 +67,16 @@
             "33554432",
             "maximum sum of the bytes kept for callers and targets; at most half of the heap",
             Program.ONLY_GATEWAY),
+    PROCESSOR_SHARE(
+            ValueType.DECIMAL,
+            "0",
+            "fraction of each core that the VM has; 0 if unknown",
+            Program.ONLY_GATEWAY),
+    PROCESSOR_CORES(
+            ValueType.DECIMAL,
+            "1",
+            "cores of the VM, or their speed relative to one core",
+            Program.ONLY_GATEWAY),
     LOG_LEVEL(ValueType.LOG_LEVEL, "info", "minimum level of log lines", Program.SERVERS);
 
     private static final String ENVIRONMENT_PREFIX = "HEATHERCOURSE_";
--- a/src/main/java/org/heathercourse/gateway/Gateway.java
+++ b/src/main/java/org/heathercourse/gateway/Gateway.java
@@ -222,7 +222,9 @@
                 peers.getPort(),
                 MemberState.STARTING,
                 0,
-                0);
+                0,
+                settings.decimal(Setting.PROCESSOR_SHARE)
+                        * settings.decimal(Setting.PROCESSOR_CORES));
     }
 
     private static String callerAddress(Settings settings) {
@@ -329,7 +331,8 @@
                 withoutLeaving(
                         mControl.clusterView()
                                 .fleet()
-                                .recommendedAddresses(zone, MAX_ADDRESSES, mTrafficRandom));
+                                .recommendedAddresses(
+                                        zone, MAX_ADDRESSES, mTrafficRandom, mSettings.vm()));
         if (addresses.isEmpty()
                 || !mControl.configurationAge().isYoungerThan(maxConfigurationAgeMillis())) {
             return Response.empty(UNAVAILABLE);
--- a/src/main/java/org/heathercourse/gateway/control/MembershipLoop.java
+++ b/src/main/java/org/heathercourse/gateway/control/MembershipLoop.java
@@ -18,6 +18,7 @@
 import org.heathercourse.core.limits.ShareEpoch;
 import org.heathercourse.core.limits.ShareTable;
 import org.heathercourse.core.model.VmId;
+import org.heathercourse.core.routing.RoutingTable;
 import org.heathercourse.core.time.SuspendAwareClock;
 import org.heathercourse.log.EventLog;
 import org.heathercourse.platform.rows.RowCommit;
@@ -129,10 +130,15 @@
     private CompletableFuture<RowCommit> writeSelf() {
         mSelf = mSelf.withHeartbeat(mStateSupplier.get(), periodMillis());
         RowKey key = new RowKey(TABLE, "", VM_PREFIX + mSelf.vm().value());
-        byte[] value = JsonRowCodec.encode(mSelf);
+        byte[] value = JsonRowCodec.encode(sharesByCapacity() ? mSelf : mSelf.withoutCapacity());
         return mStore.commit(RowTransaction.put(key, RowTransaction.ANY_VERSION, value));
     }
 
+    /** Returns whether callers are divided by processor time, as the configuration implies. */
+    private boolean sharesByCapacity() {
+        return mClusterView.routing().map(RoutingTable::retainsHistories).orElse(false);
+    }
+
     private long periodMillis() {
         int members = mClusterView.fleet().members().size();
         return Math.max(MIN_PERIOD_MILLIS, (long) (PERIOD_PER_MEMBER_MILLIS * members));
--- a/src/test/java/org/heathercourse/core/fleet/FleetTest.java
+++ b/src/test/java/org/heathercourse/core/fleet/FleetTest.java
@@ -27,7 +27,7 @@
     private final Liveness mLiveness = new Liveness(mTime.suspendAwareClock());
 
     private static Member member(String vm, Zone zone, MemberState state, long heartbeat) {
-        return new Member(new VmId(vm), 1, zone, vm + ":80", vm, 81, state, heartbeat, 1_500);
+        return new Member(new VmId(vm), 1, zone, vm + ":80", vm, 81, state, heartbeat, 1_500, 0);
     }
 
     private static Member ready(String vm, Zone zone) {
@@ -37,7 +37,8 @@
     private static List<String> recommended(Fleet fleet, Zone zone, int maxCount) {
         List<String> recommended =
                 new ArrayList<>(
-                        fleet.recommendedAddresses(zone, maxCount, new SplittableRandom(3)));
+                        fleet.recommendedAddresses(
+                                zone, maxCount, new SplittableRandom(3), new VmId("d")));
         recommended.sort(null);
         return recommended;
     }
--- a/src/test/java/org/heathercourse/core/fleet/MemberReadPolicyTest.java
+++ b/src/test/java/org/heathercourse/core/fleet/MemberReadPolicyTest.java
@@ -29,7 +29,8 @@
                 81,
                 state,
                 heartbeat,
-                PERIOD_MILLIS);
+                PERIOD_MILLIS,
+                0);
     }
 
     private static Fleet fleet(int count) {
--- a/src/test/java/org/heathercourse/gateway/control/BudgetServiceTest.java
+++ b/src/test/java/org/heathercourse/gateway/control/BudgetServiceTest.java
@@ -45,7 +45,7 @@
 
     private static Member member(String vm) {
         return new Member(
-                new VmId(vm), 1, new Zone("z"), "h:1", "h", 2, MemberState.READY, 1, 1_000);
+                new VmId(vm), 1, new Zone("z"), "h:1", "h", 2, MemberState.READY, 1, 1_000, 0);
     }
 
     private CompletableFuture<Reservation> reserve(String program) {
--- a/src/test/java/org/heathercourse/gateway/control/MembershipLoopTest.java
+++ b/src/test/java/org/heathercourse/gateway/control/MembershipLoopTest.java
@@ -37,7 +37,7 @@
     private static Member member(int number, long heartbeat) {
         VmId vm = new VmId("vm%04d".formatted(number));
         return new Member(
-                vm, 1, new Zone("z"), "h:80", "h", 81, MemberState.READY, heartbeat, 5_000);
+                vm, 1, new Zone("z"), "h:80", "h", 81, MemberState.READY, heartbeat, 5_000, 0);
     }
 
     private void writeHeartbeats(int others) {
