Read the history of a turn before its attempts, and end its response once the turn is durable

The end of a complete 2xx response waits for the write; without it the connection is aborted. Turns are refused as not run while the store is known to be unavailable or the history is uncertain.

--- a/src/main/java/org/heathercourse/core/error/ErrorKind.java
+++ b/src/main/java/org/heathercourse/core/error/ErrorKind.java
@@ -18,6 +18,7 @@
     UNKNOWN_ROUTE(404, true),
     UNKNOWN_PROGRAM(404, true),
     UNKNOWN_REQUEST(404, true),
+    UNKNOWN_TURN(404, true),
     IDENTITY_CONFLICT(409, true),
     HISTORY_MISMATCH(409, true),
     CONFLICT(409, true),
--- a/src/main/java/org/heathercourse/core/routing/RoutingTable.java
+++ b/src/main/java/org/heathercourse/core/routing/RoutingTable.java
@@ -45,6 +45,13 @@
         mRoutesByHost.values().forEach(routes -> routes.sort(longestFirst));
     }
 
+    /** Returns whether some route retains the histories of its turns. */
+    public boolean retainsHistories() {
+        return mRoutesByHost.values().stream()
+                .flatMap(List::stream)
+                .anyMatch(Route::retainsHistory);
+    }
+
     /** Returns the version of the configuration; higher versions are newer. */
     public long version() {
         return mVersion;
--- a/src/main/java/org/heathercourse/daemon/settings/Setting.java
+++ b/src/main/java/org/heathercourse/daemon/settings/Setting.java
@@ -67,6 +67,11 @@
             "33554432",
             "maximum sum of the bytes kept for callers and targets; at most half of the heap",
             Program.ONLY_GATEWAY),
+    MAX_HISTORY_BYTES(
+            ValueType.BYTES,
+            "8388608",
+            "maximum size of a turn's history together with its own input",
+            Program.ONLY_GATEWAY),
     LOG_LEVEL(ValueType.LOG_LEVEL, "info", "minimum level of log lines", Program.SERVERS);
 
     private static final String ENVIRONMENT_PREFIX = "HEATHERCOURSE_";
--- a/src/main/java/org/heathercourse/gateway/Gateway.java
+++ b/src/main/java/org/heathercourse/gateway/Gateway.java
@@ -37,6 +37,8 @@
 import org.heathercourse.gateway.call.CallDependencies;
 import org.heathercourse.gateway.call.CallMetrics;
 import org.heathercourse.gateway.control.ControlPlane;
+import org.heathercourse.gateway.control.HistoryOptions;
+import org.heathercourse.gateway.history.HistoryMetrics;
 import org.heathercourse.gateway.http.CallerServer;
 import org.heathercourse.gateway.http.EndpointServer;
 import org.heathercourse.gateway.http.EndpointServer.Response;
@@ -134,7 +136,11 @@
                         ticker,
                         new SuspendAwareClock(ticker, clock),
                         random,
-                        this::reserveRate);
+                        this::reserveRate,
+                        new HistoryOptions(
+                                clock,
+                                new HistoryMetrics(mMetrics),
+                                settings.number(Setting.MAX_HISTORY_BYTES)));
         mMemory = new MemoryBudget(settings.number(Setting.MAX_BUFFER_BYTES));
         CallMetrics callMetrics = new CallMetrics(mMetrics);
         mRates = new WorkspaceRates(mControl.rateFractions(), ticker);
@@ -166,7 +172,9 @@
                         mTrafficRandom,
                         callMetrics,
                         mMemory,
-                        () -> mDrainSchedule);
+                        () -> mDrainSchedule,
+                        mControl.turnHistory(),
+                        settings.number(Setting.MAX_HISTORY_BYTES));
         mCallerServer = new CallerServer(services);
         mMetrics.registerAll(gauges());
     }
--- a/src/main/java/org/heathercourse/gateway/call/Acceptance.java
+++ b/src/main/java/org/heathercourse/gateway/call/Acceptance.java
@@ -12,6 +12,8 @@
     MISPLACED_EVENT("the resumed stream does not go on after the last event"),
     /** The gateway keeps as many bytes for all calls as it may. */
     OUT_OF_MEMORY("the gateway has no memory left for an incomplete event"),
+    /** The output of a turn cannot be kept, so that the turn could not be continued. */
+    OUTPUT_LOST("the gateway has no memory left for the output of the turn"),
     /** An event of the stream has no end. */
     EVENT_TOO_LARGE(
             "an event of the stream is larger than " + EventSplitter.MAX_EVENT_BYTES + " bytes");
--- a/src/main/java/org/heathercourse/gateway/call/Attempt.java
+++ b/src/main/java/org/heathercourse/gateway/call/Attempt.java
@@ -229,8 +229,7 @@
     private void complete() {
         mEnded = true;
         mPool.load().recordSuccess(now() - mSentMillis);
-        mCall.relay().onEnd(now());
-        mCall.onAnswered(this);
+        mCall.onWholeResponse(this);
     }
 
     @Override
--- a/src/main/java/org/heathercourse/gateway/call/Call.java
+++ b/src/main/java/org/heathercourse/gateway/call/Call.java
@@ -35,6 +35,8 @@
     /** Initial backoff of a target in milliseconds after a failure. */
     private static final long FAILURE_BACKOFF_MILLIS = 150;
 
+    private static final byte[] NO_HISTORY = new byte[0];
+
     private final CallDependencies mDependencies;
     private final CallRequest mRequest;
     private final CallFacts mFacts;
@@ -48,12 +50,20 @@
     private ResponseRelay mRelay;
     private TurnBudget mBudget;
     private Placement mPlacement;
+
+    /** Null if the route retains no histories. */
+    private RetainedTurn mTurn;
+
     private ScheduledFuture<?> mTimeout;
     private Attempt mAttempt;
     private Target mLastTarget;
     private int mCapacityWaits;
     private boolean mNewProgram;
     private boolean mRateTokenAcquired;
+
+    /** Whether a target's response is complete; its end may still wait for a write. */
+    private boolean mResponseWhole;
+
     private boolean mEnded;
 
     /**
@@ -95,6 +105,7 @@
         mLogEntry.recordAdmission(mAdmission);
         mBudget = new TurnBudget(mDependencies, mFacts, mAdmission);
         mPlacement = new Placement(mDependencies, mFacts, mAdmission);
+        mTurn = RetainedTurn.of(this, mRequest, mFacts, mAdmission);
         mCrashGuard =
                 new CrashGuard(mDependencies.crashRecords(), mRequest, mAdmission.workspaceName());
         mHistory =
@@ -113,6 +124,9 @@
             endQuarantined();
             return;
         }
+        if (mTurn != null && mTurn.refuseIfStoreAway()) {
+            return;
+        }
         mTimeout =
                 mDependencies
                         .loop()
@@ -126,7 +140,7 @@
 
     private void requestRateToken() {
         if (mAdmission.workspace() == null) {
-            tryNextTarget();
+            startAttempts();
             return;
         }
         mNewProgram = mBudget.isNewProgram() && mAdmission.priority() > 0;
@@ -136,7 +150,15 @@
     /** Called when the call has acquired a token of its workspace's rate. */
     void onRateAdmitted() {
         mRateTokenAcquired = true;
-        tryNextTarget();
+        startAttempts();
+    }
+
+    private void startAttempts() {
+        if (mTurn == null) {
+            tryNextTarget();
+        } else {
+            mTurn.readHistory();
+        }
     }
 
     /**
@@ -189,7 +211,8 @@
 
     // Attempts
 
-    private void tryNextTarget() {
+    /** Sends the request to a target, unless the call has ended or may no longer run. */
+    void tryNextTarget() {
         if (mEnded) {
             return;
         }
@@ -201,6 +224,9 @@
             endWithError(CallErrors.leaving());
             return;
         }
+        if (!mayHaveRun() && mTurn != null && mTurn.refuseIfStoreAway()) {
+            return;
+        }
         List<Target> candidates = mPlacement.usableTargets();
         Optional<Target> target = mPlacement.selectTarget(candidates, mHistory::permits);
         if (target.isEmpty()) {
@@ -256,7 +282,11 @@
                         afterEventId);
         attempt.recordSent(exchange);
         exchange.send(
-                OutboundRequest.build(mRequest, dispatch, mDependencies.format()),
+                OutboundRequest.build(
+                        mRequest,
+                        mTurn == null ? NO_HISTORY : mTurn.historyBody(),
+                        dispatch,
+                        mDependencies.format()),
                 mFacts.requestId(),
                 attempt);
     }
@@ -264,17 +294,38 @@
     /** Returns the relay to the caller; all attempts share it. */
     ResponseRelay relay() {
         if (mRelay == null) {
-            mRelay = new ResponseRelay(mWriter, mAdmission.route(), mDependencies.memory());
+            mRelay =
+                    new ResponseRelay(
+                            mWriter,
+                            mAdmission.route(),
+                            mDependencies.memory(),
+                            mTurn == null ? null : mTurn.output());
         }
         return mRelay;
     }
 
     // Ends of attempts
 
-    /** Called when an attempt has returned a complete response. */
-    void onAnswered(Attempt attempt) {
+    /**
+     * Called when an attempt has returned a complete response; its end waits until the turn is
+     * durable, if it is to be kept.
+     */
+    void onWholeResponse(Attempt attempt) {
         mAttempt = null;
+        mResponseWhole = true;
         mCrashGuard.recordAnswer(attempt.status());
+        if (mTurn == null || !mTurn.isKeptAfter(attempt.status())) {
+            endResponse(attempt);
+        } else if (mRelay.forwardRest()) {
+            mTurn.keep(attempt);
+        } else {
+            endWithUnknownOutcome(Acceptance.OUTPUT_LOST.reason());
+        }
+    }
+
+    /** Ends the response to the caller, and the call. */
+    void endResponse(Attempt attempt) {
+        mRelay.onEnd(mDependencies.ticker().readMillis());
         long now = mDependencies.ticker().readMillis();
         long firstByteMillis = mRelay.firstByteMillis(mArrivedMillis, now);
         mDependencies.metrics().recordAnswered(firstByteMillis, now - mArrivedMillis);
@@ -418,7 +469,9 @@
     }
 
     private boolean mayHaveRun() {
-        return mHistory.possibleRunCount() > 0 || mAttempt != null && mAttempt.hasBeenSent();
+        return mResponseWhole
+                || mHistory.possibleRunCount() > 0
+                || mAttempt != null && mAttempt.hasBeenSent();
     }
 
     private void onTimeout() {
@@ -488,12 +541,15 @@
             mAttempt.cancel();
         }
         if (mBudget != null) {
-            boolean ran = mRelay != null && mRelay.isStarted();
+            boolean ran = mResponseWhole || mRelay != null && mRelay.isStarted();
             mBudget.settle(mPlacement.serviceName(), ran ? mRelay.eventCount() : 0, ran);
         }
         if (mRelay != null) {
             mRelay.release();
         }
+        if (mTurn != null) {
+            mTurn.release();
+        }
         mLogEntry.log(mDependencies.ticker().readMillis(), mLastTarget);
         mOnEnd.run();
     }
--- a/src/main/java/org/heathercourse/gateway/call/CallDependencies.java
+++ b/src/main/java/org/heathercourse/gateway/call/CallDependencies.java
@@ -16,6 +16,7 @@
 import org.heathercourse.gateway.control.ClusterView;
 import org.heathercourse.gateway.control.CrashRecordService;
 import org.heathercourse.gateway.control.RateService;
+import org.heathercourse.gateway.history.TurnHistory;
 import org.heathercourse.gateway.target.TargetPools;
 import org.heathercourse.platform.entry.CallFormat;
 
@@ -43,6 +44,8 @@
  * @param metrics counters and histograms of calls
  * @param memory budget for bytes of callers and targets
  * @param drainSchedule times of the planned stop, if the gateway leaves
+ * @param turnHistory histories of turns; safe for use by several threads
+ * @param maxHistoryBytes maximum size of a turn's history together with its own input, in bytes
  */
 public record CallDependencies(
         EventLoop loop,
@@ -61,4 +64,6 @@
         RandomGenerator random,
         CallMetrics metrics,
         MemoryBudget memory,
-        Supplier<DrainSchedule> drainSchedule) {}
+        Supplier<DrainSchedule> drainSchedule,
+        TurnHistory turnHistory,
+        long maxHistoryBytes) {}
--- a/src/main/java/org/heathercourse/gateway/call/CallErrors.java
+++ b/src/main/java/org/heathercourse/gateway/call/CallErrors.java
@@ -21,6 +21,12 @@
 
     private static final long MAX_MEMORY_RETRY_AFTER_MILLIS = 1_500;
 
+    /**
+     * Retry-After in milliseconds of a turn whose history is unavailable: outages last seconds, and
+     * another gateway may reach the store.
+     */
+    private static final long HISTORY_RETRY_AFTER_MILLIS = 500;
+
     private CallErrors() {}
 
     /** Returns the response of a gateway that exits before the request would have to end. */
@@ -95,4 +101,40 @@
                 "retry the request later",
                 STORE_UNAVAILABLE_RETRY_AFTER_MILLIS);
     }
+
+    /**
+     * Returns the response to a turn whose history is not certain, or could not be extended.
+     *
+     * @param reason what is unavailable
+     */
+    static ErrorResponse historyUnavailable(String reason) {
+        return new ErrorResponse(
+                ErrorKind.STORE_UNAVAILABLE,
+                "the turn has not run: " + reason,
+                "retry the request after the time in Retry-After",
+                HISTORY_RETRY_AFTER_MILLIS);
+    }
+
+    /**
+     * Returns the response to a turn that continues one which does not exist. A turn of another
+     * workspace gets the same response, so that it does not show which turns exist.
+     */
+    static ErrorResponse unknownTurn() {
+        return ErrorResponse.of(
+                ErrorKind.UNKNOWN_TURN,
+                "the turn to continue does not exist",
+                "send the request id of a complete turn that is still retained, or start anew");
+    }
+
+    /**
+     * Returns the response to a turn whose history is too large to be sent to a target.
+     *
+     * @param maxBytes maximum size of a history with the new input, in bytes
+     */
+    static ErrorResponse historyTooLarge(long maxBytes) {
+        return ErrorResponse.of(
+                ErrorKind.PAYLOAD_TOO_LARGE,
+                "the history and the new input exceed the maximum of " + maxBytes + " bytes",
+                "start a new chain of turns with a shorter history");
+    }
 }
--- a/src/main/java/org/heathercourse/gateway/call/CallLogEntry.java
+++ b/src/main/java/org/heathercourse/gateway/call/CallLogEntry.java
@@ -24,6 +24,10 @@
     private String mRate = "none";
     private long mRateWaitMillis;
     private long mCapacityWaitMillis;
+    private long mHistoryBytes;
+    private long mHistoryReadMillis = -1;
+    private long mTurnHeldMillis = -1;
+    private HistoryRefusal mHistoryRefusal = HistoryRefusal.NONE;
     private int mFailedAttempts;
     private String mOutcome = "open";
     private int mStatus;
@@ -68,6 +72,26 @@
         mCapacityWaitMillis += delayMillis;
     }
 
+    /** Records the size in bytes of the history that targets receive ahead of the input. */
+    void recordHistoryBytes(long bytes) {
+        mHistoryBytes = bytes;
+    }
+
+    /** Records the time in milliseconds until the history was read, or could not be. */
+    void recordHistoryRead(long millis) {
+        mHistoryReadMillis = millis;
+    }
+
+    /** Records the time in milliseconds for which the response's end waited for a write. */
+    void recordTurnHeld(long millis) {
+        mTurnHeldMillis = millis;
+    }
+
+    /** Records why the history refuses the turn. */
+    void recordHistoryRefusal(HistoryRefusal refusal) {
+        mHistoryRefusal = refusal;
+    }
+
     void recordBudget(Reservation reservation, long durationMillis) {
         mBudgetMillis = durationMillis;
         if (reservation != null) {
@@ -114,6 +138,20 @@
                 reason);
     }
 
+    /** Logs that a turn is not certain to be durable; its response does not end. */
+    void logTurnNotKept(Throwable error, long heldMillis) {
+        LOG.warn(
+                "turn_not_kept",
+                "id",
+                mFacts.requestId(),
+                "previousTurn",
+                mFacts.previousTurnId(),
+                "heldMillis",
+                heldMillis,
+                "reason",
+                error);
+    }
+
     /** Logs that a target ended while it ran the request. */
     void logTargetCrash(Target target, RequestDigest digest) {
         LOG.info(
@@ -223,6 +261,14 @@
                 mBudget,
                 "budgetMillis",
                 mBudgetMillis,
+                "historyBytes",
+                mHistoryBytes,
+                "historyReadMillis",
+                mHistoryReadMillis,
+                "historyRefusal",
+                mHistoryRefusal.logName(),
+                "turnHeldMillis",
+                mTurnHeldMillis,
                 "roomWaitMillis",
                 mCapacityWaitMillis,
                 "framing",
--- a/src/main/java/org/heathercourse/gateway/call/CallMetrics.java
+++ b/src/main/java/org/heathercourse/gateway/call/CallMetrics.java
@@ -13,6 +13,10 @@
     private final Histogram mFirstByteMillis;
     private final Histogram mTotalMillis;
     private final Histogram mBudgetMillis;
+    private final Histogram mHistoryBytes;
+    private final Histogram mHistoryReadMillis;
+    private final Histogram mTurnHeldMillis;
+    private final Meter mTurnsNotKept;
     private final Meter mAnswered;
     private final Meter mAborted;
     private final Meter mCallerDisconnected;
@@ -35,6 +39,10 @@
         mFirstByteMillis = registry.histogram("call_first_byte_millis");
         mTotalMillis = registry.histogram("call_total_millis");
         mBudgetMillis = registry.histogram("call_budget_millis");
+        mHistoryBytes = registry.histogram("call_history_bytes");
+        mHistoryReadMillis = registry.histogram("call_history_read_millis");
+        mTurnHeldMillis = registry.histogram("call_turn_held_millis");
+        mTurnsNotKept = registry.meter("turns_not_kept");
         mAnswered = registry.meter("calls_answered");
         mAborted = registry.meter("calls_broken_off");
         mCallerDisconnected = registry.meter("calls_left_by_caller");
@@ -92,6 +100,34 @@
         mBudgetMillis.update(millis);
     }
 
+    /** Records the size of a history that is sent to targets. */
+    void recordHistoryBytes(long bytes) {
+        mHistoryBytes.update(bytes);
+    }
+
+    /** Records the time for which a turn waited for its history. */
+    void recordHistoryRead(long millis) {
+        mHistoryReadMillis.update(millis);
+    }
+
+    /** Counts a turn that was refused because of its history. */
+    void recordHistoryRefusal(HistoryRefusal refusal) {
+        mRegistry.meter("history_refusals{reason=\"" + refusal.logName() + "\"}").mark();
+    }
+
+    /**
+     * Records the wait of a response's end for the write of its turn.
+     *
+     * @param kept whether the turn is certainly durable
+     * @param heldMillis duration of the wait in milliseconds
+     */
+    void recordTurnWrite(boolean kept, long heldMillis) {
+        mTurnHeldMillis.update(heldMillis);
+        if (!kept) {
+            mTurnsNotKept.mark();
+        }
+    }
+
     @Override
     public void onConnect() {
         mConnected.mark();
--- a/src/main/java/org/heathercourse/gateway/call/OutboundRequest.java
+++ b/src/main/java/org/heathercourse/gateway/call/OutboundRequest.java
@@ -19,8 +19,16 @@
 final class OutboundRequest {
     private OutboundRequest() {}
 
-    /** Returns the request to send to the target. */
-    static FullHttpRequest build(CallRequest request, Dispatch dispatch, CallFormat format) {
+    /**
+     * Returns the request to send to the target.
+     *
+     * @param request request of the caller
+     * @param history bytes that precede the body of the caller's request; not copied
+     * @param dispatch values of the gateway's headers
+     * @param format headers of the platform
+     */
+    static FullHttpRequest build(
+            CallRequest request, byte[] history, Dispatch dispatch, CallFormat format) {
         HttpHeaders headers = new DefaultHttpHeaders();
         headers.set(request.headers());
         HopByHopHeaders.remove(headers);
@@ -28,14 +36,17 @@
         format.write(headers, dispatch);
         HttpMethod method = HttpMethod.valueOf(request.method());
         boolean bodyExpected = !method.equals(HttpMethod.GET) && !method.equals(HttpMethod.HEAD);
-        if (request.body().length > 0 || bodyExpected) {
-            headers.set(HttpHeaderNames.CONTENT_LENGTH, request.body().length);
+        int bodyBytes = history.length + request.body().length;
+        if (bodyBytes > 0 || bodyExpected) {
+            headers.set(HttpHeaderNames.CONTENT_LENGTH, bodyBytes);
         }
         return new DefaultFullHttpRequest(
                 HttpVersion.HTTP_1_1,
                 method,
                 request.uri(),
-                Unpooled.wrappedBuffer(request.body()),
+                history.length == 0
+                        ? Unpooled.wrappedBuffer(request.body())
+                        : Unpooled.wrappedBuffer(history, request.body()),
                 headers,
                 EmptyHttpHeaders.INSTANCE);
     }
--- a/src/main/java/org/heathercourse/gateway/call/ResponseRelay.java
+++ b/src/main/java/org/heathercourse/gateway/call/ResponseRelay.java
@@ -27,6 +27,7 @@
     private final Route mRoute;
     private final EventSplitter mSplitter = new EventSplitter();
     private final MemoryBudget.Reservation mMemory;
+    private final TurnOutput mOutput;
     private ByteArrayOutputStream mBuffer = new ByteArrayOutputStream();
     private int mStatus;
     private String mReason = "";
@@ -41,11 +42,13 @@
      * @param writer receives the response to the caller
      * @param route route of the call
      * @param memory budget for the bytes that are not forwarded yet
+     * @param output collects the data of the events that are forwarded; null if it is not kept
      */
-    ResponseRelay(ResponseWriter writer, Route route, MemoryBudget memory) {
+    ResponseRelay(ResponseWriter writer, Route route, MemoryBudget memory, TurnOutput output) {
         mWriter = writer;
         mRoute = route;
         mMemory = memory.reserveNothing();
+        mOutput = output;
     }
 
     /**
@@ -98,6 +101,9 @@
     private Acceptance onEvents(byte[] bytes, long nowMillis) {
         byte[] completeEvents = mSplitter.add(bytes);
         if (completeEvents.length > 0) {
+            if (!collect(completeEvents)) {
+                return Acceptance.OUTPUT_LOST;
+            }
             forward(completeEvents, nowMillis);
         }
         if (mSplitter.isMisplaced()) {
@@ -111,6 +117,11 @@
                 : Acceptance.OUT_OF_MEMORY;
     }
 
+    /** Collects the output of a turn; returns false if it cannot be kept. */
+    private boolean collect(byte[] events) {
+        return mOutput == null || mOutput.add(events);
+    }
+
     private void clearBuffer() {
         mBuffer = new ByteArrayOutputStream();
         mMemory.release();
@@ -136,9 +147,31 @@
         return !mStreaming || mSplitter.endInput();
     }
 
+    /**
+     * Forwards what is left of a stream and leaves the caller's response open. A response that has
+     * not begun is kept back whole, because its length would show its end.
+     *
+     * @return false if the output of the turn cannot be kept
+     */
+    boolean forwardRest() {
+        if (!mStreaming) {
+            return true;
+        }
+        byte[] rest = mSplitter.drainIncomplete();
+        if (mStarted) {
+            mWriter.write(rest);
+        } else {
+            mBuffer.writeBytes(rest);
+        }
+        return collect(rest);
+    }
+
     /** Forwards what is left of the body and ends the caller's response. */
     void onEnd(long nowMillis) {
-        byte[] remaining = mStreaming ? mSplitter.drainIncomplete() : mBuffer.toByteArray();
+        if (mStreaming) {
+            mBuffer.writeBytes(mSplitter.drainIncomplete());
+        }
+        byte[] remaining = mBuffer.toByteArray();
         if (mStarted) {
             if (remaining.length > 0) {
                 mWriter.write(remaining);
@@ -165,6 +198,9 @@
 
     /** Returns whether another attempt can still lead to a complete response. */
     boolean canBeContinued() {
+        if (mOutput != null && mOutput.isLost()) {
+            return false;
+        }
         return !mStarted || mStreaming && mSplitter.canBeContinued();
     }
 
--- a/src/main/java/org/heathercourse/gateway/control/ControlPlane.java
+++ b/src/main/java/org/heathercourse/gateway/control/ControlPlane.java
@@ -16,6 +16,7 @@
 import org.heathercourse.daemon.peer.IncarnationPolicy;
 import org.heathercourse.daemon.peer.NettyPeerNetwork;
 import org.heathercourse.daemon.peer.PeerSettings;
+import org.heathercourse.gateway.history.TurnHistory;
 import org.heathercourse.gateway.store.DirectChannel;
 import org.heathercourse.gateway.store.RelayingChannel;
 import org.heathercourse.log.EventLog;
@@ -24,7 +25,7 @@
 
 /**
  * The control plane of a gateway: store access, configuration, targets, membership, rate limits,
- * budgets and the record of crashes, all on one control thread.
+ * budgets, the record of crashes and the histories of turns, all on one control thread.
  *
  * <p>Life cycle: create, {@link #start}, {@link #leave}, {@link #close}. Safe for use by several
  * threads.
@@ -49,6 +50,7 @@
     private final ConfigurationFollower mConfiguration;
     private final TargetFollower mTargets;
     private final MembershipLoop mMembers;
+    private final HistoryServices mHistories;
     private final CompletableFuture<BudgetService> mBudgetService = new CompletableFuture<>();
     private final CompletableFuture<RateService> mRateService = new CompletableFuture<>();
     private final RateService.LocalOwner mLocalRateOwner;
@@ -66,6 +68,7 @@
      * @param wallTicker source of moments
      * @param random source of random numbers
      * @param localRateOwner grants tokens from the parts of rates that this gateway owns
+     * @param histories clock, metrics and limits of the histories of turns
      */
     public ControlPlane(
             Member self,
@@ -75,7 +78,8 @@
             Ticker ticker,
             SuspendAwareClock wallTicker,
             RandomGenerator random,
-            RateService.LocalOwner localRateOwner) {
+            RateService.LocalOwner localRateOwner,
+            HistoryOptions histories) {
         mLocalRateOwner = localRateOwner;
         mSelf = self;
         mGroup = group;
@@ -103,6 +107,15 @@
                         mCrashRecords,
                         self,
                         this::state);
+        mHistories =
+                new HistoryServices(
+                        histories,
+                        mStore,
+                        mControl,
+                        wallTicker,
+                        random,
+                        mClusterView,
+                        self.vm().value());
     }
 
     /**
@@ -161,6 +174,7 @@
                                 return;
                             }
                             mMembers.start();
+                            mHistories.startRemoval();
                             new BudgetSweeper(mStore, mControl, this::isLeader).start();
                             mControl.scheduleWithFixedDelay(
                                     budgets::returnUnownedTokens,
@@ -196,6 +210,11 @@
         return mCrashRecords;
     }
 
+    /** Returns the histories of turns. */
+    public TurnHistory turnHistory() {
+        return mHistories.history();
+    }
+
     /** Returns the age of the configuration. */
     public ReadFreshness configurationAge() {
         return mConfiguration.freshness();
@@ -247,6 +266,7 @@
     /** Stops the heartbeat and closes the peer network. */
     public void close() {
         mMembers.stop();
+        mHistories.close();
         if (mPeers != null) {
             mPeers.close();
         }
--- a/src/test/java/org/heathercourse/gateway/http/CallerServerDrainTest.java
+++ b/src/test/java/org/heathercourse/gateway/http/CallerServerDrainTest.java
@@ -68,7 +68,9 @@
                 null,
                 new CallMetrics(new MetricRegistry()),
                 new MemoryBudget(MAX_BUFFER_BYTES),
-                () -> mSchedule);
+                () -> mSchedule,
+                null,
+                0);
     }
 
     private void open() {
--- a/src/test/java/org/heathercourse/gateway/http/NoBodyResponseTest.java
+++ b/src/test/java/org/heathercourse/gateway/http/NoBodyResponseTest.java
@@ -60,7 +60,9 @@
                 null,
                 new CallMetrics(new MetricRegistry()),
                 new MemoryBudget(MAX_BUFFER_BYTES),
-                () -> DrainSchedule.NOT_LEAVING);
+                () -> DrainSchedule.NOT_LEAVING,
+                null,
+                0);
     }
 
     /** Returns what is written for a response without a body, in lower case. */
