--- a/src/main/java/org/heathercourse/testing/hosted/HostedDeployment.java
+++ b/src/main/java/org/heathercourse/testing/hosted/HostedDeployment.java
@@ -33,6 +33,22 @@
     /** Initial key of the workspace. */
     public static final String KEY = "key-1";
 
+    /** Key of the second workspace that {@link #retainHistories} adds. */
+    public static final String OTHER_KEY = "key-other";
+
+    /** Route for turns whose history is retained. */
+    private static final String RETAINING_ROUTE =
+            ",{\"name\":\"kept\",\"host\":\""
+                    + HOST
+                    + "\",\"prefix\":\"/kept/\",\"type\":\"streaming\",\"resumable\":true,"
+                    + "\"attempts\":1,\"timeout_ms\":5000,\"service\":\"engines\","
+                    + "\"retains_history\":true,\"retention_s\":60.0}";
+
+    private static final String OTHER_WORKSPACE =
+            ",{\"name\":\"loom\",\"api_keys\":[\""
+                    + OTHER_KEY
+                    + "\"],\"requests_per_s\":1000,\"burst\":1000}";
+
     private static final int MAX_HEADER_BYTES = 8_192;
     private static final int MAX_BODY_BYTES = 65_536;
     private static final long HEADER_TIMEOUT_MILLIS = 1_000;
@@ -50,6 +66,7 @@
     private final List<Gateway> mGateways = new ArrayList<>();
     private final List<GatewayProcess> mProcesses = new ArrayList<>();
     private final List<Settings> mSettings = new ArrayList<>();
+    private boolean mRetainsHistories;
     private long mVersion;
 
     /** Starts the store and the targets, registers the targets and writes a configuration. */
@@ -60,6 +77,15 @@
         mStore.register(mPlain.id(), mPlain.row("office", ZONE, "ready"));
     }
 
+    /**
+     * Adds a route under {@code /kept/} whose turns are retained, with targets' streams under
+     * {@code /kept/stream}, and a second workspace; writes a new version of the configuration.
+     */
+    public void retainHistories() {
+        mRetainsHistories = true;
+        configure(KEY, 1_000);
+    }
+
     /**
      * Writes a new version of the configuration.
      *
@@ -110,14 +136,14 @@
                                 + "\"timeout_ms\":3000,\"service\":\"office\"},"
                                 + "{\"name\":\"open\",\"host\":\"%2$s\",\"prefix\":\"/open/\","
                                 + "\"type\":\"idempotent\",\"attempts\":1,\"public\":true,"
-                                + "\"timeout_ms\":500,\"service\":\"office\"}],"
+                                + "\"timeout_ms\":500,\"service\":\"office\"}%9$s],"
                                 + "\"services\":[{\"name\":\"engines\",\"connection_limit\":64,"
                                 + "\"engine\":{\"stride\":10}},"
                                 + "{\"name\":\"office\",\"connection_limit\":64}],"
                                 + "\"limits\":{\"max_header_bytes\":%5$d,\"max_body_bytes\":%6$d,"
                                 + "\"header_timeout_ms\":%7$d,\"idle_timeout_ms\":%8$d},"
                                 + "\"tenants\":[{\"name\":\"mill\",\"api_keys\":[\"%3$s\"],"
-                                + "\"requests_per_s\":%4$d,\"burst\":%4$d}]}",
+                                + "\"requests_per_s\":%4$d,\"burst\":%4$d}%10$s]}",
                         ++mVersion,
                         HOST,
                         key,
@@ -125,7 +151,9 @@
                         limits.maxHeaderBytes(),
                         limits.maxBodyBytes(),
                         limits.headerTimeoutMillis(),
-                        limits.idleTimeoutMillis()));
+                        limits.idleTimeoutMillis(),
+                        mRetainsHistories ? RETAINING_ROUTE : "",
+                        mRetainsHistories ? OTHER_WORKSPACE : ""));
     }
 
     /**
--- a/src/main/java/org/heathercourse/testing/hosted/StoreStandIn.java
+++ b/src/main/java/org/heathercourse/testing/hosted/StoreStandIn.java
@@ -16,13 +16,17 @@
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.QueryStringDecoder;
 import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.nio.charset.StandardCharsets;
 import java.util.Base64;
 import java.util.List;
 import java.util.Map;
+import java.util.Queue;
 import java.util.concurrent.CompletionException;
+import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicReference;
 import org.heathercourse.platform.rows.ChangesExpiredException;
 import org.heathercourse.platform.rows.RowCommit;
 import org.heathercourse.platform.rows.RowKey;
@@ -58,6 +62,14 @@
 
     private volatile Mode mMode = Mode.SERVES;
 
+    /** Table whose requests wait for {@link #serveHeld}; null if none do. */
+    private volatile String mHeldTable;
+
+    private final Queue<Runnable> mHeldRequests = new ConcurrentLinkedQueue<>();
+
+    /** Table whose next write gets no reply; null if all get one. */
+    private final AtomicReference<String> mTableWithoutReply = new AtomicReference<>();
+
     /** Opens a store without rows on a free port. */
     public StoreStandIn() {
         this(new MemoryRows());
@@ -89,6 +101,34 @@
         mMode = mode;
     }
 
+    /** Makes the following requests to a table wait for {@link #serveHeld}. */
+    public void holdTable(String table) {
+        mHeldTable = table;
+    }
+
+    /** Returns the number of requests that wait. */
+    public int heldCount() {
+        return mHeldRequests.size();
+    }
+
+    /** Executes the requests that wait, and those that follow at once. */
+    public void serveHeld() {
+        mHeldTable = null;
+        for (Runnable next = mHeldRequests.poll(); next != null; next = mHeldRequests.poll()) {
+            next.run();
+        }
+    }
+
+    /** Executes the next write to a table and closes its connection without a response. */
+    public void loseNextReplyTo(String table) {
+        mTableWithoutReply.set(table);
+    }
+
+    /** Returns whether the reply that {@link #loseNextReplyTo} asked for has been lost. */
+    public boolean hasLostReply() {
+        return mTableWithoutReply.get() == null;
+    }
+
     /** Writes the configuration row. */
     public void configure(String json) {
         put("op", "config", json);
@@ -136,6 +176,18 @@
             }
             QueryStringDecoder uri = new QueryStringDecoder(request.uri());
             boolean write = uri.path().equals("/api/rows-tx");
+            String table = table(request, uri, write);
+            if (mMode == Mode.SERVES && table.equals(mHeldTable)) {
+                FullHttpRequest kept = request.retain();
+                mHeldRequests.add(
+                        () -> context.executor().execute(() -> serveKept(context, kept, uri)));
+                return;
+            }
+            if (write && mMode == Mode.SERVES && mTableWithoutReply.compareAndSet(table, null)) {
+                mRows.commit(transaction(request));
+                context.close();
+                return;
+            }
             switch (mMode) {
                 case REFUSES -> answer(context, 503, JsonNodeFactory.instance.objectNode());
                 case UNRESPONSIVE -> {}
@@ -149,6 +201,25 @@
             }
         }
 
+        /** Returns the table of a read, or of the first row of a write. */
+        private String table(FullHttpRequest request, QueryStringDecoder uri, boolean write)
+                throws IOException {
+            return write
+                    ? transaction(request).writes().get(0).key().table()
+                    : queryParameter(uri, "table");
+        }
+
+        private void serveKept(
+                ChannelHandlerContext context, FullHttpRequest request, QueryStringDecoder uri) {
+            try {
+                serve(context, request, uri);
+            } catch (IOException e) {
+                throw new UncheckedIOException(e);
+            } finally {
+                request.release();
+            }
+        }
+
         private void serve(
                 ChannelHandlerContext context, FullHttpRequest request, QueryStringDecoder uri)
                 throws IOException {
--- a/src/main/java/org/heathercourse/testing/hosted/TargetStandIn.java
+++ b/src/main/java/org/heathercourse/testing/hosted/TargetStandIn.java
@@ -89,6 +89,7 @@
     private final Ticker mTicker = Ticker.system();
     private final AtomicInteger mCancelledCount = new AtomicInteger();
     private volatile long mEventIntervalMillis;
+    private volatile String mEventFormat = "data: token %d\n";
     private volatile boolean mUnframed;
     private volatile boolean mLeaving;
     private volatile String mCrashText;
@@ -103,10 +104,16 @@
      * @param uri URI of the request line
      * @param headers HTTP headers
      * @param body body as text
+     * @param bodyBytes body byte for byte; must not be modified
      * @param executed whether the target executed it
      */
     public record ReceivedRequest(
-            String method, String uri, HttpHeaders headers, String body, boolean executed) {
+            String method,
+            String uri,
+            HttpHeaders headers,
+            String body,
+            byte[] bodyBytes,
+            boolean executed) {
         /** Returns the identity of the request. */
         public String id() {
             return headers.get(REQUEST_ID_HEADER);
@@ -173,6 +180,15 @@
         mEventIntervalMillis = millis;
     }
 
+    /**
+     * Sets the lines of an event after its id, each with its line end.
+     *
+     * @param format format of {@link String#format} with the number of the event
+     */
+    public void setEventFormat(String format) {
+        mEventFormat = format;
+    }
+
     /**
      * Sets whether success responses have neither a length nor chunks and end with their
      * connection.
@@ -276,6 +292,10 @@
         return mUnframed;
     }
 
+    String eventLines(int number) {
+        return String.format(mEventFormat, number);
+    }
+
     long eventIntervalMillis() {
         return mEventIntervalMillis;
     }
--- a/src/main/java/org/heathercourse/testing/hosted/TargetStandInConnection.java
+++ b/src/main/java/org/heathercourse/testing/hosted/TargetStandInConnection.java
@@ -1,5 +1,6 @@
 package org.heathercourse.testing.hosted;
 
+import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelFutureListener;
@@ -68,6 +69,7 @@
                         request.uri(),
                         request.headers().copy(),
                         request.content().toString(StandardCharsets.UTF_8),
+                        ByteBufUtil.getBytes(request.content()),
                         executed));
         if (misdirected) {
             answer(context, 421, "", false, request);
@@ -310,7 +312,7 @@
             end(context, context.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT));
             return;
         }
-        write(context, idLine(number, stream.fault()) + "data: token " + number + "\n\n");
+        write(context, idLine(number, stream.fault()) + mTarget.eventLines(number) + "\n");
         if (stream.intervalMillis() == 0) {
             sendEvent(context, number + 1, stream);
         } else {
