--- a/src/main/java/org/heathercourse/gateway/history/StoreTurnHistory.java
+++ b/src/main/java/org/heathercourse/gateway/history/StoreTurnHistory.java
@@ -1,17 +1,50 @@
 package org.heathercourse.gateway.history;
 
 import java.time.Clock;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionException;
 import java.util.concurrent.ScheduledExecutorService;
+import java.util.function.BiConsumer;
+import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
 import org.heathercourse.core.history.History;
+import org.heathercourse.core.history.HistoryTooLargeException;
+import org.heathercourse.core.history.Retention;
+import org.heathercourse.core.history.TurnRow;
 import org.heathercourse.core.time.SuspendAwareClock;
+import org.heathercourse.log.EventLog;
 import org.heathercourse.platform.StoreException;
 import org.heathercourse.platform.rows.RowStore;
 
-/** Histories of turns in rows of the store. Safe for use by several threads. */
+/**
+ * Histories of turns in rows of the store. All decisions are made by conditional writes, so that
+ * any gateway can read and continue any turn. Safe for use by several threads.
+ */
 public final class StoreTurnHistory implements TurnHistory {
+    /**
+     * Maximum time in milliseconds for which the calls of a read are repeated. Covers one lost
+     * reply and a repeated call; callers repeat the turn after that.
+     */
+    static final long MAX_READ_MILLIS = 1_500;
+
+    private static final EventLog LOG = EventLog.of(StoreTurnHistory.class);
+
+    private final ScheduledExecutorService mControl;
+    private final Clock mWallClock;
+    private final HistoryMetrics mMetrics;
+    private final long mMaxHistoryBytes;
+    private final RandomGenerator mRandom;
+    private final RowCache mCache = new RowCache();
+    private final StoreAvailability mAvailability;
+    private final StoreCalls mCalls;
+    private final RowReader mReader;
+    private final TurnWriter mWriter;
+    private final LifetimeExtender mExtender;
+
     /**
      * Creates the storage.
      *
@@ -21,7 +54,7 @@
      * @param wallClock clock of the ends of retentions
      * @param metrics metrics of histories
      * @param maxHistoryBytes maximum size of a history in bytes
-     * @param random source of the ids of writers
+     * @param random source of delays and of the numbers of writes; used on the control thread only
      */
     public StoreTurnHistory(
             RowStore store,
@@ -30,14 +63,133 @@
             Clock wallClock,
             HistoryMetrics metrics,
             long maxHistoryBytes,
-            RandomGenerator random) {}
+            RandomGenerator random) {
+        mControl = control;
+        mWallClock = wallClock;
+        mMetrics = metrics;
+        mMaxHistoryBytes = maxHistoryBytes;
+        mRandom = random;
+        mAvailability = new StoreAvailability(store, control, clock);
+        mCalls = new StoreCalls(control, clock, mAvailability, metrics, random);
+        mReader = new RowReader(store, mCalls);
+        mWriter = new TurnWriter(store, mCalls, mReader, metrics);
+        mExtender = new LifetimeExtender(store, mCalls, metrics);
+    }
+
+    @Override
+    public boolean isAvailable() {
+        return mAvailability.isAvailable();
+    }
 
+    // Reads
+
+    /**
+     * {@inheritDoc}
+     *
+     * <p>Fails with a {@link HistoryTooLargeException} if the history is larger than the maximum.
+     */
     @Override
     public CompletableFuture<Optional<History>> read(String workspace, String turnId) {
-        return CompletableFuture.failedFuture(
-                StoreException.unavailable("histories are not read yet", null));
+        String key = TurnKeys.turn(workspace, turnId);
+        StoreCalls.TimeLimit limit = mCalls.timeLimit(MAX_READ_MILLIS);
+        return observed(
+                readRow(key, limit).thenCompose(row -> readHistory(key, row, limit)),
+                (history, error) -> recordRead(key, history, error));
+    }
+
+    private void recordRead(String key, Optional<History> history, Throwable error) {
+        if (error != null) {
+            mMetrics.recordReadFailed();
+            LOG.info("history_not_read", "turn", key, "reason", error.getMessage());
+        } else if (history.isEmpty()) {
+            mMetrics.recordReadAbsent();
+            LOG.info("history_absent", "turn", key);
+        }
+    }
+
+    private CompletableFuture<Optional<TurnRow>> readRow(String key, StoreCalls.TimeLimit limit) {
+        Optional<TurnRow> cached = mCache.get(key).filter(this::isRetained);
+        if (cached.isPresent()) {
+            mMetrics.recordCacheHit();
+            return CompletableFuture.completedFuture(cached);
+        }
+        mMetrics.recordCacheMiss();
+        return mReader.read(key, limit)
+                .thenApply(
+                        row -> {
+                            Optional<TurnRow> retained = row.filter(this::isRetained);
+                            retained.ifPresent(r -> mCache.put(key, r));
+                            return retained;
+                        });
+    }
+
+    private boolean isRetained(TurnRow row) {
+        return row.retainedUntilMillis() > mWallClock.millis();
     }
 
+    private CompletableFuture<Optional<History>> readHistory(
+            String key, Optional<TurnRow> row, StoreCalls.TimeLimit limit) {
+        if (row.isEmpty()) {
+            return CompletableFuture.completedFuture(Optional.empty());
+        }
+        if (row.get().historyBytes() > mMaxHistoryBytes) {
+            return CompletableFuture.failedFuture(
+                    new HistoryTooLargeException(row.get().historyBytes(), mMaxHistoryBytes));
+        }
+        List<Supplier<CompletableFuture<Optional<TurnRow>>>> reads = new ArrayList<>();
+        row.get().bases().forEach(base -> reads.add(() -> readRow(base.key(), limit)));
+        return GroupedReads.read(reads)
+                .thenApply(bases -> Optional.of(assemble(key, row.get(), bases)));
+    }
+
+    private static History assemble(String key, TurnRow row, List<Optional<TurnRow>> baseRows) {
+        List<byte[]> segments = new ArrayList<>();
+        List<TurnRow.Base> bases = new ArrayList<>();
+        for (int i = 0; i < baseRows.size(); i++) {
+            String baseKey = row.bases().get(i).key();
+            TurnRow base = baseRows.get(i).orElseThrow(() -> incomplete(key, baseKey));
+            segments.add(base.segment());
+            bases.add(new TurnRow.Base(baseKey, base.retainedUntilMillis()));
+        }
+        StoredHistory history = new StoredHistory(key, row.withBases(bases), segments);
+        if (history.sizeBytes() != row.historyBytes()) {
+            throw incomplete(key, "its size");
+        }
+        return history;
+    }
+
+    /** The turn is retained, so its bases must be; the caller must not be told that it is gone. */
+    private static StoreException incomplete(String key, String what) {
+        LOG.warn("history_incomplete", "turn", key, "missing", what);
+        return StoreException.unavailable(
+                "history of turn " + key + " is incomplete: " + what, null);
+    }
+
+    /** Returns a future that fails with the cause itself, after the outcome was observed. */
+    private static <T> CompletableFuture<T> observed(
+            CompletableFuture<T> future, BiConsumer<T, Throwable> observer) {
+        CompletableFuture<T> result = new CompletableFuture<>();
+        future.whenComplete(
+                (value, error) -> {
+                    Throwable cause = error instanceof CompletionException e ? e.getCause() : error;
+                    observer.accept(value, cause);
+                    if (cause == null) {
+                        result.complete(value);
+                    } else {
+                        result.completeExceptionally(cause);
+                    }
+                });
+        return result;
+    }
+
+    // Writes
+
+    /**
+     * {@inheritDoc}
+     *
+     * <p>Fails with {@link org.heathercourse.core.error.ErrorKind#CONFLICT} if the store has
+     * another turn with the same id.
+     */
     @Override
     public CompletableFuture<Void> append(
             String workspace,
@@ -47,12 +199,76 @@
             byte[] output,
             long retentionMillis,
             long maxWaitMillis) {
-        return CompletableFuture.failedFuture(
-                StoreException.unavailable("histories are not written yet", null));
+        String key = TurnKeys.turn(workspace, turnId);
+        byte[] added = Arrays.copyOf(input, input.length + output.length);
+        System.arraycopy(output, 0, added, input.length, output.length);
+        StoredHistory history = (StoredHistory) parent;
+        StoreCalls.TimeLimit limit = mCalls.timeLimit(maxWaitMillis);
+        Retention retention = new Retention(retentionMillis);
+        Supplier<CompletableFuture<Void>> write =
+                () -> write(key, history, added, retention, limit);
+        return observed(
+                CompletableFuture.supplyAsync(write, mControl).thenCompose(written -> written),
+                (done, error) -> recordFailedWrite(key, error));
     }
 
-    @Override
-    public boolean isAvailable() {
-        return false;
+    private void recordFailedWrite(String key, Throwable error) {
+        if (error != null) {
+            mMetrics.recordWriteFailed();
+            LOG.warn("history_not_written", "turn", key, "reason", error.getMessage());
+        }
+    }
+
+    private CompletableFuture<Void> write(
+            String key,
+            StoredHistory parent,
+            byte[] added,
+            Retention retention,
+            StoreCalls.TimeLimit limit) {
+        long nowMillis = mWallClock.millis();
+        long writer = mRandom.nextLong();
+        long untilMillis = retention.retainedUntilMillis(nowMillis);
+        TurnRow row =
+                parent == null
+                        ? TurnRow.first(writer, untilMillis, added)
+                        : parent.row().child(parent.key(), writer, untilMillis, added);
+        CompletableFuture<Integer> written = mWriter.write(key, row, limit);
+        CompletableFuture<Void> extended =
+                extendBases(row, retention.neededUntilMillis(nowMillis), limit);
+        return written.thenCombine(
+                extended,
+                (bytes, done) -> {
+                    mCache.put(key, row);
+                    mMetrics.recordKept(bytes, limit.elapsedMillis());
+                    return null;
+                });
+    }
+
+    /** Extends the lifetimes of those bases that would not be kept as long as the turn. */
+    private CompletableFuture<Void> extendBases(
+            TurnRow row, long neededUntilMillis, StoreCalls.TimeLimit limit) {
+        return CompletableFuture.allOf(
+                row.bases().stream()
+                        .filter(base -> base.retainedUntilMillis() < neededUntilMillis)
+                        .map(
+                                base ->
+                                        new LifetimeExtender.Extension(
+                                                base.key(),
+                                                neededUntilMillis,
+                                                row.retainedUntilMillis()))
+                        .map(extension -> requireExtended(extension, limit))
+                        .toArray(CompletableFuture<?>[]::new));
+    }
+
+    private CompletableFuture<Void> requireExtended(
+            LifetimeExtender.Extension extension, StoreCalls.TimeLimit limit) {
+        return mExtender
+                .extend(extension, limit)
+                .thenAccept(
+                        isKept -> {
+                            if (!isKept) {
+                                throw incomplete(extension.key(), "removed while a turn ran");
+                            }
+                        });
     }
 }
--- a/src/main/java/org/heathercourse/platform/rows/RowKey.java
+++ b/src/main/java/org/heathercourse/platform/rows/RowKey.java
@@ -28,8 +28,18 @@
      * @param text text that contains a slash
      */
     public static RowKey ofText(String table, String part, String text) {
+        return new RowKey(table, part, boundedText(text, MAX_TEXT_BYTES));
+    }
+
+    /**
+     * Returns a text of bounded size: the text itself, or a digest if it is larger.
+     *
+     * @param text text that contains a slash
+     * @param maxBytes maximum size in bytes, at least that of a digest
+     */
+    public static String boundedText(String text, int maxBytes) {
         byte[] bytes = text.getBytes(StandardCharsets.UTF_8);
-        return new RowKey(table, part, bytes.length <= MAX_TEXT_BYTES ? text : digest(bytes));
+        return bytes.length <= maxBytes ? text : digest(bytes);
     }
 
     private static String digest(byte[] bytes) {
--- a/src/test/java/org/heathercourse/gateway/control/ManualExecutor.java
+++ b/src/test/java/org/heathercourse/gateway/control/ManualExecutor.java
@@ -13,17 +13,19 @@
 import org.heathercourse.core.time.TestTime;
 
 /** Runs tasks immediately, and scheduled tasks when a test advances the time past their delay. */
-final class ManualExecutor extends AbstractExecutorService implements ScheduledExecutorService {
+public final class ManualExecutor extends AbstractExecutorService
+        implements ScheduledExecutorService {
     private final TestTime mTime;
     private final PriorityQueue<Task<?>> mTasks =
             new PriorityQueue<>(Comparator.<Task<?>>comparingLong(t -> t.mDueMillis));
 
-    ManualExecutor(TestTime time) {
+    /** Creates an executor whose tasks are due by the given time. */
+    public ManualExecutor(TestTime time) {
         mTime = time;
     }
 
     /** Advances the time and runs the tasks that are due. */
-    void advance(long millis) {
+    public void advance(long millis) {
         mTime.advanceMillis(millis);
         while (!mTasks.isEmpty() && mTasks.peek().mDueMillis <= mTime.ticker().readMillis()) {
             mTasks.remove().run();
