--- a/src/main/java/org/heathercourse/gateway/call/RetainedTurn.java
+++ b/src/main/java/org/heathercourse/gateway/call/RetainedTurn.java
@@ -23,6 +23,10 @@
 final class RetainedTurn {
     private static final int MIN_SUCCESS_STATUS = 200;
     private static final int MIN_FAILURE_STATUS = 300;
+
+    /** The body that targets receive, and the rows that {@link History} keeps until the end. */
+    private static final long HISTORY_COPIES = 2;
+
     private static final byte[] NO_HISTORY = new byte[0];
 
     private final Call mCall;
@@ -149,7 +153,7 @@
         long bytes = parent.sizeBytes();
         if (bytes + mRequest.body().length > mDependencies.maxHistoryBytes()) {
             refuseTooLarge();
-        } else if (!mMemory.resize(bytes)) {
+        } else if (!mMemory.resize(HISTORY_COPIES * bytes)) {
             refuse(HistoryRefusal.NO_MEMORY, CallErrors.memoryExhausted(mDependencies.random()));
         } else {
             mParent = parent;
@@ -190,7 +194,8 @@
      * @param attempt attempt with the complete response
      */
     void keep(Attempt attempt) {
-        dropHistoryBody();
+        mHistoryBody = NO_HISTORY;
+        mMemory.resize(mParent == null ? 0 : mParent.sizeBytes());
         long startMillis = mDependencies.ticker().readMillis();
         long maxWaitMillis =
                 TurnWaitPolicy.maxWriteMillis(
@@ -227,14 +232,11 @@
         }
     }
 
-    private void dropHistoryBody() {
-        mHistoryBody = NO_HISTORY;
-        mMemory.release();
-    }
-
     /** Returns the memory of the turn to the budget. */
     void release() {
-        dropHistoryBody();
+        mHistoryBody = NO_HISTORY;
+        mParent = null;
+        mMemory.release();
         mOutput.release();
         if (mReadTimeout != null) {
             mReadTimeout.cancel(false);
--- a/src/main/java/org/heathercourse/testing/hosted/StoreStandIn.java
+++ b/src/main/java/org/heathercourse/testing/hosted/StoreStandIn.java
@@ -183,7 +183,7 @@
                         () -> context.executor().execute(() -> serveKept(context, kept, uri)));
                 return;
             }
-            if (write && mMode == Mode.SERVES && mTableWithoutReply.compareAndSet(table, null)) {
+            if (write && mMode == Mode.SERVES && losesReply(table)) {
                 mRows.commit(transaction(request));
                 context.close();
                 return;
@@ -201,6 +201,12 @@
             }
         }
 
+        /** Returns whether a write to a table is the one that gets no reply. */
+        private boolean losesReply(String table) {
+            String chosen = mTableWithoutReply.get();
+            return table.equals(chosen) && mTableWithoutReply.compareAndSet(chosen, null);
+        }
+
         /** Returns the table of a read, or of the first row of a write. */
         private String table(FullHttpRequest request, QueryStringDecoder uri, boolean write)
                 throws IOException {
