--- a/src/main/java/org/heathercourse/gateway/control/HistoryServices.java
+++ b/src/main/java/org/heathercourse/gateway/control/HistoryServices.java
@@ -18,7 +18,6 @@
  * <p>Life cycle: create, {@link #startRemoval}, {@link #close}.
  */
 final class HistoryServices implements AutoCloseable {
-    private final ScheduledExecutorService mControl;
     private final TurnHistory mHistory;
     private final HistorySweeper mSweeper;
 
@@ -41,7 +40,6 @@
             RandomGenerator random,
             ClusterView clusterView,
             String self) {
-        mControl = control;
         mHistory =
                 new StoreTurnHistory(
                         store,
@@ -84,8 +82,9 @@
         mSweeper.start();
     }
 
+    /** Stops the removal; the loop of the control thread may have ended. */
     @Override
     public void close() {
-        mControl.execute(mSweeper::close);
+        mSweeper.close();
     }
 }
--- a/src/main/java/org/heathercourse/gateway/history/HistorySweeper.java
+++ b/src/main/java/org/heathercourse/gateway/history/HistorySweeper.java
@@ -53,7 +53,7 @@
     private final Supplier<? extends Collection<String>> mMembers;
     private final BooleanSupplier mIsEnabled;
     private int mNextPart;
-    private boolean mClosed;
+    private volatile boolean mClosed;
 
     /**
      * Creates a sweeper that has not started.
