--- a/src/main/java/org/heathercourse/core/history/TurnRow.java
+++ b/src/main/java/org/heathercourse/core/history/TurnRow.java
@@ -9,17 +9,13 @@
  * Immutable; the array must not be changed.
  *
  * @param writer random number of the write, which tells an own earlier write from that of another
- * @param retainedUntilMillis wall-clock time in milliseconds until which the row is kept
+ * @param lifetime time until which the row is kept
  * @param historyBytes size of the whole history in bytes
  * @param bases earlier turns whose segments precede that of this turn, oldest first
  * @param segment inputs and outputs of the turns since the last base
  */
 public record TurnRow(
-        long writer,
-        long retainedUntilMillis,
-        long historyBytes,
-        List<Base> bases,
-        byte[] segment) {
+        long writer, Lifetime lifetime, long historyBytes, List<Base> bases, byte[] segment) {
     /**
      * Size in bytes up to which a turn repeats the segment of its parent. A larger segment is
      * written again by each turn; a smaller one makes more rows to read for a long chain.
@@ -41,8 +37,8 @@
     }
 
     /** Returns the row of the first turn of a chain. */
-    public static TurnRow first(long writer, long retainedUntilMillis, byte[] added) {
-        return new TurnRow(writer, retainedUntilMillis, added.length, List.of(), added);
+    public static TurnRow first(long writer, Lifetime lifetime, byte[] added) {
+        return new TurnRow(writer, lifetime, added.length, List.of(), added);
     }
 
     /**
@@ -51,19 +47,19 @@
      *
      * @param key key of this row
      * @param writer random number of the write
-     * @param childRetainedUntilMillis time until which the new row is kept
+     * @param childLifetime lifetime of the new row
      * @param added input and output of the new turn
      */
-    public TurnRow child(String key, long writer, long childRetainedUntilMillis, byte[] added) {
+    public TurnRow child(String key, long writer, Lifetime childLifetime, byte[] added) {
         long childBytes = historyBytes + added.length;
         if (startsSegment(segment.length, added.length)) {
             List<Base> childBases = new ArrayList<>(bases);
-            childBases.add(new Base(key, retainedUntilMillis));
-            return new TurnRow(writer, childRetainedUntilMillis, childBytes, childBases, added);
+            childBases.add(new Base(key, lifetime.retainedUntilMillis()));
+            return new TurnRow(writer, childLifetime, childBytes, childBases, added);
         }
         byte[] childSegment = Arrays.copyOf(segment, segment.length + added.length);
         System.arraycopy(added, 0, childSegment, segment.length, added.length);
-        return new TurnRow(writer, childRetainedUntilMillis, childBytes, bases, childSegment);
+        return new TurnRow(writer, childLifetime, childBytes, bases, childSegment);
     }
 
     /**
@@ -78,12 +74,13 @@
 
     /** Returns a copy that is kept until another time. */
     public TurnRow withRetainedUntil(long millis) {
-        return new TurnRow(writer, millis, historyBytes, bases, segment);
+        Lifetime newLifetime = lifetime.withRetainedUntil(millis);
+        return new TurnRow(writer, newLifetime, historyBytes, bases, segment);
     }
 
     /** Returns a copy with other known lifetimes of the bases. */
     public TurnRow withBases(List<Base> newBases) {
-        return new TurnRow(writer, retainedUntilMillis, historyBytes, newBases, segment);
+        return new TurnRow(writer, lifetime, historyBytes, newBases, segment);
     }
 
     /** Returns whether both rows have the same history, whoever wrote them. */
--- a/src/main/java/org/heathercourse/core/history/TurnRowCodec.java
+++ b/src/main/java/org/heathercourse/core/history/TurnRowCodec.java
@@ -50,7 +50,9 @@
             int length = Math.min(MAX_VALUE_BYTES, contentBytes - from);
             ByteBuffer value = ByteBuffer.allocate((from == 0 ? HEADER_BYTES : 0) + length);
             if (from == 0) {
-                value.put(FORMAT).putLong(row.writer()).putLong(row.retainedUntilMillis());
+                value.put(FORMAT)
+                        .putLong(row.writer())
+                        .putLong(row.lifetime().retainedUntilMillis());
                 value.putInt(continuations).putInt(checksum(prefix, row.segment()));
             }
             int prefixBytes = Math.max(0, Math.min(length, prefix.length - from));
@@ -71,8 +73,10 @@
                         .toList();
         int keyBytes = keys.stream().mapToInt(key -> key.length).sum();
         int baseBytes = keyBytes + keys.size() * (Integer.BYTES + Long.BYTES);
-        ByteBuffer prefix = ByteBuffer.allocate(Long.BYTES + 2 * Integer.BYTES + baseBytes);
-        prefix.putLong(row.historyBytes()).putInt(keys.size());
+        ByteBuffer prefix = ByteBuffer.allocate(2 * Long.BYTES + 2 * Integer.BYTES + baseBytes);
+        prefix.putLong(row.lifetime().neededUntilMillis())
+                .putLong(row.historyBytes())
+                .putInt(keys.size());
         for (int i = 0; i < keys.size(); i++) {
             prefix.putInt(keys.get(i).length).put(keys.get(i));
             prefix.putLong(row.bases().get(i).retainedUntilMillis());
@@ -137,6 +141,8 @@
     }
 
     private static TurnRow decodeContent(Header header, ByteBuffer content) {
+        long neededUntilMillis = content.getLong();
+        Lifetime lifetime = new Lifetime(neededUntilMillis, header.retainedUntilMillis());
         long historyBytes = content.getLong();
         int baseCount = content.getInt();
         List<TurnRow.Base> bases = new ArrayList<>();
@@ -145,8 +151,7 @@
             bases.add(new TurnRow.Base(key, content.getLong()));
         }
         byte[] segment = bytes(content, content.getInt());
-        return new TurnRow(
-                header.writer(), header.retainedUntilMillis(), historyBytes, bases, segment);
+        return new TurnRow(header.writer(), lifetime, historyBytes, bases, segment);
     }
 
     private static byte[] bytes(ByteBuffer content, int length) {
--- a/src/main/java/org/heathercourse/gateway/history/StoreTurnHistory.java
+++ b/src/main/java/org/heathercourse/gateway/history/StoreTurnHistory.java
@@ -13,7 +13,7 @@
 import java.util.random.RandomGenerator;
 import org.heathercourse.core.history.History;
 import org.heathercourse.core.history.HistoryTooLargeException;
-import org.heathercourse.core.history.Retention;
+import org.heathercourse.core.history.Lifetime;
 import org.heathercourse.core.history.TurnRow;
 import org.heathercourse.core.time.SuspendAwareClock;
 import org.heathercourse.log.EventLog;
@@ -124,7 +124,7 @@
     }
 
     private boolean isRetained(TurnRow row) {
-        return row.retainedUntilMillis() > mWallClock.millis();
+        return row.lifetime().isRetained(mWallClock.millis());
     }
 
     private CompletableFuture<Optional<History>> readHistory(
@@ -138,24 +138,27 @@
         }
         List<Supplier<CompletableFuture<Optional<TurnRow>>>> reads = new ArrayList<>();
         row.get().bases().forEach(base -> reads.add(() -> readRow(base.key(), limit)));
-        return GroupedReads.read(reads)
-                .thenApply(bases -> Optional.of(assemble(key, row.get(), bases)));
+        return GroupedReads.read(reads).thenApply(bases -> assemble(key, row.get(), bases));
     }
 
-    private static History assemble(String key, TurnRow row, List<Optional<TurnRow>> baseRows) {
+    private Optional<History> assemble(String key, TurnRow row, List<Optional<TurnRow>> baseRows) {
         List<byte[]> segments = new ArrayList<>();
         List<TurnRow.Base> bases = new ArrayList<>();
+        boolean isWhole = baseRows.stream().allMatch(Optional::isPresent);
+        if (!isWhole && !row.lifetime().isNeeded(mWallClock.millis())) {
+            return Optional.empty();
+        }
         for (int i = 0; i < baseRows.size(); i++) {
             String baseKey = row.bases().get(i).key();
             TurnRow base = baseRows.get(i).orElseThrow(() -> incomplete(key, baseKey));
             segments.add(base.segment());
-            bases.add(new TurnRow.Base(baseKey, base.retainedUntilMillis()));
+            bases.add(new TurnRow.Base(baseKey, base.lifetime().retainedUntilMillis()));
         }
         StoredHistory history = new StoredHistory(key, row.withBases(bases), segments);
         if (history.sizeBytes() != row.historyBytes()) {
             throw incomplete(key, "its size");
         }
-        return history;
+        return Optional.of(history);
     }
 
     /** The turn is retained, so its bases must be; the caller must not be told that it is gone. */
@@ -204,9 +207,8 @@
         System.arraycopy(output, 0, added, input.length, output.length);
         StoredHistory history = (StoredHistory) parent;
         StoreCalls.TimeLimit limit = mCalls.timeLimit(maxWaitMillis);
-        Retention retention = new Retention(retentionMillis);
         Supplier<CompletableFuture<Void>> write =
-                () -> write(key, history, added, retention, limit);
+                () -> write(key, history, added, retentionMillis, limit);
         return observed(
                 CompletableFuture.supplyAsync(write, mControl).thenCompose(written -> written),
                 (done, error) -> recordFailedWrite(key, error));
@@ -223,18 +225,16 @@
             String key,
             StoredHistory parent,
             byte[] added,
-            Retention retention,
+            long retentionMillis,
             StoreCalls.TimeLimit limit) {
-        long nowMillis = mWallClock.millis();
         long writer = mRandom.nextLong();
-        long untilMillis = retention.retainedUntilMillis(nowMillis);
+        Lifetime lifetime = Lifetime.beginningAt(mWallClock.millis(), retentionMillis);
         TurnRow row =
                 parent == null
-                        ? TurnRow.first(writer, untilMillis, added)
-                        : parent.row().child(parent.key(), writer, untilMillis, added);
+                        ? TurnRow.first(writer, lifetime, added)
+                        : parent.row().child(parent.key(), writer, lifetime, added);
         CompletableFuture<Integer> written = mWriter.write(key, row, limit);
-        CompletableFuture<Void> extended =
-                extendBases(row, retention.neededUntilMillis(nowMillis), limit);
+        CompletableFuture<Void> extended = extendBases(row, limit);
         return written.thenCombine(
                 extended,
                 (bytes, done) -> {
@@ -245,8 +245,8 @@
     }
 
     /** Extends the lifetimes of those bases that would not be kept as long as the turn. */
-    private CompletableFuture<Void> extendBases(
-            TurnRow row, long neededUntilMillis, StoreCalls.TimeLimit limit) {
+    private CompletableFuture<Void> extendBases(TurnRow row, StoreCalls.TimeLimit limit) {
+        long neededUntilMillis = row.lifetime().neededUntilMillis();
         return CompletableFuture.allOf(
                 row.bases().stream()
                         .filter(base -> base.retainedUntilMillis() < neededUntilMillis)
@@ -255,7 +255,7 @@
                                         new LifetimeExtender.Extension(
                                                 base.key(),
                                                 neededUntilMillis,
-                                                row.retainedUntilMillis()))
+                                                row.lifetime().retainedUntilMillis()))
                         .map(extension -> requireExtended(extension, limit))
                         .toArray(CompletableFuture<?>[]::new));
     }
@@ -269,6 +269,10 @@
                             if (!isKept) {
                                 throw incomplete(extension.key(), "removed while a turn ran");
                             }
+                            // Later turns then need not check this base again.
+                            mCache.get(extension.key())
+                                    .map(r -> r.withRetainedUntil(extension.neededUntilMillis()))
+                                    .ifPresent(r -> mCache.put(extension.key(), r));
                         });
     }
 }
--- a/src/main/java/org/heathercourse/gateway/history/TurnWriter.java
+++ b/src/main/java/org/heathercourse/gateway/history/TurnWriter.java
@@ -84,7 +84,7 @@
     }
 
     private static void addEntry(RowTransaction.Builder builder, ExpiryEntry entry, TurnRow row) {
-        RowKey entryKey = TurnKeys.expiryRow(entry, row.retainedUntilMillis());
+        RowKey entryKey = TurnKeys.expiryRow(entry, row.lifetime().retainedUntilMillis());
         builder.put(entryKey, RowTransaction.ANY_VERSION, entry.encode());
     }
 
--- a/src/main/java/org/heathercourse/platform/hosted/HostedRowStore.java
+++ b/src/main/java/org/heathercourse/platform/hosted/HostedRowStore.java
@@ -128,6 +128,11 @@
 
     private static RowPage page(StoreChannel.Reply reply, String call) {
         JsonNode body = parse(successful(reply, call), call);
+        if (!body.path("rows").isArray()) {
+            // Without this check, a reply of something else would show that a row is absent.
+            throw StoreException.outcomeUnknown(
+                    call + " was answered without a list of rows, expected one", null);
+        }
         return new RowPage(
                 rows(body.path("rows")),
                 body.path("more_pages").asBoolean(false),
--- a/src/main/java/org/heathercourse/testing/hosted/StoreStandIn.java
+++ b/src/main/java/org/heathercourse/testing/hosted/StoreStandIn.java
@@ -167,7 +167,7 @@
                                             queryParameter(uri, "part"),
                                             queryParameter(uri, "from"))
                                     .join();
-                    answer(context, 200, encode(page));
+                    answer(context, 200, encode(limited(page, queryParameter(uri, "limit"))));
                 }
                 case "/api/rows-feed" -> feed(context, uri);
                 default -> answer(context, 404, JsonNodeFactory.instance.objectNode());
@@ -208,6 +208,14 @@
         }
     }
 
+    private static RowPage limited(RowPage page, String limit) {
+        if (limit.isEmpty() || page.rows().size() <= Integer.parseInt(limit)) {
+            return page;
+        }
+        List<StoredRow> rows = page.rows().subList(0, Integer.parseInt(limit));
+        return new RowPage(rows, true, page.storeVersion());
+    }
+
     private static String queryParameter(QueryStringDecoder uri, String name) {
         Map<String, List<String>> parameters = uri.parameters();
         return parameters.getOrDefault(name, List.of("")).get(0);
--- a/src/test/java/org/heathercourse/core/time/TestTime.java
+++ b/src/test/java/org/heathercourse/core/time/TestTime.java
@@ -17,6 +17,11 @@
         return () -> mNanos;
     }
 
+    /** Returns the wall clock. */
+    public java.time.Clock wallClock() {
+        return mClock;
+    }
+
     /** Returns a clock over the ticker and the wall clock. */
     public SuspendAwareClock suspendAwareClock() {
         return new SuspendAwareClock(ticker(), mClock);
--- a/src/test/java/org/heathercourse/platform/hosted/UsersPlatformTest.java
+++ b/src/test/java/org/heathercourse/platform/hosted/UsersPlatformTest.java
@@ -351,6 +351,17 @@
                 .isEqualTo("/api/rows-feed?table=t&after=3&wait_ms=100");
     }
 
+    /** Guards against a row that counts as absent because the reply is that of another call. */
+    @Test
+    void replyWithoutRowsIsFailure() {
+        reply(200, "{\"row_version\":9}");
+        assertThat(failure(mStore.read(new RowKey("t", "", "a"))))
+                .isInstanceOf(StoreException.class);
+        assertThat(failure(mStore.read("t", "", ""))).isInstanceOf(StoreException.class);
+        reply(200, "{\"rows\":[],\"row_version\":9}");
+        assertThat(mStore.read(new RowKey("t", "", "a")).join().exists()).isFalse();
+    }
+
     private Throwable failure(CompletableFuture<?> call) {
         try {
             call.join();
