--- a/src/main/java/org/heathercourse/gateway/history/StoreCalls.java
+++ b/src/main/java/org/heathercourse/gateway/history/StoreCalls.java
@@ -117,7 +117,13 @@
         }
 
         private void repeat() {
-            if (mCall != null && mRunning < MAX_RUNNING) {
+            if (mCall == null) {
+                return;
+            }
+            if (!mAvailability.isAvailable()) {
+                // Probes find out when the store is back; calls of all turns would only cost.
+                schedule(MAX_DELAY_MILLIS);
+            } else if (mRunning < MAX_RUNNING) {
                 mMetrics.recordStoreRetry();
                 begin();
             }
@@ -133,14 +139,18 @@
             }
             mAvailability.recordFailure(begun);
             mLastFailure = error instanceof CompletionException e ? e.getCause() : error;
-            // Gateways whose calls failed at the same time spread their repetitions.
-            long delayMillis = mDelayMillis / 2 + mRandom.nextLong(mDelayMillis);
-            mDelayMillis = Math.min(MAX_DELAY_MILLIS, mDelayMillis * 2);
             if (mCall != null) {
-                mControl.schedule(this::repeat, delayMillis, TimeUnit.MILLISECONDS);
+                schedule(mDelayMillis);
+                mDelayMillis = Math.min(MAX_DELAY_MILLIS, mDelayMillis * 2);
             }
         }
 
+        /** Repeats the call later; calls that failed at the same time spread their repetitions. */
+        private void schedule(long delayMillis) {
+            long spreadMillis = delayMillis / 2 + mRandom.nextLong(delayMillis);
+            mControl.schedule(this::repeat, spreadMillis, TimeUnit.MILLISECONDS);
+        }
+
         private void expire() {
             if (mCall != null) {
                 finish();
--- a/src/test/java/org/heathercourse/gateway/history/StoreTurnHistoryTest.java
+++ b/src/test/java/org/heathercourse/gateway/history/StoreTurnHistoryTest.java
@@ -176,6 +176,7 @@
         CompletableFuture<Void> append = mGateways.append(mGateway, "t1", null, "in", "out\n");
         mGateways.advance(9_000);
         assertThat(append).isNotDone();
+        assertThat(mStore.mCommitCount).as("calls that cost and gain nothing").isLessThan(20);
         mStore.mDown = false;
         mGateways.advance(1_000);
         assertThat(append).isCompleted();
