--- a/src/main/java/org/heathercourse/daemon/settings/Setting.java
+++ b/src/main/java/org/heathercourse/daemon/settings/Setting.java
@@ -76,6 +76,10 @@
             ValueType.DECIMAL,
             "1",
             "cores of the VM, or their speed relative to one core",
+    MAX_HISTORY_BYTES(
+            ValueType.BYTES,
+            "8388608",
+            "maximum size of a turn's history together with its own input",
             Program.ONLY_GATEWAY),
     LOG_LEVEL(ValueType.LOG_LEVEL, "info", "minimum level of log lines", Program.SERVERS);
 
