Send no requests to targets in evacuated zones

Operators evacuate a zone with the row op/evacuate/ZONE. Targets there are listed but accept nothing, as ones that leave; requests in flight end normally. A row that cannot be read starts and ends no evacuation. New metrics: zones_evacuated and requests_in_evacuated_zones.

--- a/src/main/java/org/heathercourse/core/target/TargetList.java
+++ b/src/main/java/org/heathercourse/core/target/TargetList.java
@@ -5,7 +5,9 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.function.Predicate;
+import org.heathercourse.core.model.Zone;
 
 /** Snapshot of the known targets, indexed by service. Immutable and thread-safe. */
 public final class TargetList {
@@ -13,6 +15,7 @@
     public static final TargetList EMPTY = new TargetList(List.of());
 
     private final Map<String, Target> mById;
+    private final Set<Zone> mEvacuatedZones;
     private final Map<String, List<Target>> mUsableByService;
 
     /**
@@ -21,16 +24,21 @@
      * @param targets all targets, including leaving ones
      */
     public TargetList(Collection<Target> targets) {
+        this(targets, Set.of());
+    }
+
+    private TargetList(Collection<Target> targets, Set<Zone> evacuatedZones) {
         Map<String, Target> byId = new HashMap<>();
         Map<String, List<Target>> byService = new HashMap<>();
         for (Target target : targets) {
             byId.put(target.id(), target);
-            if (!target.leaving()) {
+            if (!target.leaving() && !evacuatedZones.contains(target.zone())) {
                 byService.computeIfAbsent(target.service(), s -> new ArrayList<>()).add(target);
             }
         }
         byService.replaceAll((service, list) -> List.copyOf(list));
         mById = Map.copyOf(byId);
+        mEvacuatedZones = Set.copyOf(evacuatedZones);
         mUsableByService = Map.copyOf(byService);
     }
 
@@ -50,7 +58,17 @@
         return new TargetList(
                 mById.values().stream()
                         .map(t -> isLeaving.test(t.incarnation()) ? t.asLeaving() : t)
-                        .toList());
+                        .toList(),
+                mEvacuatedZones);
+    }
+
+    /**
+     * Returns this list with other evacuated zones, whose targets get no new requests.
+     *
+     * @param zones all evacuated zones
+     */
+    public TargetList withEvacuated(Set<Zone> zones) {
+        return zones.equals(mEvacuatedZones) ? this : new TargetList(mById.values(), zones);
     }
 
     /** Returns the targets of a service that accept new requests. */
@@ -73,7 +91,12 @@
                     ? TargetState.REPLACED
                     : TargetState.UNLISTED;
         }
-        return listed.leaving() ? TargetState.LEAVING : TargetState.ACCEPTING;
+        if (listed.leaving()) {
+            return TargetState.LEAVING;
+        }
+        return mEvacuatedZones.contains(listed.zone())
+                ? TargetState.EVACUATED
+                : TargetState.ACCEPTING;
     }
 
     /** Returns whether this incarnation of a target is listed and accepts new requests. */
--- a/src/main/java/org/heathercourse/core/target/TargetState.java
+++ b/src/main/java/org/heathercourse/core/target/TargetState.java
@@ -15,6 +15,11 @@
     ACCEPTING(true, true, false),
     /** The target gets no new requests, and goes on with those that it has. */
     LEAVING(false, true, false),
+    /**
+     * The zone of the target is evacuated: it gets no new requests, and goes on with those that it
+     * has.
+     */
+    EVACUATED(false, true, false),
     /** The target has no row; it may go on with its requests like one that is leaving. */
     UNLISTED(false, false, false),
     /** A later start of the same target has a row, so that this one has ended. */
--- a/src/main/java/org/heathercourse/gateway/Gateway.java
+++ b/src/main/java/org/heathercourse/gateway/Gateway.java
@@ -169,6 +169,7 @@
                         () -> mDrainSchedule);
         mCallerServer = new CallerServer(services);
         mMetrics.registerAll(gauges());
+        mMetrics.registerAll(evacuationGauges());
     }
 
     private long maxConfigurationAgeMillis() {
@@ -269,6 +270,15 @@
                         gauge(mMemory::refusedCount));
     }
 
+    private MetricSet evacuationGauges() {
+        return () ->
+                Map.of(
+                        "zones_evacuated",
+                        gauge(() -> mControl.clusterView().evacuatedZones().size()),
+                        "requests_in_evacuated_zones",
+                        gauge(() -> mPools.inFlight(mControl.clusterView().evacuatedZones())));
+    }
+
     private static <T> Gauge<T> gauge(Gauge<T> gauge) {
         return gauge;
     }
--- a/src/main/java/org/heathercourse/gateway/call/Call.java
+++ b/src/main/java/org/heathercourse/gateway/call/Call.java
@@ -242,7 +242,7 @@
             attempt.failUnsent(
                     isTargetUsable
                             ? "the call has ended or its deadline has passed"
-                            : "the target is draining",
+                            : "the target gets no new requests: " + targetState(target).logName(),
                     targetState(target).hasEnded());
             return;
         }
--- a/src/main/java/org/heathercourse/gateway/control/ClusterView.java
+++ b/src/main/java/org/heathercourse/gateway/control/ClusterView.java
@@ -6,6 +6,7 @@
 import java.util.Optional;
 import java.util.Set;
 import org.heathercourse.core.fleet.Fleet;
+import org.heathercourse.core.model.Zone;
 import org.heathercourse.core.routing.RoutingTable;
 import org.heathercourse.core.target.Target;
 import org.heathercourse.core.target.TargetList;
@@ -29,6 +30,7 @@
                     });
 
     private TargetList mListedTargets = TargetList.EMPTY;
+    private volatile Set<Zone> mEvacuatedZones = Set.of();
     private volatile RoutingTable mRouting;
     private volatile TargetList mTargets = TargetList.EMPTY;
     private volatile Fleet mFleet = Fleet.UNKNOWN;
@@ -41,6 +43,7 @@
     /**
      * Returns the registered targets; empty before the first read. A target that said itself that
      * it leaves counts as leaving whatever its row says, as the row may be older, or out of reach.
+     * Targets in evacuated zones get no new requests.
      */
     public TargetList targets() {
         return mTargets;
@@ -62,8 +65,7 @@
      */
     synchronized TargetList setTargets(TargetList targets) {
         mListedTargets = targets;
-        mTargets = targets.withLeaving(mLeaving::contains);
-        return mTargets;
+        return updateTargets();
     }
 
     /**
@@ -77,10 +79,25 @@
         if (!mLeaving.add(target.incarnation())) {
             return false;
         }
-        mTargets = mListedTargets.withLeaving(mLeaving::contains);
+        updateTargets();
         return true;
     }
 
+    private TargetList updateTargets() {
+        mTargets = mListedTargets.withLeaving(mLeaving::contains).withEvacuated(mEvacuatedZones);
+        return mTargets;
+    }
+
+    /** Returns the zones whose targets get no new requests. */
+    public Set<Zone> evacuatedZones() {
+        return mEvacuatedZones;
+    }
+
+    synchronized void setEvacuatedZones(Set<Zone> zones) {
+        mEvacuatedZones = Set.copyOf(zones);
+        updateTargets();
+    }
+
     void setFleet(Fleet fleet) {
         mFleet = fleet;
     }
--- a/src/main/java/org/heathercourse/gateway/control/ConfigurationFollower.java
+++ b/src/main/java/org/heathercourse/gateway/control/ConfigurationFollower.java
@@ -12,8 +12,8 @@
 import org.heathercourse.platform.rows.StoredRow;
 
 /**
- * Keeps the configuration in the {@link ClusterView} current. Its version never decreases. Confined
- * to the control thread.
+ * Keeps the configuration and the evacuated zones in the {@link ClusterView} current, whose rows
+ * are in one table. The configuration's version never decreases. Confined to the control thread.
  */
 final class ConfigurationFollower implements TableFollower.Listener {
     /**
@@ -26,6 +26,7 @@
 
     private final DeclaredRows mRows;
     private final ClusterView mClusterView;
+    private final EvacuationListener mEvacuations;
     private final TableFollower mFollower;
 
     ConfigurationFollower(
@@ -36,6 +37,7 @@
             ClusterView clusterView) {
         mRows = rows;
         mClusterView = clusterView;
+        mEvacuations = new EvacuationListener(rows, clusterView);
         String table = rows.configurationRow().table();
         mFollower = new TableFollower(table, MAX_WAIT_MILLIS, store, control, ticker, this);
     }
@@ -50,11 +52,18 @@
 
     @Override
     public void onSnapshot(List<StoredRow> rows) {
-        onChanges(rows);
+        // Before the configuration, without which no request is sent to a target.
+        mEvacuations.onSnapshot(rows);
+        applyConfiguration(rows);
     }
 
     @Override
     public void onChanges(List<StoredRow> rows) {
+        mEvacuations.onChanges(rows);
+        applyConfiguration(rows);
+    }
+
+    private void applyConfiguration(List<StoredRow> rows) {
         for (StoredRow row : rows) {
             if (row.exists() && row.key().equals(mRows.configurationRow())) {
                 decode(row).ifPresent(this::apply);
@@ -92,6 +101,6 @@
 
     @Override
     public void onReadSucceeded(long sinceLastReadMillis) {
-        // Nothing expires: only the operator removes the configuration row.
+        // Nothing expires: only the operator removes rows of this table.
     }
 }
--- a/src/main/java/org/heathercourse/gateway/target/TargetPools.java
+++ b/src/main/java/org/heathercourse/gateway/target/TargetPools.java
@@ -3,8 +3,10 @@
 import io.netty.channel.EventLoop;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.Set;
 import java.util.function.Consumer;
 import org.heathercourse.core.limits.MemoryBudget;
+import org.heathercourse.core.model.Zone;
 import org.heathercourse.core.target.Target;
 import org.heathercourse.core.target.TargetList;
 import org.heathercourse.core.time.Ticker;
@@ -58,6 +60,14 @@
         return pool;
     }
 
+    /** Returns the number of requests of this gateway at targets in the given zones. */
+    public int inFlight(Set<Zone> zones) {
+        return mPools.values().stream()
+                .filter(pool -> zones.contains(pool.target().zone()))
+                .mapToInt(pool -> pool.load().inFlight())
+                .sum();
+    }
+
     /** Retires and removes the pools of targets that are not in the list. */
     public void retainAll(TargetList targets) {
         mPools.values()
--- a/src/main/java/org/heathercourse/platform/entry/DeclaredRows.java
+++ b/src/main/java/org/heathercourse/platform/entry/DeclaredRows.java
@@ -1,6 +1,7 @@
 package org.heathercourse.platform.entry;
 
 import java.util.Optional;
+import org.heathercourse.core.model.Zone;
 import org.heathercourse.core.routing.RoutingTable;
 import org.heathercourse.core.target.Target;
 import org.heathercourse.platform.rows.RowKey;
@@ -23,6 +24,22 @@
      */
     RoutingTable routingTable(StoredRow row);
 
+    /**
+     * Returns the zone that a row evacuates as long as it exists; such rows are in the table of the
+     * configuration.
+     *
+     * @param key key of the row
+     * @return the zone, or empty if rows with this key evacuate none
+     */
+    Optional<Zone> evacuatedZone(RowKey key);
+
+    /**
+     * Returns whether the content of a row that evacuates a zone is valid.
+     *
+     * @param row row for which {@link #evacuatedZone} returns a zone
+     */
+    boolean isEvacuation(StoredRow row);
+
     /** Returns the table in which each target registers a row under its identity. */
     String targetTable();
 
--- a/src/main/java/org/heathercourse/platform/hosted/OperatorRows.java
+++ b/src/main/java/org/heathercourse/platform/hosted/OperatorRows.java
@@ -10,6 +10,7 @@
 import java.util.Set;
 import org.heathercourse.core.error.ErrorKind;
 import org.heathercourse.core.error.HeathercourseException;
+import org.heathercourse.core.model.Zone;
 import org.heathercourse.core.routing.CallerLimits;
 import org.heathercourse.core.routing.Route;
 import org.heathercourse.core.routing.RouteKind;
@@ -37,6 +38,30 @@
         return new RowKey(WireNames.OPERATOR_TABLE, "", WireNames.CONFIGURATION_KEY);
     }
 
+    @Override
+    public Optional<Zone> evacuatedZone(RowKey key) {
+        if (!key.table().equals(WireNames.OPERATOR_TABLE)
+                || !key.part().isEmpty()
+                || !key.key().startsWith(WireNames.EVACUATION_PREFIX)) {
+            return Optional.empty();
+        }
+        try {
+            return Optional.of(new Zone(key.key().substring(WireNames.EVACUATION_PREFIX.length())));
+        } catch (IllegalArgumentException e) {
+            return Optional.empty();
+        }
+    }
+
+    @Override
+    public boolean isEvacuation(StoredRow row) {
+        try {
+            JsonNode value = Json.read(row.value());
+            return value != null && value.isObject();
+        } catch (IOException e) {
+            return false;
+        }
+    }
+
     @Override
     public String targetTable() {
         return WireNames.TARGET_TABLE;
--- a/src/main/java/org/heathercourse/platform/hosted/WireNames.java
+++ b/src/main/java/org/heathercourse/platform/hosted/WireNames.java
@@ -73,6 +73,10 @@
 
     static final String OPERATOR_TABLE = "op";
     static final String CONFIGURATION_KEY = "config";
+
+    /** Start of the keys of rows that evacuate a zone; the name of the zone follows. */
+    static final String EVACUATION_PREFIX = "evacuate/";
+
     static final String TARGET_TABLE = "servers";
 
     private WireNames() {}
--- a/src/main/java/org/heathercourse/testing/hosted/StoreStandIn.java
+++ b/src/main/java/org/heathercourse/testing/hosted/StoreStandIn.java
@@ -101,7 +101,26 @@
 
     /** Removes the registration row of a target. */
     public void unregister(String id) {
-        RowKey key = new RowKey("servers", "", id);
+        remove("servers", id);
+    }
+
+    /**
+     * Writes the row that evacuates a zone.
+     *
+     * @param zone name of the zone
+     * @param value content of the row; a JSON object is valid
+     */
+    public void evacuate(String zone, String value) {
+        put("op", "evacuate/" + zone, value);
+    }
+
+    /** Removes the row that evacuates a zone. */
+    public void endEvacuation(String zone) {
+        remove("op", "evacuate/" + zone);
+    }
+
+    private void remove(String table, String id) {
+        RowKey key = new RowKey(table, "", id);
         mRows.commit(RowTransaction.builder().remove(key, RowTransaction.ANY_VERSION).build());
     }
 
--- a/src/test/java/org/heathercourse/gateway/control/TargetFollowerTest.java
+++ b/src/test/java/org/heathercourse/gateway/control/TargetFollowerTest.java
@@ -39,6 +39,16 @@
             return row("configuration", 1).key();
         }
 
+        @Override
+        public Optional<Zone> evacuatedZone(RowKey key) {
+            return Optional.empty();
+        }
+
+        @Override
+        public boolean isEvacuation(StoredRow row) {
+            return false;
+        }
+
         @Override
         public String targetTable() {
             return TABLE;
