Bound the requests of all gateways to cold targets

A cold target crashes under its usual load. A few gateways, chosen by rendezvous hashing over the views of the fleet of the last four heartbeat periods, send to it from buckets of one token; two differing views stay below 1.5 x cold_per_s + 5 together. A target is cold by its row, by its responses, and after the end of an evacuation for cold_start_s of its service. Services without cold_per_s have no limit, as before.

--- a/src/main/java/org/heathercourse/core/target/Target.java
+++ b/src/main/java/org/heathercourse/core/target/Target.java
@@ -14,6 +14,8 @@
  * @param zone zone of the VM
  * @param slots number of requests that it runs concurrently, at least 1
  * @param leaving whether the target is draining and gets no new requests
+ * @param coldRemainingMillis time after the row was written for which the target is cold and can
+ *     run few requests only, in milliseconds; 0 if it is warm
  */
 public record Target(
         String id,
@@ -23,7 +25,8 @@
         int port,
         Zone zone,
         int slots,
-        boolean leaving) {
+        boolean leaving,
+        long coldRemainingMillis) {
     private static final int MAX_PORT = 65_535;
 
     /** Far above the slots of any target; placement multiplies them. */
@@ -39,6 +42,19 @@
         requireInRange("slots", slots, MAX_SLOTS);
     }
 
+    /** Creates a target that is warm. */
+    public Target(
+            String id,
+            long startedMillis,
+            String service,
+            String host,
+            int port,
+            Zone zone,
+            int slots,
+            boolean leaving) {
+        this(id, startedMillis, service, host, port, zone, slots, leaving, 0);
+    }
+
     private static void requireInRange(String name, int value, int max) {
         if (value < 1 || value > max) {
             throw new IllegalArgumentException(name + " " + value + ", expected 1 to " + max);
@@ -49,7 +65,16 @@
     Target asLeaving() {
         return leaving
                 ? this
-                : new Target(id, startedMillis, service, host, port, zone, slots, true);
+                : new Target(
+                        id,
+                        startedMillis,
+                        service,
+                        host,
+                        port,
+                        zone,
+                        slots,
+                        true,
+                        coldRemainingMillis);
     }
 
     /** Returns the address as {@code host:port}. */
--- a/src/main/java/org/heathercourse/gateway/Gateway.java
+++ b/src/main/java/org/heathercourse/gateway/Gateway.java
@@ -28,6 +28,7 @@
 import org.heathercourse.core.limits.WorkspaceRates;
 import org.heathercourse.core.model.Zone;
 import org.heathercourse.core.routing.RoutingTable;
+import org.heathercourse.core.target.ColdTargetRule;
 import org.heathercourse.core.target.Target;
 import org.heathercourse.core.target.TargetSelector;
 import org.heathercourse.core.time.SuspendAwareClock;
@@ -163,13 +164,18 @@
                         mControl.crashRecords(),
                         mPools,
                         new TargetSelector(zone, mTrafficRandom),
+                        new ColdTargetRule(
+                                settings.vm(),
+                                mControl.coldTargets(),
+                                mControl.fleetHistory(),
+                                ticker),
                         mTrafficRandom,
                         callMetrics,
                         mMemory,
                         () -> mDrainSchedule);
         mCallerServer = new CallerServer(services);
         mMetrics.registerAll(gauges());
-        mMetrics.registerAll(evacuationGauges());
+        mMetrics.registerAll(zoneGauges());
     }
 
     private long maxConfigurationAgeMillis() {
@@ -270,13 +276,15 @@
                         gauge(mMemory::refusedCount));
     }
 
-    private MetricSet evacuationGauges() {
+    private MetricSet zoneGauges() {
         return () ->
                 Map.of(
                         "zones_evacuated",
                         gauge(() -> mControl.clusterView().evacuatedZones().size()),
                         "requests_in_evacuated_zones",
-                        gauge(() -> mPools.inFlight(mControl.clusterView().evacuatedZones())));
+                        gauge(() -> mPools.inFlight(mControl.clusterView().evacuatedZones())),
+                        "targets_cold",
+                        gauge(() -> mControl.coldTargets().count()));
     }
 
     private static <T> Gauge<T> gauge(Gauge<T> gauge) {
--- a/src/main/java/org/heathercourse/gateway/call/Attempt.java
+++ b/src/main/java/org/heathercourse/gateway/call/Attempt.java
@@ -141,6 +141,7 @@
     public void onHead(ResponseHead head) {
         mStatus = head.status();
         mFraming = head.framing();
+        recordCold(head.facts().coldRemainingMillis());
         boolean success = head.status() < MIN_FAILURE_STATUS;
         if (head.facts().notRun() && !success) {
             mReportedNotRun = true;
@@ -156,6 +157,12 @@
         }
     }
 
+    private void recordCold(long remainingMillis) {
+        if (mCall.dependencies().coldTargetRule().recordResponse(target(), remainingMillis)) {
+            mCall.logEntry().logTargetCold(target(), remainingMillis);
+        }
+    }
+
     private void rejectUnlessAccepted(Acceptance acceptance) {
         if (acceptance != Acceptance.ACCEPTED) {
             rejectResponse(acceptance.reason() + ", status " + mStatus);
--- a/src/main/java/org/heathercourse/gateway/call/Call.java
+++ b/src/main/java/org/heathercourse/gateway/call/Call.java
@@ -246,6 +246,11 @@
                     targetState(target).hasEnded());
             return;
         }
+        if (!mPlacement.admitAtTarget(target)) {
+            exchange.releaseUnused();
+            attempt.failUnsent("the target is cold and may get no request now", false);
+            return;
+        }
         String afterEventId = mRelay == null ? null : mRelay.lastEventId();
         Dispatch dispatch =
                 new Dispatch(
--- a/src/main/java/org/heathercourse/gateway/call/CallDependencies.java
+++ b/src/main/java/org/heathercourse/gateway/call/CallDependencies.java
@@ -10,6 +10,7 @@
 import org.heathercourse.core.limits.MemoryBudget;
 import org.heathercourse.core.limits.WorkspaceRates;
 import org.heathercourse.core.model.Zone;
+import org.heathercourse.core.target.ColdTargetRule;
 import org.heathercourse.core.target.TargetSelector;
 import org.heathercourse.core.time.Ticker;
 import org.heathercourse.gateway.control.BudgetService;
@@ -39,6 +40,7 @@
  * @param crashRecords requests that crash targets, as known to all gateways
  * @param pools connections to targets
  * @param targetSelector load balancer
+ * @param coldTargetRule decides which requests are sent to cold targets
  * @param random source of random numbers for load balancing and jitter
  * @param metrics counters and histograms of calls
  * @param memory budget for bytes of callers and targets
@@ -58,6 +60,7 @@
         CrashRecordService crashRecords,
         TargetPools pools,
         TargetSelector targetSelector,
+        ColdTargetRule coldTargetRule,
         RandomGenerator random,
         CallMetrics metrics,
         MemoryBudget memory,
--- a/src/main/java/org/heathercourse/gateway/call/CallLogEntry.java
+++ b/src/main/java/org/heathercourse/gateway/call/CallLogEntry.java
@@ -128,6 +128,18 @@
                 target.service());
     }
 
+    /** Logs that a target said in its response that it is cold. */
+    void logTargetCold(Target target, long remainingMillis) {
+        LOG.info(
+                "target_cold",
+                "target",
+                target.id(),
+                "remainingMillis",
+                remainingMillis,
+                "cause",
+                "response");
+    }
+
     void recordAnswered(Attempt attempt, long firstByteMillis, long eventCount) {
         mOutcome = "answered";
         mStatus = attempt.status();
--- a/src/main/java/org/heathercourse/gateway/call/CallMetrics.java
+++ b/src/main/java/org/heathercourse/gateway/call/CallMetrics.java
@@ -20,6 +20,7 @@
     private final Meter mResumed;
     private final Meter mTargetCrashes;
     private final Meter mTargetsLeaving;
+    private final Meter mSentToCold;
     private final Meter mConnected;
     private final Meter mConnectFailed;
     private final Meter mSkippedResponses;
@@ -42,6 +43,7 @@
         mResumed = registry.meter("streams_resumed");
         mTargetCrashes = registry.meter("attempts_ended_by_target_crash");
         mTargetsLeaving = registry.meter("targets_leaving_by_own_word");
+        mSentToCold = registry.meter("cold_target_requests");
         mConnected = registry.meter("target_connections_opened");
         mConnectFailed = registry.meter("target_connections_failed");
         mSkippedResponses = registry.meter("target_answers_skipped");
@@ -84,6 +86,11 @@
         mTargetsLeaving.mark();
     }
 
+    /** Counts a request that is sent to a cold target. */
+    void recordSentToCold() {
+        mSentToCold.mark();
+    }
+
     void recordResume() {
         mResumed.mark();
     }
--- a/src/main/java/org/heathercourse/gateway/call/Placement.java
+++ b/src/main/java/org/heathercourse/gateway/call/Placement.java
@@ -1,11 +1,14 @@
 package org.heathercourse.gateway.call;
 
+import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 import java.util.function.Predicate;
 import org.heathercourse.core.fleet.Rendezvous;
 import org.heathercourse.core.routing.RouteKind;
 import org.heathercourse.core.routing.Service;
+import org.heathercourse.core.target.ColdTargetRule;
 import org.heathercourse.core.target.Target;
 import org.heathercourse.core.target.TargetSelector;
 import org.heathercourse.platform.entry.CallFacts;
@@ -61,15 +64,49 @@
                         mFacts.promptTokens(),
                         mDependencies.clusterView().fleet().readyCount(mDependencies.zone()),
                         mDependencies.ticker().readMillis());
+        Predicate<String> closed = closedTargets(candidates)::contains;
         return mDependencies
                 .targetSelector()
                 .select(
                         candidates,
-                        permitted,
+                        permitted.and(closed.negate()),
                         candidate -> mDependencies.pools().pool(candidate).load(),
                         context);
     }
 
+    /** Returns the identities of the cold targets to which no request may be sent now. */
+    private Set<String> closedTargets(List<Target> candidates) {
+        Set<String> closed = new HashSet<>();
+        for (Target target : candidates) {
+            Optional<Service> service = mAdmission.routing().service(target.service());
+            if (service.isPresent()
+                    && !mDependencies.coldTargetRule().admits(target, service.get())) {
+                closed.add(target.id());
+            }
+        }
+        return closed;
+    }
+
+    /**
+     * Takes the token of a request that is sent to a target now; only a cold target needs one.
+     *
+     * @return whether the request may be sent
+     */
+    boolean admitAtTarget(Target target) {
+        Optional<Service> service = mAdmission.routing().service(target.service());
+        if (service.isEmpty()) {
+            return true;
+        }
+        ColdTargetRule rule = mDependencies.coldTargetRule();
+        if (!rule.acquire(target, service.get())) {
+            return false;
+        }
+        if (rule.isLimited(target, service.get())) {
+            mDependencies.metrics().recordSentToCold();
+        }
+        return true;
+    }
+
     /** Returns the maximum number of connections from this gateway to a target; at least 1. */
     int maxConnections(Target target) {
         int fleetConnections =
--- a/src/main/java/org/heathercourse/gateway/control/ClusterView.java
+++ b/src/main/java/org/heathercourse/gateway/control/ClusterView.java
@@ -5,6 +5,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Consumer;
 import org.heathercourse.core.fleet.Fleet;
 import org.heathercourse.core.model.Zone;
 import org.heathercourse.core.routing.RoutingTable;
@@ -29,12 +30,27 @@
                         }
                     });
 
+    private final Consumer<Fleet> mOnFleetRead;
     private TargetList mListedTargets = TargetList.EMPTY;
     private volatile Set<Zone> mEvacuatedZones = Set.of();
     private volatile RoutingTable mRouting;
     private volatile TargetList mTargets = TargetList.EMPTY;
     private volatile Fleet mFleet = Fleet.UNKNOWN;
 
+    /** Creates a view in which nothing is known yet. */
+    public ClusterView() {
+        this(fleet -> {});
+    }
+
+    /**
+     * Creates a view in which nothing is known yet.
+     *
+     * @param onFleetRead called with the live gateways after each read, on the control thread
+     */
+    ClusterView(Consumer<Fleet> onFleetRead) {
+        mOnFleetRead = onFleetRead;
+    }
+
     /** Returns the configuration in force, or empty if none has been read yet. */
     public Optional<RoutingTable> routing() {
         return Optional.ofNullable(mRouting);
@@ -100,5 +116,6 @@
 
     void setFleet(Fleet fleet) {
         mFleet = fleet;
+        mOnFleetRead.accept(fleet);
     }
 }
--- a/src/main/java/org/heathercourse/gateway/control/ConfigurationFollower.java
+++ b/src/main/java/org/heathercourse/gateway/control/ConfigurationFollower.java
@@ -5,6 +5,7 @@
 import java.util.concurrent.ScheduledExecutorService;
 import org.heathercourse.core.freshness.ReadFreshness;
 import org.heathercourse.core.routing.RoutingTable;
+import org.heathercourse.core.target.ColdTargets;
 import org.heathercourse.core.time.SuspendAwareClock;
 import org.heathercourse.log.EventLog;
 import org.heathercourse.platform.entry.DeclaredRows;
@@ -34,10 +35,11 @@
             RowStore store,
             ScheduledExecutorService control,
             SuspendAwareClock ticker,
-            ClusterView clusterView) {
+            ClusterView clusterView,
+            ColdTargets coldTargets) {
         mRows = rows;
         mClusterView = clusterView;
-        mEvacuations = new EvacuationListener(rows, clusterView);
+        mEvacuations = new EvacuationListener(rows, clusterView, coldTargets);
         String table = rows.configurationRow().table();
         mFollower = new TableFollower(table, MAX_WAIT_MILLIS, store, control, ticker, this);
     }
--- a/src/main/java/org/heathercourse/gateway/control/ControlPlane.java
+++ b/src/main/java/org/heathercourse/gateway/control/ControlPlane.java
@@ -6,11 +6,13 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.random.RandomGenerator;
+import org.heathercourse.core.fleet.FleetHistory;
 import org.heathercourse.core.fleet.Member;
 import org.heathercourse.core.fleet.MemberState;
 import org.heathercourse.core.freshness.ReadFreshness;
 import org.heathercourse.core.limits.RateFractions;
 import org.heathercourse.core.ownership.DaemonInfo;
+import org.heathercourse.core.target.ColdTargets;
 import org.heathercourse.core.time.SuspendAwareClock;
 import org.heathercourse.core.time.Ticker;
 import org.heathercourse.daemon.peer.IncarnationPolicy;
@@ -35,7 +37,9 @@
 
     private static final EventLog LOG = EventLog.of(ControlPlane.class);
 
-    private final ClusterView mClusterView = new ClusterView();
+    private final ClusterView mClusterView;
+    private final FleetHistory mFleetHistory;
+    private final ColdTargets mColdTargets;
     private final EventLoop mControl;
     private final EventLoopGroup mGroup;
     private final Ticker mTicker;
@@ -87,12 +91,25 @@
         mStore = platform.rowStore(mStoreChannel);
         mRateFractions = new RateFractions(self.vm().value(), wallTicker);
         mCrashRecords = new CrashRecordService(mStore, mControl, wallTicker, random);
+        mFleetHistory = new FleetHistory(wallTicker);
+        mColdTargets = new ColdTargets(ticker);
+        mClusterView = new ClusterView(mFleetHistory::record);
         mConfiguration =
                 new ConfigurationFollower(
-                        platform.declaredRows(), mStore, mControl, wallTicker, mClusterView);
+                        platform.declaredRows(),
+                        mStore,
+                        mControl,
+                        wallTicker,
+                        mClusterView,
+                        mColdTargets);
         mTargets =
                 new TargetFollower(
-                        platform.declaredRows(), mStore, mControl, wallTicker, mClusterView);
+                        platform.declaredRows(),
+                        mStore,
+                        mControl,
+                        wallTicker,
+                        mClusterView,
+                        mColdTargets);
         mMembers =
                 new MembershipLoop(
                         mStore,
@@ -186,6 +203,16 @@
         return mClusterView;
     }
 
+    /** Returns the recent views of the live gateways. */
+    public FleetHistory fleetHistory() {
+        return mFleetHistory;
+    }
+
+    /** Returns the targets that are cold. */
+    public ColdTargets coldTargets() {
+        return mColdTargets;
+    }
+
     /** Returns the shares of the workspaces' rates. */
     public RateFractions rateFractions() {
         return mRateFractions;
--- a/src/main/java/org/heathercourse/gateway/control/EvacuationListener.java
+++ b/src/main/java/org/heathercourse/gateway/control/EvacuationListener.java
@@ -5,6 +5,7 @@
 import java.util.Optional;
 import java.util.Set;
 import org.heathercourse.core.model.Zone;
+import org.heathercourse.core.target.ColdTargets;
 import org.heathercourse.core.target.EvacuationTracker;
 import org.heathercourse.log.EventLog;
 import org.heathercourse.platform.entry.DeclaredRows;
@@ -19,11 +20,13 @@
 
     private final DeclaredRows mRows;
     private final ClusterView mClusterView;
+    private final ColdTargets mColdTargets;
     private final EvacuationTracker mTracker = new EvacuationTracker();
 
-    EvacuationListener(DeclaredRows rows, ClusterView clusterView) {
+    EvacuationListener(DeclaredRows rows, ClusterView clusterView, ColdTargets coldTargets) {
         mRows = rows;
         mClusterView = clusterView;
+        mColdTargets = coldTargets;
     }
 
     /** Applies all rows of the table; a zone without a row is not evacuated. */
@@ -74,6 +77,8 @@
         if (before.equals(after)) {
             return;
         }
+        // Before the targets become usable.
+        before.stream().filter(z -> !after.contains(z)).forEach(mColdTargets::recordEvacuationEnd);
         mClusterView.setEvacuatedZones(after);
         logDifference("zone_evacuated", before, after);
         logDifference("zone_evacuation_ended", after, before);
--- a/src/main/java/org/heathercourse/gateway/control/TargetFollower.java
+++ b/src/main/java/org/heathercourse/gateway/control/TargetFollower.java
@@ -6,6 +6,7 @@
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import org.heathercourse.core.freshness.ReadFreshness;
+import org.heathercourse.core.target.ColdTargets;
 import org.heathercourse.core.target.Target;
 import org.heathercourse.core.target.TargetTracker;
 import org.heathercourse.core.time.SuspendAwareClock;
@@ -24,6 +25,7 @@
 
     private final DeclaredRows mRows;
     private final ClusterView mClusterView;
+    private final ColdTargets mColdTargets;
     private final TargetTracker mTracker;
     private final TableFollower mFollower;
     private final ScheduledExecutorService mControl;
@@ -33,9 +35,11 @@
             RowStore store,
             ScheduledExecutorService control,
             SuspendAwareClock ticker,
-            ClusterView clusterView) {
+            ClusterView clusterView,
+            ColdTargets coldTargets) {
         mRows = rows;
         mClusterView = clusterView;
+        mColdTargets = coldTargets;
         mControl = control;
         mTracker = new TargetTracker(ticker);
         mFollower =
@@ -66,13 +70,28 @@
      */
     private Optional<Target> decode(StoredRow row) {
         try {
-            return mRows.target(row);
+            Optional<Target> target = mRows.target(row);
+            target.ifPresent(found -> recordCold(found, row));
+            return target;
         } catch (RuntimeException | StackOverflowError e) {
             LOG.error("target_row_not_decoded", e, "key", row.key().key());
             return Optional.empty();
         }
     }
 
+    private void recordCold(Target target, StoredRow row) {
+        if (mColdTargets.recordRow(target, row.version())) {
+            LOG.info(
+                    "target_cold",
+                    "target",
+                    target.id(),
+                    "remainingMillis",
+                    target.coldRemainingMillis(),
+                    "cause",
+                    "row");
+        }
+    }
+
     @Override
     public void onChanges(List<StoredRow> rows) {
         for (StoredRow row : rows) {
--- a/src/main/java/org/heathercourse/gateway/target/Exchange.java
+++ b/src/main/java/org/heathercourse/gateway/target/Exchange.java
@@ -37,7 +37,7 @@
     }
 
     /** Leaves the connection to other requests without sending one. */
-    void releaseUnused() {
+    public void releaseUnused() {
         mConnection.releaseUnused();
     }
 
--- a/src/main/java/org/heathercourse/platform/hosted/HeaderFormat.java
+++ b/src/main/java/org/heathercourse/platform/hosted/HeaderFormat.java
@@ -94,6 +94,7 @@
                 wrongTarget || headers.contains(WireNames.NOT_RUN),
                 wrongTarget,
                 headers.contains(WireNames.LEAVING),
+                number(headers.get(WireNames.COLD_REMAINING)).orElse(0),
                 isRepeated(headers, WireNames.REQUEST_ID)
                         || isRepeated(headers, WireNames.SIGNATURE));
     }
--- a/src/main/java/org/heathercourse/platform/hosted/OperatorRows.java
+++ b/src/main/java/org/heathercourse/platform/hosted/OperatorRows.java
@@ -160,7 +160,9 @@
                 service.path("name").asText(),
                 service.path("connection_limit").asInt(DEFAULT_MAX_CONNECTIONS),
                 engine.isObject(),
-                engine.path("stride").asInt(0));
+                engine.path("stride").asInt(0),
+                service.path("cold_per_s").asDouble(0),
+                (long) (service.path("cold_start_s").asDouble(0) * MILLIS_PER_SECOND));
     }
 
     private static Workspace workspace(JsonNode workspace) {
--- a/src/main/java/org/heathercourse/platform/hosted/TargetRow.java
+++ b/src/main/java/org/heathercourse/platform/hosted/TargetRow.java
@@ -82,6 +82,8 @@
                 Integer.parseInt(address.substring(colon + 1)),
                 new Zone(entry.path("zone").asText()),
                 Math.toIntExact(entry.path("slots").asLong()),
-                entry.path("state").asText().equals("draining"));
+                entry.path("state").asText().equals("draining"),
+                // Negative and malformed numbers count as absent.
+                Math.max(0, (long) entry.path("cold_remaining_ms").asDouble(0)));
     }
 }
--- a/src/main/java/org/heathercourse/platform/hosted/WireNames.java
+++ b/src/main/java/org/heathercourse/platform/hosted/WireNames.java
@@ -59,6 +59,9 @@
     /** A target that leaves has this header, with the value 1, in all its responses. */
     static final String LEAVING = "Server-Leaving";
 
+    /** Time for which a target is cold, in milliseconds. */
+    static final String COLD_REMAINING = "X-Heathercourse-Cold-Start-Remaining";
+
     static final String NOT_RUN = "X-Heathercourse-Not-Executed";
 
     // Paths
--- a/src/test/java/org/heathercourse/gateway/control/TargetFollowerTest.java
+++ b/src/test/java/org/heathercourse/gateway/control/TargetFollowerTest.java
@@ -9,6 +9,7 @@
 import java.util.concurrent.CompletableFuture;
 import org.heathercourse.core.model.Zone;
 import org.heathercourse.core.routing.RoutingTable;
+import org.heathercourse.core.target.ColdTargets;
 import org.heathercourse.core.target.Target;
 import org.heathercourse.core.time.TestTime;
 import org.heathercourse.platform.entry.DeclaredRows;
@@ -120,7 +121,8 @@
                         mStore,
                         mExecutor,
                         mTime.suspendAwareClock(),
-                        mClusterView);
+                        mClusterView,
+                        new ColdTargets(mTime.ticker()));
         follower.start();
         return follower;
     }
--- a/src/test/java/org/heathercourse/gateway/target/ShortHeaderFormat.java
+++ b/src/test/java/org/heathercourse/gateway/target/ShortHeaderFormat.java
@@ -32,6 +32,7 @@
                 notRun,
                 status == 421,
                 headers.contains("Leaving"),
+                0,
                 headers.getAll("Request-Id").size() > 1);
     }
 }
--- a/src/test/java/org/heathercourse/platform/hosted/UsersPlatformTest.java
+++ b/src/test/java/org/heathercourse/platform/hosted/UsersPlatformTest.java
@@ -376,4 +376,62 @@
         reply(410, "{}");
         assertThat(failure(mStore.changes("t", 3, 0))).isInstanceOf(ChangesExpiredException.class);
     }
+
+    // Zones
+
+    /** Guards against rows of another kind, or in disorder, that evacuate a zone. */
+    @Test
+    void readsRowsThatEvacuateZones() {
+        StoredRow evacuation = row("op", "evacuate/zone-a", "{}");
+        assertThat(mRows.evacuatedZone(evacuation.key()).get().value()).isEqualTo("zone-a");
+        assertThat(mRows.isEvacuation(evacuation)).isTrue();
+        for (String value : List.of("", "{", "[]", "null", "1")) {
+            assertThat(mRows.isEvacuation(row("op", "evacuate/zone-a", value))).isFalse();
+        }
+        for (String key : List.of("config", "evacuate/", "evacuate/no zone", "evacuate")) {
+            assertThat(mRows.evacuatedZone(row("op", key, "{}").key())).isEmpty();
+        }
+        assertThat(mRows.evacuatedZone(new RowKey("op", "p", "evacuate/zone-a"))).isEmpty();
+        assertThat(mRows.evacuatedZone(new RowKey("servers", "", "evacuate/zone-a"))).isEmpty();
+    }
+
+    /**
+     * Guards against cold targets that count as warm, and against odd values that hide a target.
+     */
+    @Test
+    void readsForHowLongTargetIsCold() {
+        String start =
+                "{\"service\":\"s\",\"address\":\"10.0.0.1:80\",\"zone\":\"z\",\"slots\":4,"
+                        + "\"state\":\"ready\"";
+        assertThat(coldMillis(start + ",\"cold_remaining_ms\":30000}")).isEqualTo(30_000);
+        assertThat(coldMillis(start + ",\"cold_remaining_ms\":1500.5}")).isEqualTo(1_500);
+        assertThat(coldMillis(start + "}")).isZero();
+        for (String odd : List.of("-5", "\"soon\"", "null", "{}")) {
+            assertThat(coldMillis(start + ",\"cold_remaining_ms\":" + odd + "}")).isZero();
+        }
+        HttpHeaders headers = new DefaultHttpHeaders();
+        assertThat(mCalls.readAnswer(200, headers).coldRemainingMillis()).isZero();
+        headers.set("X-Heathercourse-Cold-Start-Remaining", "12000");
+        assertThat(mCalls.readAnswer(200, headers).coldRemainingMillis()).isEqualTo(12_000);
+    }
+
+    private long coldMillis(String json) {
+        return mRows.target(row("servers", "t", json)).get().coldRemainingMillis();
+    }
+
+    /** Guards against services without a bound that get one. */
+    @Test
+    void readsRateOfColdTargets() {
+        RoutingTable table =
+                mRows.routingTable(
+                        row(
+                                "op",
+                                "config",
+                                "{\"services\":[{\"name\":\"a\",\"cold_per_s\":25,"
+                                        + "\"cold_start_s\":1.5},{\"name\":\"b\"}]}"));
+        assertThat(table.service("a").get().coldPerSecond()).isEqualTo(25);
+        assertThat(table.service("a").get().coldStartMillis()).isEqualTo(1_500);
+        assertThat(table.service("b").get().coldPerSecond()).isZero();
+        assertThat(table.service("b").get().coldStartMillis()).isZero();
+    }
 }
