Prefer the targets that keep a request's object; keep requests in their regions

On routes with session_affinity, requests with an affinity key that are no turns go to the target in the gateway's zone that rendezvous hashing gives, unless it has no free slot, is loaded by more than a kept object saves (10 % of the run time), or runs requests for longer than the others.

allowed_regions of a route and of a workspace both bind. The region of each zone comes from the setting ZONES, which the template fills; without it nothing is restricted.

Run: ObjectAffinityTest, RegionsAndObjectsTest, UsersPlatformTest, LayeringTest, SettingsTest, TargetSelectorTest, CallerServerDrainTest, NoBodyResponseTest.

--- a/src/main/java/org/heathercourse/core/routing/Route.java
+++ b/src/main/java/org/heathercourse/core/routing/Route.java
@@ -1,6 +1,7 @@
 package org.heathercourse.core.routing;
 
 import java.util.List;
+import java.util.Set;
 
 /**
  * A rule that maps requests by host and path prefix to weighted services. Immutable.
@@ -20,6 +21,7 @@
  * @param retainsHistory whether requests carry only their new input, and the system keeps what came
  *     before
  * @param retentionMillis time for which a history is kept after its last turn, in milliseconds
+ * @param allowedRegions regions to whose targets requests may be sent; empty for all
  */
 public record Route(
         String name,
@@ -35,10 +37,12 @@
         boolean resumable,
         boolean sessionAffinity,
         boolean retainsHistory,
-        long retentionMillis) {
-    /** Copies the list of services and rejects an empty one. */
+        long retentionMillis,
+        Set<String> allowedRegions) {
+    /** Copies the services and regions and rejects an empty one. */
     public Route {
         services = List.copyOf(services);
+        allowedRegions = Set.copyOf(allowedRegions);
         if (services.isEmpty()) {
             throw new IllegalArgumentException(
                     "route " + name + " has no service, expected at least one");
@@ -96,6 +100,7 @@
         private boolean mSessionAffinity;
         private boolean mRetainsHistory;
         private long mRetentionMillis = DEFAULT_RETENTION_MILLIS;
+        private Set<String> mAllowedRegions = Set.of();
 
         private Builder() {}
 
@@ -183,6 +188,12 @@
             return this;
         }
 
+        /** Sets the regions to whose targets requests may be sent; empty for all. */
+        public Builder allowedRegions(Set<String> regions) {
+            mAllowedRegions = regions;
+            return this;
+        }
+
         /** Creates the route. */
         public Route build() {
             return new Route(
@@ -199,7 +210,8 @@
                     mResumable,
                     mSessionAffinity,
                     mRetainsHistory,
-                    mRetentionMillis);
+                    mRetentionMillis,
+                    mAllowedRegions);
         }
     }
 }
--- a/src/main/java/org/heathercourse/core/routing/Workspace.java
+++ b/src/main/java/org/heathercourse/core/routing/Workspace.java
@@ -11,12 +11,29 @@
  * @param priority priority that overrides that of the route; empty if the route decides
  * @param ratePerSecond requests per second over all VMs; 0 means no limit
  * @param burst additional requests that may arrive at once
+ * @param allowedRegions regions to whose targets requests may be sent; empty for all
  */
 public record Workspace(
-        String name, Set<String> keys, OptionalInt priority, double ratePerSecond, double burst) {
-    /** Copies the keys. */
+        String name,
+        Set<String> keys,
+        OptionalInt priority,
+        double ratePerSecond,
+        double burst,
+        Set<String> allowedRegions) {
+    /** Copies the keys and the regions. */
     public Workspace {
         keys = Set.copyOf(keys);
+        allowedRegions = Set.copyOf(allowedRegions);
+    }
+
+    /** Creates a workspace whose requests may be sent to all regions. */
+    public Workspace(
+            String name,
+            Set<String> keys,
+            OptionalInt priority,
+            double ratePerSecond,
+            double burst) {
+        this(name, keys, priority, ratePerSecond, burst, Set.of());
     }
 
     /** Returns whether a rate limit applies to the workspace. */
--- a/src/main/java/org/heathercourse/core/target/TargetSelector.java
+++ b/src/main/java/org/heathercourse/core/target/TargetSelector.java
@@ -30,7 +30,7 @@
     private static final double INITIAL_RUN_MILLIS = 50;
 
     /** Slowdown by each request in the batch of a target, relative to the run time of a request. */
-    private static final double SLOWDOWN_PER_REQUEST_RATIO = 0.01;
+    static final double SLOWDOWN_PER_REQUEST_RATIO = 0.01;
 
     private final Zone mZone;
     private final RandomGenerator mRandom;
--- a/src/main/java/org/heathercourse/daemon/settings/Setting.java
+++ b/src/main/java/org/heathercourse/daemon/settings/Setting.java
@@ -67,6 +67,11 @@
             "33554432",
             "maximum sum of the bytes kept for callers and targets; at most half of the heap",
             Program.ONLY_GATEWAY),
+    ZONES(
+            ValueType.TEXT,
+            "",
+            "table of the platform with the region of each zone; without it, regions bind nothing",
+            Program.ONLY_GATEWAY),
     LOG_LEVEL(ValueType.LOG_LEVEL, "info", "minimum level of log lines", Program.SERVERS);
 
     private static final String ENVIRONMENT_PREFIX = "HEATHERCOURSE_";
--- a/src/main/java/org/heathercourse/daemon/settings/ValueType.java
+++ b/src/main/java/org/heathercourse/daemon/settings/ValueType.java
@@ -81,6 +81,12 @@
             return inRange(value, 1_024, 1_073_741_824);
         }
     },
+    TEXT("any text") {
+        @Override
+        boolean accepts(String value) {
+            return true;
+        }
+    },
     LOG_LEVEL("debug, info, warn or error") {
         @Override
         boolean accepts(String value) {
--- a/src/main/java/org/heathercourse/gateway/Gateway.java
+++ b/src/main/java/org/heathercourse/gateway/Gateway.java
@@ -29,6 +29,8 @@
 import org.heathercourse.core.model.Zone;
 import org.heathercourse.core.routing.RoutingTable;
 import org.heathercourse.core.target.ColdTargetRule;
+import org.heathercourse.core.target.ObjectAffinity;
+import org.heathercourse.core.target.RegionRule;
 import org.heathercourse.core.target.Target;
 import org.heathercourse.core.target.TargetSelector;
 import org.heathercourse.core.time.SuspendAwareClock;
@@ -164,6 +166,8 @@
                         mControl.crashRecords(),
                         mPools,
                         new TargetSelector(zone, mTrafficRandom),
+                        regionRule(settings, platform),
+                        new ObjectAffinity(zone),
                         new ColdTargetRule(
                                 settings.vm(),
                                 mControl.coldTargets(),
@@ -232,6 +236,15 @@
                 0);
     }
 
+    private static RegionRule regionRule(Settings settings, HostedPlatform platform) {
+        String table = settings.text(Setting.ZONES);
+        Map<Zone, String> regions = platform.zoneRegions(table);
+        if (regions.isEmpty() && !table.isBlank()) {
+            LOG.warn("zone_regions_not_decoded", "zones", table);
+        }
+        return new RegionRule(regions);
+    }
+
     private static String callerAddress(Settings settings) {
         InetSocketAddress callers = settings.endpoint(Setting.CALLER_ADDRESS);
         return callers.getHostString() + ":" + callers.getPort();
--- a/src/main/java/org/heathercourse/gateway/call/CallDependencies.java
+++ b/src/main/java/org/heathercourse/gateway/call/CallDependencies.java
@@ -11,6 +11,8 @@
 import org.heathercourse.core.limits.WorkspaceRates;
 import org.heathercourse.core.model.Zone;
 import org.heathercourse.core.target.ColdTargetRule;
+import org.heathercourse.core.target.ObjectAffinity;
+import org.heathercourse.core.target.RegionRule;
 import org.heathercourse.core.target.TargetSelector;
 import org.heathercourse.core.time.Ticker;
 import org.heathercourse.gateway.control.BudgetService;
@@ -40,6 +42,8 @@
  * @param crashRecords requests that crash targets, as known to all gateways
  * @param pools connections to targets
  * @param targetSelector load balancer
+ * @param regionRule decides to which regions a request may be sent
+ * @param objectAffinity prefers targets that have kept the object of a request
  * @param coldTargetRule decides which requests are sent to cold targets
  * @param random source of random numbers for load balancing and jitter
  * @param metrics counters and histograms of calls
@@ -60,6 +64,8 @@
         CrashRecordService crashRecords,
         TargetPools pools,
         TargetSelector targetSelector,
+        RegionRule regionRule,
+        ObjectAffinity objectAffinity,
         ColdTargetRule coldTargetRule,
         RandomGenerator random,
         CallMetrics metrics,
--- a/src/main/java/org/heathercourse/gateway/call/Placement.java
+++ b/src/main/java/org/heathercourse/gateway/call/Placement.java
@@ -44,19 +44,29 @@
         return mAdmission.route().selectService(hash);
     }
 
-    /** Returns the targets of the service that accept new calls. */
+    /**
+     * Returns the targets of the service that accept new calls, in the regions that are allowed.
+     */
     List<Target> usableTargets() {
-        return mDependencies.clusterView().targets().usableTargets(serviceName());
+        return mDependencies
+                .regionRule()
+                .allowed(
+                        mDependencies.clusterView().targets().usableTargets(serviceName()),
+                        mAdmission.route().allowedRegions(),
+                        mAdmission.workspace() == null
+                                ? Set.of()
+                                : mAdmission.workspace().allowedRegions());
     }
 
     /**
-     * Selects a target by load.
+     * Selects a target by load, or the one that has probably kept the object of the call.
      *
      * @param candidates targets to select from
      * @param permitted returns whether the target with an id may receive the call
      * @return the target, or empty if none has capacity
      */
     Optional<Target> selectTarget(List<Target> candidates, Predicate<String> permitted) {
+        Set<String> closed = closedTargets(candidates);
         boolean isTurn = mAdmission.route().kind() == RouteKind.STREAMING;
         TargetSelector.SelectionContext context =
                 new TargetSelector.SelectionContext(
@@ -64,16 +74,40 @@
                         mFacts.promptTokens(),
                         mDependencies.clusterView().fleet().readyCount(mDependencies.zone()),
                         mDependencies.ticker().readMillis());
-        Predicate<String> closed = closedTargets(candidates)::contains;
+        Predicate<String> open = permitted.and(id -> !closed.contains(id));
+        Optional<Target> preferred =
+                isTurn ? Optional.empty() : targetOfObject(candidates, open, context);
+        if (preferred.isPresent()) {
+            return preferred;
+        }
         return mDependencies
                 .targetSelector()
                 .select(
                         candidates,
-                        permitted.and(closed.negate()),
+                        open,
                         candidate -> mDependencies.pools().pool(candidate).load(),
                         context);
     }
 
+    /** Returns the target that is preferred for the call's object, if its route wants it. */
+    private Optional<Target> targetOfObject(
+            List<Target> candidates,
+            Predicate<String> permitted,
+            TargetSelector.SelectionContext context) {
+        if (!mAdmission.route().sessionAffinity() || mFacts.affinityKey() == null) {
+            return Optional.empty();
+        }
+        return mDependencies
+                .objectAffinity()
+                .preferred(
+                        candidates,
+                        permitted,
+                        candidate -> mDependencies.pools().pool(candidate).load(),
+                        mFacts.affinityKey(),
+                        context.gatewaysInZone(),
+                        context.nowMillis());
+    }
+
     /** Returns the identities of the cold targets to which no request may be sent now. */
     private Set<String> closedTargets(List<Target> candidates) {
         Set<String> closed = new HashSet<>();
--- a/src/main/java/org/heathercourse/platform/entry/HostedPlatform.java
+++ b/src/main/java/org/heathercourse/platform/entry/HostedPlatform.java
@@ -1,5 +1,7 @@
 package org.heathercourse.platform.entry;
 
+import java.util.Map;
+import org.heathercourse.core.model.Zone;
 import org.heathercourse.platform.rows.RowStore;
 import org.heathercourse.platform.rows.StoreChannel;
 
@@ -20,6 +22,14 @@
     /** Returns the decoder of the rows that operators and targets write. */
     DeclaredRows declaredRows();
 
+    /**
+     * Decodes the platform's table of zones.
+     *
+     * @param table the table as the platform writes it into the settings; may be empty
+     * @return region of each zone; without zones whose region the table does not tell
+     */
+    Map<Zone, String> zoneRegions(String table);
+
     /** Returns the codec of call headers. */
     CallFormat callFormat();
 
--- a/src/main/java/org/heathercourse/platform/hosted/OperatorRows.java
+++ b/src/main/java/org/heathercourse/platform/hosted/OperatorRows.java
@@ -124,6 +124,7 @@
                 .sessionAffinity(route.path("session_affinity").asBoolean(false))
                 .retainsHistory(route.path("retains_history").asBoolean(false))
                 .retentionMillis(retentionMillis(route.path("retention_s")))
+                .allowedRegions(texts(route.path("allowed_regions")))
                 .build();
     }
 
@@ -166,15 +167,20 @@
     }
 
     private static Workspace workspace(JsonNode workspace) {
-        Set<String> keys = new HashSet<>();
-        workspace.path("api_keys").forEach(key -> keys.add(key.asText()));
         JsonNode priority = workspace.path("priority");
         return new Workspace(
                 workspace.path("name").asText(),
-                keys,
+                texts(workspace.path("api_keys")),
                 priority.isNumber() ? OptionalInt.of(priority.asInt()) : OptionalInt.empty(),
                 workspace.path("requests_per_s").asDouble(0),
-                workspace.path("burst").asDouble(0));
+                workspace.path("burst").asDouble(0),
+                texts(workspace.path("allowed_regions")));
+    }
+
+    private static Set<String> texts(JsonNode list) {
+        Set<String> texts = new HashSet<>();
+        list.forEach(text -> texts.add(text.asText()));
+        return texts;
     }
 
     private static CallerLimits limits(JsonNode limits) {
--- a/src/main/java/org/heathercourse/platform/hosted/UsersPlatform.java
+++ b/src/main/java/org/heathercourse/platform/hosted/UsersPlatform.java
@@ -1,5 +1,7 @@
 package org.heathercourse.platform.hosted;
 
+import java.util.Map;
+import org.heathercourse.core.model.Zone;
 import org.heathercourse.platform.entry.CallFormat;
 import org.heathercourse.platform.entry.DeclaredRows;
 import org.heathercourse.platform.entry.EntryFormat;
@@ -29,6 +31,11 @@
         return new OperatorRows();
     }
 
+    @Override
+    public Map<Zone, String> zoneRegions(String table) {
+        return ZoneTable.decode(table);
+    }
+
     @Override
     public CallFormat callFormat() {
         return new HeaderFormat();
--- a/src/test/java/org/heathercourse/gateway/http/CallerServerDrainTest.java
+++ b/src/test/java/org/heathercourse/gateway/http/CallerServerDrainTest.java
@@ -67,6 +67,8 @@
                 null,
                 null,
                 null,
+                null,
+                null,
                 new CallMetrics(new MetricRegistry()),
                 new MemoryBudget(MAX_BUFFER_BYTES),
                 () -> mSchedule);
--- a/src/test/java/org/heathercourse/platform/hosted/UsersPlatformTest.java
+++ b/src/test/java/org/heathercourse/platform/hosted/UsersPlatformTest.java
@@ -9,10 +9,12 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
 import org.heathercourse.core.error.HeathercourseException;
+import org.heathercourse.core.model.Zone;
 import org.heathercourse.core.routing.Route;
 import org.heathercourse.core.routing.RouteKind;
 import org.heathercourse.core.routing.RoutingTable;
@@ -434,4 +436,21 @@
         assertThat(table.service("b").get().coldPerSecond()).isZero();
         assertThat(table.service("b").get().coldStartMillis()).isZero();
     }
+
+    /** Guards against tables of zones in another form that bind no region, or end the gateway. */
+    @Test
+    void readsRegionsOfZones() {
+        Zone zone = new Zone("a");
+        for (String table :
+                List.of(
+                        "{\"a\":\"north\"}",
+                        "{\"a\":{\"region\":\"north\",\"rtt_ms\":3}}",
+                        "[{\"name\":\"a\",\"region\":\"north\"}]")) {
+            assertThat(mPlatform.zoneRegions(table)).containsExactly(Map.entry(zone, "north"));
+        }
+        for (String table :
+                List.of("", "{}", "null", "{{zones|json}}", "{\"a\":3}", "{\"a b\":\"x\"}", "7")) {
+            assertThat(mPlatform.zoneRegions(table)).isEmpty();
+        }
+    }
 }
