--- a/src/main/java/org/heathercourse/daemon/settings/Setting.java
+++ b/src/main/java/org/heathercourse/daemon/settings/Setting.java
@@ -76,11 +76,17 @@
             ValueType.DECIMAL,
             "1",
             "cores of the VM, or their speed relative to one core",
+            Program.ONLY_GATEWAY),
     MAX_HISTORY_BYTES(
             ValueType.BYTES,
             "8388608",
             "maximum size of a turn's history together with its own input",
             Program.ONLY_GATEWAY),
+    ZONES(
+            ValueType.TEXT,
+            "",
+            "table of the platform with the region of each zone; without it, regions bind nothing",
+            Program.ONLY_GATEWAY),
     LOG_LEVEL(ValueType.LOG_LEVEL, "info", "minimum level of log lines", Program.SERVERS);
 
     private static final String ENVIRONMENT_PREFIX = "HEATHERCOURSE_";
--- a/src/main/java/org/heathercourse/gateway/Gateway.java
+++ b/src/main/java/org/heathercourse/gateway/Gateway.java
@@ -28,6 +28,9 @@
 import org.heathercourse.core.limits.WorkspaceRates;
 import org.heathercourse.core.model.Zone;
 import org.heathercourse.core.routing.RoutingTable;
+import org.heathercourse.core.target.ColdTargetRule;
+import org.heathercourse.core.target.ObjectAffinity;
+import org.heathercourse.core.target.RegionRule;
 import org.heathercourse.core.target.Target;
 import org.heathercourse.core.target.TargetSelector;
 import org.heathercourse.core.time.SuspendAwareClock;
@@ -169,6 +172,13 @@
                         mControl.crashRecords(),
                         mPools,
                         new TargetSelector(zone, mTrafficRandom),
+                        regionRule(settings, platform),
+                        new ObjectAffinity(zone),
+                        new ColdTargetRule(
+                                settings.vm(),
+                                mControl.coldTargets(),
+                                mControl.fleetHistory(),
+                                ticker),
                         mTrafficRandom,
                         callMetrics,
                         mMemory,
@@ -177,6 +187,7 @@
                         settings.number(Setting.MAX_HISTORY_BYTES));
         mCallerServer = new CallerServer(services);
         mMetrics.registerAll(gauges());
+        mMetrics.registerAll(zoneGauges());
     }
 
     private long maxConfigurationAgeMillis() {
@@ -235,6 +246,15 @@
                         * settings.decimal(Setting.PROCESSOR_CORES));
     }
 
+    private static RegionRule regionRule(Settings settings, HostedPlatform platform) {
+        String table = settings.text(Setting.ZONES);
+        Map<Zone, String> regions = platform.zoneRegions(table);
+        if (regions.isEmpty() && !table.isBlank()) {
+            LOG.warn("zone_regions_not_decoded", "zones", table);
+        }
+        return new RegionRule(regions);
+    }
+
     private static String callerAddress(Settings settings) {
         InetSocketAddress callers = settings.endpoint(Setting.CALLER_ADDRESS);
         return callers.getHostString() + ":" + callers.getPort();
@@ -279,6 +299,17 @@
                         gauge(mMemory::refusedCount));
     }
 
+    private MetricSet zoneGauges() {
+        return () ->
+                Map.of(
+                        "zones_evacuated",
+                        gauge(() -> mControl.clusterView().evacuatedZones().size()),
+                        "requests_in_evacuated_zones",
+                        gauge(() -> mPools.inFlight(mControl.clusterView().evacuatedZones())),
+                        "targets_cold",
+                        gauge(() -> mControl.coldTargets().count()));
+    }
+
     private static <T> Gauge<T> gauge(Gauge<T> gauge) {
         return gauge;
     }
--- a/src/main/java/org/heathercourse/gateway/call/Call.java
+++ b/src/main/java/org/heathercourse/gateway/call/Call.java
@@ -268,10 +268,15 @@
             attempt.failUnsent(
                     isTargetUsable
                             ? "the call has ended or its deadline has passed"
-                            : "the target is draining",
+                            : "the target gets no new requests: " + targetState(target).logName(),
                     targetState(target).hasEnded());
             return;
         }
+        if (!mPlacement.admitAtTarget(target)) {
+            exchange.releaseUnused();
+            attempt.failUnsent("the target is cold and may get no request now", false);
+            return;
+        }
         String afterEventId = mRelay == null ? null : mRelay.lastEventId();
         Dispatch dispatch =
                 new Dispatch(
--- a/src/main/java/org/heathercourse/gateway/control/ClusterView.java
+++ b/src/main/java/org/heathercourse/gateway/control/ClusterView.java
@@ -5,7 +5,9 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Consumer;
 import org.heathercourse.core.fleet.Fleet;
+import org.heathercourse.core.model.Zone;
 import org.heathercourse.core.routing.RoutingTable;
 import org.heathercourse.core.target.Target;
 import org.heathercourse.core.target.TargetList;
@@ -28,11 +30,27 @@
                         }
                     });
 
+    private final Consumer<Fleet> mOnFleetRead;
     private TargetList mListedTargets = TargetList.EMPTY;
+    private volatile Set<Zone> mEvacuatedZones = Set.of();
     private volatile RoutingTable mRouting;
     private volatile TargetList mTargets = TargetList.EMPTY;
     private volatile Fleet mFleet = Fleet.UNKNOWN;
 
+    /** Creates a view in which nothing is known yet. */
+    public ClusterView() {
+        this(fleet -> {});
+    }
+
+    /**
+     * Creates a view in which nothing is known yet.
+     *
+     * @param onFleetRead called with the live gateways after each read, on the control thread
+     */
+    ClusterView(Consumer<Fleet> onFleetRead) {
+        mOnFleetRead = onFleetRead;
+    }
+
     /** Returns the configuration in force, or empty if none has been read yet. */
     public Optional<RoutingTable> routing() {
         return Optional.ofNullable(mRouting);
@@ -41,6 +59,7 @@
     /**
      * Returns the registered targets; empty before the first read. A target that said itself that
      * it leaves counts as leaving whatever its row says, as the row may be older, or out of reach.
+     * Targets in evacuated zones get no new requests.
      */
     public TargetList targets() {
         return mTargets;
@@ -62,8 +81,7 @@
      */
     synchronized TargetList setTargets(TargetList targets) {
         mListedTargets = targets;
-        mTargets = targets.withLeaving(mLeaving::contains);
-        return mTargets;
+        return updateTargets();
     }
 
     /**
@@ -77,11 +95,27 @@
         if (!mLeaving.add(target.incarnation())) {
             return false;
         }
-        mTargets = mListedTargets.withLeaving(mLeaving::contains);
+        updateTargets();
         return true;
     }
 
+    private TargetList updateTargets() {
+        mTargets = mListedTargets.withLeaving(mLeaving::contains).withEvacuated(mEvacuatedZones);
+        return mTargets;
+    }
+
+    /** Returns the zones whose targets get no new requests. */
+    public Set<Zone> evacuatedZones() {
+        return mEvacuatedZones;
+    }
+
+    synchronized void setEvacuatedZones(Set<Zone> zones) {
+        mEvacuatedZones = Set.copyOf(zones);
+        updateTargets();
+    }
+
     void setFleet(Fleet fleet) {
         mFleet = fleet;
+        mOnFleetRead.accept(fleet);
     }
 }
--- a/src/main/java/org/heathercourse/gateway/control/ConfigurationFollower.java
+++ b/src/main/java/org/heathercourse/gateway/control/ConfigurationFollower.java
@@ -5,6 +5,7 @@
 import java.util.concurrent.ScheduledExecutorService;
 import org.heathercourse.core.freshness.ReadFreshness;
 import org.heathercourse.core.routing.RoutingTable;
+import org.heathercourse.core.target.ColdTargets;
 import org.heathercourse.core.time.SuspendAwareClock;
 import org.heathercourse.log.EventLog;
 import org.heathercourse.platform.entry.DeclaredRows;
@@ -12,8 +13,8 @@
 import org.heathercourse.platform.rows.StoredRow;
 
 /**
- * Keeps the configuration in the {@link ClusterView} current. Its version never decreases. Confined
- * to the control thread.
+ * Keeps the configuration and the evacuated zones in the {@link ClusterView} current, whose rows
+ * are in one table. The configuration's version never decreases. Confined to the control thread.
  */
 final class ConfigurationFollower implements TableFollower.Listener {
     /**
@@ -26,6 +27,7 @@
 
     private final DeclaredRows mRows;
     private final ClusterView mClusterView;
+    private final EvacuationListener mEvacuations;
     private final TableFollower mFollower;
 
     ConfigurationFollower(
@@ -33,9 +35,11 @@
             RowStore store,
             ScheduledExecutorService control,
             SuspendAwareClock ticker,
-            ClusterView clusterView) {
+            ClusterView clusterView,
+            ColdTargets coldTargets) {
         mRows = rows;
         mClusterView = clusterView;
+        mEvacuations = new EvacuationListener(rows, clusterView, coldTargets);
         String table = rows.configurationRow().table();
         mFollower = new TableFollower(table, MAX_WAIT_MILLIS, store, control, ticker, this);
     }
@@ -50,11 +54,18 @@
 
     @Override
     public void onSnapshot(List<StoredRow> rows) {
-        onChanges(rows);
+        // Before the configuration, without which no request is sent to a target.
+        mEvacuations.onSnapshot(rows);
+        applyConfiguration(rows);
     }
 
     @Override
     public void onChanges(List<StoredRow> rows) {
+        mEvacuations.onChanges(rows);
+        applyConfiguration(rows);
+    }
+
+    private void applyConfiguration(List<StoredRow> rows) {
         for (StoredRow row : rows) {
             if (row.exists() && row.key().equals(mRows.configurationRow())) {
                 decode(row).ifPresent(this::apply);
@@ -92,6 +103,6 @@
 
     @Override
     public void onReadSucceeded(long sinceLastReadMillis) {
-        // Nothing expires: only the operator removes the configuration row.
+        // Nothing expires: only the operator removes rows of this table.
     }
 }
--- a/src/main/java/org/heathercourse/platform/hosted/OperatorRows.java
+++ b/src/main/java/org/heathercourse/platform/hosted/OperatorRows.java
@@ -10,6 +10,7 @@
 import java.util.Set;
 import org.heathercourse.core.error.ErrorKind;
 import org.heathercourse.core.error.HeathercourseException;
+import org.heathercourse.core.model.Zone;
 import org.heathercourse.core.routing.CallerLimits;
 import org.heathercourse.core.routing.Route;
 import org.heathercourse.core.routing.RouteKind;
@@ -37,6 +38,30 @@
         return new RowKey(WireNames.OPERATOR_TABLE, "", WireNames.CONFIGURATION_KEY);
     }
 
+    @Override
+    public Optional<Zone> evacuatedZone(RowKey key) {
+        if (!key.table().equals(WireNames.OPERATOR_TABLE)
+                || !key.part().isEmpty()
+                || !key.key().startsWith(WireNames.EVACUATION_PREFIX)) {
+            return Optional.empty();
+        }
+        try {
+            return Optional.of(new Zone(key.key().substring(WireNames.EVACUATION_PREFIX.length())));
+        } catch (IllegalArgumentException e) {
+            return Optional.empty();
+        }
+    }
+
+    @Override
+    public boolean isEvacuation(StoredRow row) {
+        try {
+            JsonNode value = Json.read(row.value());
+            return value != null && value.isObject();
+        } catch (IOException e) {
+            return false;
+        }
+    }
+
     @Override
     public String targetTable() {
         return WireNames.TARGET_TABLE;
@@ -99,6 +124,7 @@
                 .sessionAffinity(route.path("session_affinity").asBoolean(false))
                 .retainsHistory(route.path("retains_history").asBoolean(false))
                 .retentionMillis(retentionMillis(route.path("retention_s")))
+                .allowedRegions(texts(route.path("allowed_regions")))
                 .build();
     }
 
@@ -135,19 +161,26 @@
                 service.path("name").asText(),
                 service.path("connection_limit").asInt(DEFAULT_MAX_CONNECTIONS),
                 engine.isObject(),
-                engine.path("stride").asInt(0));
+                engine.path("stride").asInt(0),
+                service.path("cold_per_s").asDouble(0),
+                (long) (service.path("cold_start_s").asDouble(0) * MILLIS_PER_SECOND));
     }
 
     private static Workspace workspace(JsonNode workspace) {
-        Set<String> keys = new HashSet<>();
-        workspace.path("api_keys").forEach(key -> keys.add(key.asText()));
         JsonNode priority = workspace.path("priority");
         return new Workspace(
                 workspace.path("name").asText(),
-                keys,
+                texts(workspace.path("api_keys")),
                 priority.isNumber() ? OptionalInt.of(priority.asInt()) : OptionalInt.empty(),
                 workspace.path("requests_per_s").asDouble(0),
-                workspace.path("burst").asDouble(0));
+                workspace.path("burst").asDouble(0),
+                texts(workspace.path("allowed_regions")));
+    }
+
+    private static Set<String> texts(JsonNode list) {
+        Set<String> texts = new HashSet<>();
+        list.forEach(text -> texts.add(text.asText()));
+        return texts;
     }
 
     private static CallerLimits limits(JsonNode limits) {
--- a/src/main/java/org/heathercourse/platform/hosted/WireNames.java
+++ b/src/main/java/org/heathercourse/platform/hosted/WireNames.java
@@ -59,6 +59,9 @@
     /** A target that leaves has this header, with the value 1, in all its responses. */
     static final String LEAVING = "Server-Leaving";
 
+    /** Time for which a target is cold, in milliseconds. */
+    static final String COLD_REMAINING = "X-Heathercourse-Cold-Start-Remaining";
+
     static final String NOT_RUN = "X-Heathercourse-Not-Executed";
 
     // Paths
@@ -73,6 +76,10 @@
 
     static final String OPERATOR_TABLE = "op";
     static final String CONFIGURATION_KEY = "config";
+
+    /** Start of the keys of rows that evacuate a zone; the name of the zone follows. */
+    static final String EVACUATION_PREFIX = "evacuate/";
+
     static final String TARGET_TABLE = "servers";
 
     private WireNames() {}
--- a/src/test/java/org/heathercourse/gateway/control/TargetFollowerTest.java
+++ b/src/test/java/org/heathercourse/gateway/control/TargetFollowerTest.java
@@ -9,6 +9,7 @@
 import java.util.concurrent.CompletableFuture;
 import org.heathercourse.core.model.Zone;
 import org.heathercourse.core.routing.RoutingTable;
+import org.heathercourse.core.target.ColdTargets;
 import org.heathercourse.core.target.Target;
 import org.heathercourse.core.time.TestTime;
 import org.heathercourse.platform.entry.DeclaredRows;
@@ -39,6 +40,16 @@
             return row("configuration", 1).key();
         }
 
+        @Override
+        public Optional<Zone> evacuatedZone(RowKey key) {
+            return Optional.empty();
+        }
+
+        @Override
+        public boolean isEvacuation(StoredRow row) {
+            return false;
+        }
+
         @Override
         public String targetTable() {
             return TABLE;
@@ -110,7 +121,8 @@
                         mStore,
                         mExecutor,
                         mTime.suspendAwareClock(),
-                        mClusterView);
+                        mClusterView,
+                        new ColdTargets(mTime.ticker()));
         follower.start();
         return follower;
     }
