--- a/src/main/java/org/heathercourse/core/routing/RoutingTable.java
+++ b/src/main/java/org/heathercourse/core/routing/RoutingTable.java
@@ -21,12 +21,10 @@
     private final Map<String, Workspace> mWorkspaces;
     private final Map<String, Workspace> mWorkspacesByKey;
     private final CallerLimits mLimits;
-    private final boolean mRetainsHistories;
 
     private RoutingTable(Builder builder) {
         mVersion = builder.mVersion;
         mLimits = builder.mLimits;
-        mRetainsHistories = builder.mRoutes.stream().anyMatch(Route::retainsHistory);
         mServices = Map.copyOf(builder.mServices);
         mWorkspaces = Map.copyOf(builder.mWorkspaces);
         mWorkspacesByKey = new HashMap<>();
@@ -59,11 +57,6 @@
         return mVersion;
     }
 
-    /** Returns whether a route keeps the histories of its turns. */
-    public boolean retainsHistories() {
-        return mRetainsHistories;
-    }
-
     /** Returns the limits for callers. */
     public CallerLimits limits() {
         return mLimits;
--- a/src/test/java/org/heathercourse/core/target/ColdTargetRuleTest.java
+++ b/src/test/java/org/heathercourse/core/target/ColdTargetRuleTest.java
@@ -82,7 +82,7 @@
     private static Member member(int number, MemberState state) {
         String vm = String.format(Locale.ROOT, "vm%03d", number);
         Zone zone = new Zone("z" + number % 3);
-        return new Member(new VmId(vm), 1, zone, vm + ":80", vm, 81, state, 1, PERIOD_MILLIS);
+        return new Member(new VmId(vm), 1, zone, vm + ":80", vm, 81, state, 1, PERIOD_MILLIS, 0);
     }
 
     private static Fleet fleet(Stream<Integer> numbers) {
