--- a/src/main/java/org/heathercourse/testing/hosted/HostedDeployment.java
+++ b/src/main/java/org/heathercourse/testing/hosted/HostedDeployment.java
@@ -185,7 +185,19 @@
      * @return the settings that it runs with
      */
     public Settings addGateway(String vm, Map<Setting, String> changes) {
-        Map<String, String> environment = environment(vm, LOOPBACK_HOST, mStore);
+        return addGateway(vm, mStore, changes);
+    }
+
+    /**
+     * Starts a gateway with changed settings that connects to a port of its own at the store.
+     *
+     * @param vm identity of its VM
+     * @param store the port that the gateway connects to
+     * @param changes settings that differ from the default
+     * @return the settings that it runs with
+     */
+    public Settings addGateway(String vm, StoreStandIn store, Map<Setting, String> changes) {
+        Map<String, String> environment = environment(vm, LOOPBACK_HOST, store);
         changes.forEach((setting, value) -> environment.put(setting.environmentVariable(), value));
         return addGateway(parse(environment));
     }
--- a/src/test/java/org/heathercourse/gateway/GatewayHistoryFaultsTest.java
+++ b/src/test/java/org/heathercourse/gateway/GatewayHistoryFaultsTest.java
@@ -67,6 +67,10 @@
         assertThat(response.body()).contains("\"not_run\":true");
     }
 
+    private static boolean isWhole(Response response) {
+        return response.status() == 200 && response.isComplete();
+    }
+
     // Store
 
     /** Guards against turns that run although their end cannot be kept. */
@@ -170,6 +174,25 @@
 
     // Gateways
 
+    /** Guards against turns that are refused, or lost, at a gateway that the store refuses. */
+    @Test
+    void chainGoesOnThroughGatewayThatTheStoreRefuses() throws Exception {
+        try (StoreStandIn ownPort = new StoreStandIn(mFixture.store().rows())) {
+            mFixture.addGateways(1).addGateways(1, ownPort);
+            // Both gateways must be live members before the store refuses one of them.
+            Thread.sleep(2_000);
+            String first = mFixture.runTurn(0, Turn.first("i"));
+            ownPort.setMode(StoreStandIn.Mode.REFUSES);
+            await().atMost(MAX_WAIT)
+                    .until(() -> isWhole(mFixture.call(1, Turn.after(first, "j"))));
+            String second = mFixture.lastId();
+            String third = mFixture.runTurn(0, Turn.after(second, "k"));
+            String output = HistoryFixture.output();
+            assertThat(mFixture.receivedBody(second)).isEqualTo("i" + output + "j");
+            assertThat(mFixture.receivedBody(third)).isEqualTo("i" + output + "j" + output + "k");
+        }
+    }
+
     /** Guards against histories that live in the memory of gateways. */
     @Test
     void chainGoesOnAfterAllGatewaysHaveRestarted() throws IOException {
--- a/src/test/java/org/heathercourse/gateway/GatewayHistoryTest.java
+++ b/src/test/java/org/heathercourse/gateway/GatewayHistoryTest.java
@@ -125,6 +125,15 @@
         assertThat(sFixture.receivedBody(third)).isEqualTo("i" + output() + "j" + output() + "k");
     }
 
+    /** Guards against a turn that is not kept because its target's response has no length. */
+    @Test
+    void responseThatEndsWithItsConnectionIsTurn() throws IOException {
+        sFixture.setUnframed();
+        String first = sFixture.runTurn(0, Turn.first("i"));
+        String second = sFixture.runTurn(1, Turn.after(first, "j"));
+        assertThat(sFixture.receivedBody(second)).isEqualTo("i" + output() + "j");
+    }
+
     /** Guards against a history on routes that retain none, and against turns of such routes. */
     @Test
     void routeWithoutHistoryIsUnchanged() throws IOException {
--- a/src/test/java/org/heathercourse/gateway/HistoryFixture.java
+++ b/src/test/java/org/heathercourse/gateway/HistoryFixture.java
@@ -77,9 +77,14 @@
 
     /** Starts gateways and waits until each of them serves turns. */
     HistoryFixture addGateways(int count) {
+        return addGateways(count, store());
+    }
+
+    /** Starts gateways that connect to a port of the store, and waits until they serve turns. */
+    HistoryFixture addGateways(int count, StoreStandIn store) {
         int first = mDeployment.gateways().size();
         for (int i = 0; i < count; i++) {
-            mDeployment.addGateway("vm-" + ++mGatewayCount, mChanges);
+            mDeployment.addGateway("vm-" + ++mGatewayCount, store, mChanges);
         }
         for (int i = 0; i < count; i++) {
             int gateway = first + i;
@@ -115,9 +120,15 @@
                             engine.receivedRequests().clear();
                             engine.setEventFormat("data: token %d\n");
                             engine.setEventIntervalMillis(0);
+                            engine.setUnframed(false);
                         });
     }
 
+    /** Makes responses end with their connections. */
+    void setUnframed() {
+        engines().forEach(engine -> engine.setUnframed(true));
+    }
+
     void enqueueAtEngines(Fault... faults) {
         engines().forEach(engine -> engine.enqueueFaults(faults));
     }
