--- a/src/test/java/org/heathercourse/gateway/GatewayHistoryFaultsTest.java
+++ b/src/test/java/org/heathercourse/gateway/GatewayHistoryFaultsTest.java
@@ -183,8 +183,7 @@
             Thread.sleep(2_000);
             String first = mFixture.runTurn(0, Turn.first("i"));
             ownPort.setMode(StoreStandIn.Mode.REFUSES);
-            await().atMost(MAX_WAIT)
-                    .until(() -> isWhole(mFixture.call(1, Turn.after(first, "j"))));
+            await().atMost(MAX_WAIT).until(() -> isWhole(mFixture.call(1, Turn.after(first, "j"))));
             String second = mFixture.lastId();
             String third = mFixture.runTurn(0, Turn.after(second, "k"));
             String output = HistoryFixture.output();
