--- a/src/main/java/org/heathercourse/core/routing/RoutingTable.java
+++ b/src/main/java/org/heathercourse/core/routing/RoutingTable.java
@@ -8,6 +8,7 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
+import java.util.function.Predicate;
 
 /**
  * Lookup table for the routes, services and workspaces of one configuration version.
@@ -60,6 +61,11 @@
         return !mWorkspaces.isEmpty();
     }
 
+    /** Returns whether a route fulfils a condition. */
+    public boolean hasRoute(Predicate<Route> condition) {
+        return mRoutesByHost.values().stream().flatMap(List::stream).anyMatch(condition);
+    }
+
     /** Returns all workspaces. */
     public Collection<Workspace> workspaces() {
         return mWorkspaces.values();
--- a/src/main/java/org/heathercourse/core/target/TargetSelector.java
+++ b/src/main/java/org/heathercourse/core/target/TargetSelector.java
@@ -26,14 +26,9 @@
     /** Cost of a target that recently rejected or failed a request. */
     private static final double BACKOFF_COST_MILLIS = 2_000;
 
-    /** Assumed run time of a request until one has been measured. */
-    private static final double INITIAL_RUN_MILLIS = 50;
-
-    /** Slowdown by each request in the batch of a target, relative to the run time of a request. */
-    private static final double SLOWDOWN_PER_REQUEST_RATIO = 0.01;
-
     private final Zone mZone;
     private final RandomGenerator mRandom;
+    private final WaitEstimator mWaits;
 
     /**
      * Properties of a request that affect the selection. Immutable.
@@ -47,14 +42,26 @@
             String affinityKey, long promptTokens, int gatewaysInZone, long nowMillis) {}
 
     /**
-     * Creates a selector.
+     * Creates a selector that estimates waits from the requests of this gateway.
      *
      * @param zone zone of this gateway
      * @param random random generator that breaks ties; it adds up to 1 ms of cost
      */
     public TargetSelector(Zone zone, RandomGenerator random) {
+        this(zone, random, new LocalWaitEstimator());
+    }
+
+    /**
+     * Creates a selector.
+     *
+     * @param zone zone of this gateway
+     * @param random random generator that breaks ties; it adds up to 1 ms of cost
+     * @param waits estimates the wait at a target
+     */
+    public TargetSelector(Zone zone, RandomGenerator random, WaitEstimator waits) {
         mZone = zone;
         mRandom = random;
+        mWaits = waits;
     }
 
     /**
@@ -89,6 +96,18 @@
         return Optional.ofNullable(best);
     }
 
+    /**
+     * Returns whether a target is the one to which the programs of the affinity key go unless its
+     * wait costs too much.
+     *
+     * @param usable usable targets of the service
+     * @param target the target
+     * @param context properties of the request
+     */
+    public boolean isPreferred(List<Target> usable, Target target, SelectionContext context) {
+        return target.id().equals(preferredId(usable, context));
+    }
+
     private String preferredId(List<Target> usable, SelectionContext context) {
         if (context.affinityKey() == null) {
             return null;
@@ -121,19 +140,6 @@
         if (load.isInBackoff(context.nowMillis())) {
             cost += BACKOFF_COST_MILLIS;
         }
-        return cost + waitMillis(target, load, context);
-    }
-
-    /**
-     * Estimates the wait in milliseconds. Each other gateway of the zone is assumed to have as many
-     * requests at the target as this one.
-     */
-    private double waitMillis(Target target, TargetLoad load, SelectionContext context) {
-        double runMillis = load.meanRunMillis() == 0 ? INITIAL_RUN_MILLIS : load.meanRunMillis();
-        int slots = Math.max(1, target.slots());
-        double estimatedInFlight = (double) load.inFlight() * Math.max(1, context.gatewaysInZone());
-        double excessRequests = Math.max(0, estimatedInFlight + 1 - slots);
-        return runMillis
-                * (excessRequests / slots + SLOWDOWN_PER_REQUEST_RATIO * estimatedInFlight);
+        return cost + mWaits.waitMillis(target, load, preferred, context);
     }
 }
--- a/src/main/java/org/heathercourse/daemon/peer/PeerMessage.java
+++ b/src/main/java/org/heathercourse/daemon/peer/PeerMessage.java
@@ -39,6 +39,8 @@
     @JsonSubTypes.Type(value = PeerMessage.RateReply.class, name = "rate_reply"),
     @JsonSubTypes.Type(value = PeerMessage.StoreCall.class, name = "store_call"),
     @JsonSubTypes.Type(value = PeerMessage.StoreReply.class, name = "store_reply"),
+    @JsonSubTypes.Type(value = PeerMessage.LoadReport.class, name = "load_report"),
+    @JsonSubTypes.Type(value = PeerMessage.LoadReply.class, name = "load_reply"),
 })
 public sealed interface PeerMessage {
     /**
@@ -336,4 +338,30 @@
      * @param outcomeUnknown if the store did not answer, whether the call may have taken effect
      */
     record StoreReply(int status, byte[] body, boolean outcomeUnknown) implements PeerMessage {}
+
+    /**
+     * Reports work at targets to the load owner of a zone.
+     *
+     * @param from VM of the reporting gateway, or the zone whose sum is reported
+     * @param incarnation incarnation of the reporting process
+     * @param zoneSum whether the report is the sum of a zone, from its load owner
+     * @param targets incarnations of the targets
+     * @param values five numbers for each target, in the order of the targets: requests, prompt
+     *     tokens, output tokens, expected and measured run times in milliseconds
+     */
+    record LoadReport(
+            String from, long incarnation, boolean zoneSum, List<String> targets, long[] values)
+            implements PeerMessage {}
+
+    /**
+     * Answers {@link LoadReport} with the work of all others; a report of a zone's sum with the sum
+     * of the receiver's zone.
+     *
+     * @param targets incarnations of the targets
+     * @param values five numbers for each target, as in the report
+     * @param ageMillis mean age of the reports in the sums, in milliseconds
+     * @param collectingMillis time for which the receiver has collected reports, in milliseconds
+     */
+    record LoadReply(List<String> targets, long[] values, long ageMillis, long collectingMillis)
+            implements PeerMessage {}
 }
--- a/src/main/java/org/heathercourse/daemon/settings/Setting.java
+++ b/src/main/java/org/heathercourse/daemon/settings/Setting.java
@@ -67,6 +67,11 @@
             "33554432",
             "maximum sum of the bytes kept for callers and targets; at most half of the heap",
             Program.ONLY_GATEWAY),
+    LOAD_SHARING(
+            ValueType.SWITCH,
+            "auto",
+            "whether gateways share the load of targets; auto: if a route retains histories",
+            Program.ONLY_GATEWAY),
     LOG_LEVEL(ValueType.LOG_LEVEL, "info", "minimum level of log lines", Program.SERVERS);
 
     private static final String ENVIRONMENT_PREFIX = "HEATHERCOURSE_";
--- a/src/main/java/org/heathercourse/daemon/settings/ValueType.java
+++ b/src/main/java/org/heathercourse/daemon/settings/ValueType.java
@@ -81,6 +81,12 @@
             return inRange(value, 1_024, 1_073_741_824);
         }
     },
+    SWITCH("auto, on or off") {
+        @Override
+        boolean accepts(String value) {
+            return value.equals("auto") || value.equals("on") || value.equals("off");
+        }
+    },
     LOG_LEVEL("debug, info, warn or error") {
         @Override
         boolean accepts(String value) {
--- a/src/main/java/org/heathercourse/gateway/Gateway.java
+++ b/src/main/java/org/heathercourse/gateway/Gateway.java
@@ -26,8 +26,11 @@
 import org.heathercourse.core.limits.RateGrant;
 import org.heathercourse.core.limits.RateRequest;
 import org.heathercourse.core.limits.WorkspaceRates;
+import org.heathercourse.core.load.OwnWork;
+import org.heathercourse.core.load.WaitEstimate;
 import org.heathercourse.core.model.Zone;
 import org.heathercourse.core.routing.RoutingTable;
+import org.heathercourse.core.target.LocalWaitEstimator;
 import org.heathercourse.core.target.Target;
 import org.heathercourse.core.target.TargetSelector;
 import org.heathercourse.core.time.SuspendAwareClock;
@@ -36,7 +39,10 @@
 import org.heathercourse.daemon.settings.Settings;
 import org.heathercourse.gateway.call.CallDependencies;
 import org.heathercourse.gateway.call.CallMetrics;
+import org.heathercourse.gateway.call.LoadTracking;
 import org.heathercourse.gateway.control.ControlPlane;
+import org.heathercourse.gateway.control.LoadSharing;
+import org.heathercourse.gateway.control.LoadSharingMode;
 import org.heathercourse.gateway.http.CallerServer;
 import org.heathercourse.gateway.http.EndpointServer;
 import org.heathercourse.gateway.http.EndpointServer.Response;
@@ -147,6 +153,20 @@
                         mMemory,
                         target -> recordLeaving(target, callMetrics));
         Zone zone = settings.zone();
+        OwnWork ownWork = new OwnWork();
+        LoadSharing loadSharing = mControl.loadSharing();
+        loadSharing.configure(
+                LoadSharingMode.fromSetting(settings.text(Setting.LOAD_SHARING)),
+                () ->
+                        CompletableFuture.supplyAsync(
+                                () -> ownWork.snapshot(ticker.readMillis()), mTraffic));
+        WaitEstimate waits =
+                new WaitEstimate(
+                        loadSharing::shared,
+                        ownWork,
+                        new SuspendAwareClock(ticker, clock),
+                        mTrafficRandom,
+                        new LocalWaitEstimator());
         mControl.start();
         CallDependencies services =
                 new CallDependencies(
@@ -162,13 +182,15 @@
                         mControl.budgetService(),
                         mControl.crashRecords(),
                         mPools,
-                        new TargetSelector(zone, mTrafficRandom),
+                        new TargetSelector(zone, mTrafficRandom, waits),
+                        new LoadTracking(loadSharing, ownWork, waits),
                         mTrafficRandom,
                         callMetrics,
                         mMemory,
                         () -> mDrainSchedule);
         mCallerServer = new CallerServer(services);
         mMetrics.registerAll(gauges());
+        mMetrics.registerAll(loadGauges(loadSharing));
     }
 
     private long maxConfigurationAgeMillis() {
@@ -269,6 +291,19 @@
                         gauge(mMemory::refusedCount));
     }
 
+    private static MetricSet loadGauges(LoadSharing sharing) {
+        return () ->
+                Map.of(
+                        "load_age_millis",
+                        gauge(sharing::ageMillis),
+                        "load_reports_sent",
+                        gauge(sharing::sentReports),
+                        "load_reports_failed",
+                        gauge(sharing::failedReports),
+                        "load_board_reports",
+                        gauge(sharing::boardReports));
+    }
+
     private static <T> Gauge<T> gauge(Gauge<T> gauge) {
         return gauge;
     }
--- a/src/main/java/org/heathercourse/gateway/call/Attempt.java
+++ b/src/main/java/org/heathercourse/gateway/call/Attempt.java
@@ -2,6 +2,8 @@
 
 import io.netty.handler.codec.http.HttpHeaderNames;
 import org.heathercourse.core.attempt.Delivery;
+import org.heathercourse.core.load.OwnWork;
+import org.heathercourse.core.load.OwnWork.Outcome;
 import org.heathercourse.core.target.Target;
 import org.heathercourse.core.target.TargetState;
 import org.heathercourse.gateway.target.BodyFraming;
@@ -28,6 +30,7 @@
 
     private final Call mCall;
     private final TargetPool mPool;
+    private final OwnWork.Ticket mWork;
     private Exchange mExchange;
     private long mSentMillis;
     private int mStatus;
@@ -35,9 +38,17 @@
     private boolean mReportedNotRun;
     private boolean mEnded;
 
-    Attempt(Call call, TargetPool pool) {
+    /**
+     * Creates an attempt.
+     *
+     * @param call the call
+     * @param pool connections to the target
+     * @param work ends the work at the target; null while gateways do not share their load
+     */
+    Attempt(Call call, TargetPool pool, OwnWork.Ticket work) {
         mCall = call;
         mPool = pool;
+        mWork = work;
     }
 
     Target target() {
@@ -89,8 +100,10 @@
             mPool.load().recordEnd(now(), ENDED_TARGET_MILLIS);
         }
         if (cause.isTargetFailure()) {
+            endWork(Outcome.FAILED);
             mPool.load().recordFailure(now(), mCall.failureBackoffMillis());
         } else {
+            endWork(Outcome.INCONCLUSIVE);
             mPool.load().recordInconclusive();
         }
         // A target that leaves may close its port before its process ends.
@@ -113,6 +126,7 @@
     void failUnsent(String reason, boolean targetEnded) {
         if (!mEnded) {
             mEnded = true;
+            endWork(Outcome.INCONCLUSIVE);
             mPool.load().recordInconclusive();
             mCall.onAttemptFailed(this, Delivery.NOT_SENT, reason, targetEnded);
         }
@@ -122,6 +136,7 @@
     void cancel() {
         if (!mEnded) {
             mEnded = true;
+            endWork(Outcome.INCONCLUSIVE);
             mPool.load().recordInconclusive();
             if (mExchange != null) {
                 mExchange.cancel();
@@ -172,6 +187,9 @@
         if (mEnded || mReportedNotRun) {
             return;
         }
+        if (mWork != null) {
+            mWork.recordAnswerBegun();
+        }
         rejectUnlessAccepted(mCall.relay().onBody(bytes, now()));
         if (!mEnded && !mCall.isEnded()) {
             mCall.onWritabilityChanged();
@@ -185,6 +203,7 @@
         }
         if (mReportedNotRun) {
             mEnded = true;
+            endWork(Outcome.INCONCLUSIVE);
             mPool.load().recordRejection(now(), mCall.rejectionBackoffMillis());
             mCall.onAttemptFailed(
                     this,
@@ -218,6 +237,7 @@
             return;
         }
         mEnded = true;
+        endWork(Outcome.FAILED);
         mPool.load().recordFailure(now(), mCall.failureBackoffMillis());
         mCall.relay().discardBuffered();
         String reason =
@@ -228,6 +248,7 @@
 
     private void complete() {
         mEnded = true;
+        endWork(Outcome.ANSWERED);
         mPool.load().recordSuccess(now() - mSentMillis);
         mCall.relay().onEnd(now());
         mCall.onAnswered(this);
@@ -239,6 +260,7 @@
             return;
         }
         mEnded = true;
+        endWork(Outcome.FAILED);
         mPool.load().recordFailure(now(), mCall.failureBackoffMillis());
         if (mReportedNotRun) {
             // The response head suffices as proof that the request has not run.
@@ -274,6 +296,12 @@
         }
     }
 
+    private void endWork(Outcome outcome) {
+        if (mWork != null) {
+            mWork.end(outcome, now());
+        }
+    }
+
     private long now() {
         return mCall.dependencies().ticker().readMillis();
     }
--- a/src/main/java/org/heathercourse/gateway/call/Call.java
+++ b/src/main/java/org/heathercourse/gateway/call/Call.java
@@ -48,6 +48,7 @@
     private ResponseRelay mRelay;
     private TurnBudget mBudget;
     private Placement mPlacement;
+    private CallWork mWork;
     private ScheduledFuture<?> mTimeout;
     private Attempt mAttempt;
     private Target mLastTarget;
@@ -94,7 +95,8 @@
         mAdmission = admission.get();
         mLogEntry.recordAdmission(mAdmission);
         mBudget = new TurnBudget(mDependencies, mFacts, mAdmission);
-        mPlacement = new Placement(mDependencies, mFacts, mAdmission);
+        mWork = new CallWork(mDependencies, mFacts, mAdmission, mRequest.body().length);
+        mPlacement = new Placement(mDependencies, mFacts, mAdmission, mWork);
         mCrashGuard =
                 new CrashGuard(mDependencies.crashRecords(), mRequest, mAdmission.workspaceName());
         mHistory =
@@ -216,7 +218,8 @@
     private void tryTarget(Target target) {
         mLastTarget = target;
         TargetPool pool = mDependencies.pools().pool(target);
-        Attempt attempt = new Attempt(this, pool);
+        mLogEntry.recordSelection(mWork);
+        Attempt attempt = new Attempt(this, pool, mWork.begin(target));
         mAttempt = attempt;
         pool.load().recordStart();
         pool.acquire(mFacts.requestId(), mPlacement.maxConnections(target), attempt);
@@ -252,7 +255,7 @@
                         target.id(),
                         mAdmission.workspaceName(),
                         remainingMillis,
-                        mAdmission.priority(),
+                        mWork.priority(elapsedMillis()),
                         afterEventId);
         attempt.recordSent(exchange);
         exchange.send(
--- a/src/main/java/org/heathercourse/gateway/call/CallDependencies.java
+++ b/src/main/java/org/heathercourse/gateway/call/CallDependencies.java
@@ -39,6 +39,7 @@
  * @param crashRecords requests that crash targets, as known to all gateways
  * @param pools connections to targets
  * @param targetSelector load balancer
+ * @param loadTracking load of the targets, as far as gateways share it
  * @param random source of random numbers for load balancing and jitter
  * @param metrics counters and histograms of calls
  * @param memory budget for bytes of callers and targets
@@ -58,6 +59,7 @@
         CrashRecordService crashRecords,
         TargetPools pools,
         TargetSelector targetSelector,
+        LoadTracking loadTracking,
         RandomGenerator random,
         CallMetrics metrics,
         MemoryBudget memory,
--- a/src/main/java/org/heathercourse/gateway/call/CallLogEntry.java
+++ b/src/main/java/org/heathercourse/gateway/call/CallLogEntry.java
@@ -33,6 +33,7 @@
     private String mReason = "";
     private long mFirstByteMillis = -1;
     private long mEventCount;
+    private CallWork mWork;
 
     CallLogEntry(CallFacts facts, long arrivedMillis) {
         mFacts = facts;
@@ -68,6 +69,11 @@
         mCapacityWaitMillis += delayMillis;
     }
 
+    /** Records why the target was selected. */
+    void recordSelection(CallWork work) {
+        mWork = work;
+    }
+
     void recordBudget(Reservation reservation, long durationMillis) {
         mBudgetMillis = durationMillis;
         if (reservation != null) {
@@ -225,6 +231,12 @@
                 mBudgetMillis,
                 "roomWaitMillis",
                 mCapacityWaitMillis,
+                "loadBasis",
+                mWork == null ? "" : mWork.basis(),
+                "loadAgeMillis",
+                mWork == null ? -1 : mWork.knownAgeMillis(),
+                "atPreferredTarget",
+                mWork != null && mWork.isAtPreferredTarget(),
                 "framing",
                 mFraming,
                 "events",
--- a/src/main/java/org/heathercourse/gateway/call/CallMetrics.java
+++ b/src/main/java/org/heathercourse/gateway/call/CallMetrics.java
@@ -24,6 +24,8 @@
     private final Meter mConnectFailed;
     private final Meter mSkippedResponses;
     private final Meter mUnexpectedBytes;
+    private final Meter mSharedSelections;
+    private final Meter mFallbackSelections;
 
     /**
      * Creates the metrics.
@@ -46,6 +48,8 @@
         mConnectFailed = registry.meter("target_connections_failed");
         mSkippedResponses = registry.meter("target_answers_skipped");
         mUnexpectedBytes = registry.meter("target_bytes_unexpected");
+        mSharedSelections = registry.meter("selections_by_shared_load");
+        mFallbackSelections = registry.meter("selections_by_own_load");
     }
 
     void recordAnswered(long firstByteMillis, long totalMillis) {
@@ -92,6 +96,11 @@
         mBudgetMillis.update(millis);
     }
 
+    /** Counts a selection of a target while gateways share their load. */
+    void recordSelection(boolean usedSharedLoad) {
+        (usedSharedLoad ? mSharedSelections : mFallbackSelections).mark();
+    }
+
     @Override
     public void onConnect() {
         mConnected.mark();
--- a/src/main/java/org/heathercourse/gateway/call/Placement.java
+++ b/src/main/java/org/heathercourse/gateway/call/Placement.java
@@ -22,8 +22,10 @@
     private final CallDependencies mDependencies;
     private final CallFacts mFacts;
     private final Admission mAdmission;
+    private final CallWork mWork;
 
-    Placement(CallDependencies dependencies, CallFacts facts, Admission admission) {
+    Placement(CallDependencies dependencies, CallFacts facts, Admission admission, CallWork work) {
+        mWork = work;
         mDependencies = dependencies;
         mFacts = facts;
         mAdmission = admission;
@@ -61,13 +63,16 @@
                         mFacts.promptTokens(),
                         mDependencies.clusterView().fleet().readyCount(mDependencies.zone()),
                         mDependencies.ticker().readMillis());
-        return mDependencies
-                .targetSelector()
-                .select(
-                        candidates,
-                        permitted,
-                        candidate -> mDependencies.pools().pool(candidate).load(),
-                        context);
+        Optional<Target> selected =
+                mDependencies
+                        .targetSelector()
+                        .select(
+                                candidates,
+                                permitted,
+                                candidate -> mDependencies.pools().pool(candidate).load(),
+                                context);
+        selected.ifPresent(target -> mWork.recordSelection(candidates, target, context));
+        return selected;
     }
 
     /** Returns the maximum number of connections from this gateway to a target; at least 1. */
--- a/src/main/java/org/heathercourse/gateway/control/ControlPlane.java
+++ b/src/main/java/org/heathercourse/gateway/control/ControlPlane.java
@@ -52,6 +52,7 @@
     private final CompletableFuture<BudgetService> mBudgetService = new CompletableFuture<>();
     private final CompletableFuture<RateService> mRateService = new CompletableFuture<>();
     private final RateService.LocalOwner mLocalRateOwner;
+    private final LoadSharing mLoadSharing;
     private volatile boolean mLeaving;
     private NettyPeerNetwork mPeers;
 
@@ -93,6 +94,7 @@
         mTargets =
                 new TargetFollower(
                         platform.declaredRows(), mStore, mControl, wallTicker, mClusterView);
+        mLoadSharing = new LoadSharing(mClusterView, self, mControl, wallTicker);
         mMembers =
                 new MembershipLoop(
                         mStore,
@@ -161,6 +163,7 @@
                                 return;
                             }
                             mMembers.start();
+                            mLoadSharing.start(mPeers);
                             new BudgetSweeper(mStore, mControl, this::isLeader).start();
                             mControl.scheduleWithFixedDelay(
                                     budgets::returnUnownedTokens,
@@ -181,6 +184,11 @@
                 .isPresent();
     }
 
+    /** Returns what the gateways tell each other about the load of the targets. */
+    public LoadSharing loadSharing() {
+        return mLoadSharing;
+    }
+
     /** Returns the latest configuration, targets and gateways. */
     public ClusterView clusterView() {
         return mClusterView;
