--- a/src/main/java/org/heathercourse/core/load/SizePriority.java
+++ b/src/main/java/org/heathercourse/core/load/SizePriority.java
@@ -13,9 +13,9 @@
     private static final int MAX_PRIORITY = 9;
 
     /** Largest ratio of prompt time to objective of the first and of the second size class. */
-    private static final double SHORT_RATIO = 0.05;
+    private static final double SHORT_RATIO = 0.1;
 
-    private static final double MEDIUM_RATIO = 0.15;
+    private static final double MEDIUM_RATIO = 0.3;
 
     /** Ratio of the wait to the objective from which a request counts as short. */
     private static final double WAITED_RATIO = 0.25;
@@ -26,7 +26,7 @@
     /**
      * Properties of a request. Immutable.
      *
-     * @param promptTokens tokens of the prompt
+     * @param promptTokens tokens of the prompt that the target has to compute
      * @param objectiveMillis latency objective of its route, in milliseconds
      * @param waitedMillis time since its arrival, in milliseconds
      * @param programRemainingMillis time left for its program, in milliseconds; {@link
--- a/src/main/java/org/heathercourse/gateway/call/CallWork.java
+++ b/src/main/java/org/heathercourse/gateway/call/CallWork.java
@@ -21,7 +21,7 @@
     private final long mBodyBytes;
     private final boolean mEnabled;
     private boolean mPreferred;
-    private String mBasis = "own";
+    private String mBasis = "off";
     private long mKnownAgeMillis = -1;
 
     CallWork(CallDependencies dependencies, CallFacts facts, Admission admission, long bodyBytes) {
@@ -50,7 +50,7 @@
         return mPreferred;
     }
 
-    /** Returns from what the load was estimated: shared or own. */
+    /** Returns from what the load was estimated: shared, own, or off if load is not shared. */
     String basis() {
         return mBasis;
     }
--- a/src/main/java/org/heathercourse/gateway/control/LoadSharing.java
+++ b/src/main/java/org/heathercourse/gateway/control/LoadSharing.java
@@ -95,11 +95,23 @@
         mPeers = peers;
         peers.onRequest(LoadReport.class, this::onReport);
         if (mMode != LoadSharingMode.OFF) {
-            mControl.scheduleWithFixedDelay(
-                    this::run, REPORT_PERIOD_MILLIS, REPORT_PERIOD_MILLIS, TimeUnit.MILLISECONDS);
+            schedule();
         }
     }
 
+    private void schedule() {
+        mControl.schedule(
+                () -> {
+                    try {
+                        run();
+                    } finally {
+                        schedule();
+                    }
+                },
+                REPORT_PERIOD_MILLIS,
+                TimeUnit.MILLISECONDS);
+    }
+
     /** Returns whether load is shared under the configuration in force. Safe for other threads. */
     public boolean isEnabled() {
         return mEnabled;
@@ -135,7 +147,7 @@
     }
 
     /** Reports the work of this gateway, and of its zone if it is the owner. */
-    void run() {
+    private void run() {
         checkEnabled();
         if (!mEnabled) {
             return;
--- a/src/test/java/org/heathercourse/core/load/FleetSimulation.java
+++ b/src/test/java/org/heathercourse/core/load/FleetSimulation.java
@@ -14,6 +14,7 @@
 import org.heathercourse.core.target.TargetLoad;
 import org.heathercourse.core.target.TargetSelector;
 import org.heathercourse.core.target.TargetSelector.SelectionContext;
+import org.heathercourse.core.target.WaitEstimator;
 import org.heathercourse.core.time.SuspendAwareClock;
 import org.heathercourse.core.time.SuspendAwareClock.Timestamp;
 import org.heathercourse.core.time.TestTime;
@@ -44,6 +45,7 @@
     /** How the gateways know the load of the targets, and what fails. */
     enum Mode {
         TODAY,
+        OWN_LOAD_WITH_DISPLACEMENT_COST,
         SHARED,
         OWNER_LOST,
         OWNER_SUSPENDED,
@@ -67,6 +69,10 @@
             return (double) longMet / longAll;
         }
 
+        double metShare() {
+            return (double) (shortMet + longMet) / (shortAll + longAll);
+        }
+
         @Override
         public String toString() {
             return String.format(
@@ -109,12 +115,24 @@
         }
 
         void createSelector() {
-            mEstimate =
-                    new WaitEstimate(
-                            () -> mShared, mOwn, mClock, mRandom, new LocalWaitEstimator());
+            mEstimate = new WaitEstimate(() -> mShared, mOwn, mClock, mRandom, fallback());
             mSelector = new TargetSelector(zone(mZone), mRandom.split(), mEstimate);
         }
 
+        /** Returns today's estimate, which one mode extends by the cost of displaced prompts. */
+        WaitEstimator fallback() {
+            WaitEstimator local = new LocalWaitEstimator();
+            if (mMode != Mode.OWN_LOAD_WITH_DISPLACEMENT_COST) {
+                return local;
+            }
+            return (target, load, preferred, context) -> {
+                double ratio = 3 + 2.0 * load.inFlight() * GATEWAYS_PER_ZONE;
+                double millis = EngineCost.promptMillis(context.promptTokens()) * ratio;
+                double wait = local.waitMillis(target, load, preferred, context);
+                return preferred ? wait : wait + millis;
+            };
+        }
+
         void restart() {
             mIncarnation++;
             mOwn = new OwnWork();
@@ -194,7 +212,7 @@
                 }
             }
             mEngines.forEach(engine -> engine.step(mNow));
-            if (mMode != Mode.TODAY) {
+            if (mMode != Mode.TODAY && mMode != Mode.OWN_LOAD_WITH_DISPLACEMENT_COST) {
                 share();
             }
             recordBusiest();
@@ -335,7 +353,7 @@
                         ? SizePriority.of(
                                 1,
                                 new SizePriority.Request(
-                                        prompt, (long) OBJECTIVE_MILLIS, 0, Long.MAX_VALUE))
+                                        work, (long) OBJECTIVE_MILLIS, 0, Long.MAX_VALUE))
                         : 1;
         mEngines.get(mTargets.indexOf(target))
                 .submit(
--- a/src/test/java/org/heathercourse/gateway/http/CallerServerDrainTest.java
+++ b/src/test/java/org/heathercourse/gateway/http/CallerServerDrainTest.java
@@ -66,6 +66,7 @@
                 null,
                 null,
                 null,
+                null,
                 new CallMetrics(new MetricRegistry()),
                 new MemoryBudget(MAX_BUFFER_BYTES),
                 () -> mSchedule);
--- a/src/test/java/org/heathercourse/gateway/http/NoBodyResponseTest.java
+++ b/src/test/java/org/heathercourse/gateway/http/NoBodyResponseTest.java
@@ -58,6 +58,7 @@
                 null,
                 null,
                 null,
+                null,
                 new CallMetrics(new MetricRegistry()),
                 new MemoryBudget(MAX_BUFFER_BYTES),
                 () -> DrainSchedule.NOT_LEAVING);
