Add no noise to idle targets; name tests by the house style

Noise at idle targets would have sent requests to other zones. Run: SharedLoadTest, LoadBoardTest, SizePriorityTest, WaitEstimateTest, TargetSelectorTest, LoadSharingTest, LoadSharingGatewayTest.

--- a/src/main/java/org/heathercourse/core/load/WaitEstimate.java
+++ b/src/main/java/org/heathercourse/core/load/WaitEstimate.java
@@ -20,7 +20,7 @@
     /**
      * Noise per time since the reports, as a ratio. A wait changes by as much as the time that has
      * passed, or less; noise of a quarter of it already moved programs from targets that had their
-     * prompts.
+     * prompts. At idle targets there is none, as it would send requests to other zones.
      */
     private static final double NOISE_RATIO = 0.1;
 
@@ -71,17 +71,19 @@
         if (shared == null || !shared.isUsable(mClock)) {
             return mFallback.waitMillis(target, load, preferred, context);
         }
-        String incarnation = target.incarnation();
-        double speed = shared.speeds().speed(incarnation, target.service());
-        double noiseMillis = NOISE_RATIO * shared.currentAgeMillis(mClock) * mRandom.nextDouble();
-        TargetWork work = shared.othersAt(incarnation).plus(mOwn.at(target, context.nowMillis()));
-        double nominal = EngineCost.waitMillis(work, Math.max(1, target.slots()));
+        int slots = Math.max(1, target.slots());
+        TargetWork work = workAt(shared, target, context.nowMillis());
+        double nominal = EngineCost.waitMillis(work, slots);
         if (context.affinityKey() != null && !preferred) {
             nominal +=
                     EngineCost.promptMillis(context.promptTokens())
                             * (DISPLACEMENT_RATIO
                                     + DISPLACEMENT_RATIO_PER_REQUEST * work.requests());
         }
+        double speed = shared.speeds().speed(target.incarnation(), target.service());
+        double utilization = Math.min(1, (double) work.requests() / slots);
+        double noiseMillis =
+                NOISE_RATIO * utilization * shared.currentAgeMillis(mClock) * mRandom.nextDouble();
         return nominal / speed + noiseMillis;
     }
 
@@ -100,7 +102,7 @@
         if (shared == null || !shared.isUsable(mClock)) {
             return 0;
         }
-        return nominalWaitMillis(shared, target, nowMillis)
+        return EngineCost.waitMillis(workAt(shared, target, nowMillis), Math.max(1, target.slots()))
                 + EngineCost.runMillis(promptTokens, outputTokens);
     }
 
@@ -116,8 +118,7 @@
         return shared == null ? -1 : shared.currentAgeMillis(mClock);
     }
 
-    private double nominalWaitMillis(SharedLoad shared, Target target, long nowMillis) {
-        TargetWork work = shared.othersAt(target.incarnation()).plus(mOwn.at(target, nowMillis));
-        return EngineCost.waitMillis(work, Math.max(1, target.slots()));
+    private TargetWork workAt(SharedLoad shared, Target target, long nowMillis) {
+        return shared.othersAt(target.incarnation()).plus(mOwn.at(target, nowMillis));
     }
 }
--- a/src/main/java/org/heathercourse/gateway/Gateway.java
+++ b/src/main/java/org/heathercourse/gateway/Gateway.java
@@ -190,7 +190,7 @@
                         () -> mDrainSchedule);
         mCallerServer = new CallerServer(services);
         mMetrics.registerAll(gauges());
-        mMetrics.registerAll(loadGauges(loadSharing));
+        mMetrics.registerAll(loadSharing.metrics());
     }
 
     private long maxConfigurationAgeMillis() {
@@ -291,19 +291,6 @@
                         gauge(mMemory::refusedCount));
     }
 
-    private static MetricSet loadGauges(LoadSharing sharing) {
-        return () ->
-                Map.of(
-                        "load_age_millis",
-                        gauge(sharing::ageMillis),
-                        "load_reports_sent",
-                        gauge(sharing::sentReports),
-                        "load_reports_failed",
-                        gauge(sharing::failedReports),
-                        "load_board_reports",
-                        gauge(sharing::boardReports));
-    }
-
     private static <T> Gauge<T> gauge(Gauge<T> gauge) {
         return gauge;
     }
--- a/src/main/java/org/heathercourse/gateway/control/LoadSharing.java
+++ b/src/main/java/org/heathercourse/gateway/control/LoadSharing.java
@@ -1,5 +1,7 @@
 package org.heathercourse.gateway.control;
 
+import com.codahale.metrics.Gauge;
+import com.codahale.metrics.MetricSet;
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
@@ -131,21 +133,29 @@
         return shared == null ? -1 : shared.currentAgeMillis(mClock);
     }
 
-    /** Returns the number of reports sent to other gateways. Thread-safe. */
-    public long sentReports() {
-        return mSentReports.get();
+    /** Returns the metrics of the exchange. Safe for use by other threads. */
+    public MetricSet metrics() {
+        Gauge<Long> age = this::ageMillis;
+        Gauge<Long> sent = mSentReports::get;
+        Gauge<Long> failed = mFailedReports::get;
+        Gauge<Integer> board = () -> mBoardReports;
+        return () ->
+                Map.of(
+                        "load_age_millis",
+                        age,
+                        "load_reports_sent",
+                        sent,
+                        "load_reports_failed",
+                        failed,
+                        "load_board_reports",
+                        board);
     }
 
     /** Returns the number of reports that got no reply. Thread-safe. */
-    public long failedReports() {
+    long failedReports() {
         return mFailedReports.get();
     }
 
-    /** Returns the number of gateways and zones whose reports this gateway holds. Thread-safe. */
-    public int boardReports() {
-        return mBoardReports;
-    }
-
     /** Reports the work of this gateway, and of its zone if it is the owner. */
     private void run() {
         checkEnabled();
--- a/src/test/java/org/heathercourse/core/load/LoadBoardTest.java
+++ b/src/test/java/org/heathercourse/core/load/LoadBoardTest.java
@@ -33,7 +33,7 @@
     }
 
     @Test
-    void replacesTheLastReportOfAGateway() {
+    void replacesTheLastReportOfGateway() {
         record("a", 1, WORK);
         record("a", 1, WORK.plus(WORK));
         mBoard.record(Source.GATEWAY, "a", 1, Map.of());
@@ -52,7 +52,7 @@
 
     /** Guards against an owner that resumes and replies with the load before its suspension. */
     @Test
-    void forgetsReportsFromBeforeASuspension() {
+    void forgetsReportsFromBeforeSuspension() {
         record("a", 1, WORK);
         mTime.suspend(5_000);
         record("b", 1, WORK);
--- a/src/test/java/org/heathercourse/core/load/SizePriorityTest.java
+++ b/src/test/java/org/heathercourse/core/load/SizePriorityTest.java
@@ -18,7 +18,7 @@
     }
 
     @Test
-    void ordersShortBeforeLongWithinARoutesPriority() {
+    void ordersShortBeforeLongWithinPriorityOfRoute() {
         assertThat(priority(0, 500, 0, NO_DEADLINE)).isEqualTo(0);
         assertThat(priority(0, 10_000, 0, NO_DEADLINE)).isEqualTo(1);
         assertThat(priority(0, 60_000, 0, NO_DEADLINE)).isEqualTo(2);
@@ -33,7 +33,7 @@
     }
 
     @Test
-    void doesNotHoldBackALongRequestThatWaitedOrIsNearItsDeadline() {
+    void doesNotHoldBackLongRequestThatWaitedOrIsNearItsDeadline() {
         assertThat(priority(1, 60_000, 300, NO_DEADLINE)).isEqualTo(3);
         assertThat(priority(1, 60_000, 0, 2_000)).isEqualTo(3);
         assertThat(priority(1, 60_000, 0, 60_000)).isEqualTo(5);
--- a/src/test/java/org/heathercourse/core/load/WaitEstimateTest.java
+++ b/src/test/java/org/heathercourse/core/load/WaitEstimateTest.java
@@ -65,7 +65,7 @@
     }
 
     @Test
-    void waitsForASlotIfNoneIsFree() {
+    void waitsForSlotIfNoneIsFree() {
         Target target = target("a");
         share(Map.of(target.incarnation(), new TargetWork(8, 0, 1_600, 0, 0)), 0, 1_000);
         // 1,600 tokens of 5 ms in 4 slots take 2,000 ms; 5 of 8 requests must end first.
@@ -124,10 +124,18 @@
         assertThat(mOwn.snapshot(60_000)).isEmpty();
     }
 
+    /** Guards against requests that noise sends to another zone while a target here is idle. */
+    @Test
+    void idleTargetsHaveNoNoise() {
+        share(Map.of(), 1_000, 1_000);
+        assertThat(waitMillis(target("a"))).isZero();
+    }
+
     /** Guards against gateways with the same reply that all choose the same target. */
     @Test
     void oldRepliesSpreadEqualGateways() {
-        share(Map.of(), 1_000, 1_000);
+        TargetWork full = new TargetWork(SLOTS, 0, 100, 0, 0);
+        share(Map.of("a@1", full, "b@1", full), 1_000, 1_000);
         int first = 0;
         for (int i = 0; i < 1_000; i++) {
             first += waitMillis(target("a")) < waitMillis(target("b")) ? 1 : 0;
