--- a/src/main/java/org/heathercourse/core/target/ObjectAffinity.java
+++ b/src/main/java/org/heathercourse/core/target/ObjectAffinity.java
@@ -102,7 +102,7 @@
             TargetLoad load, List<TargetLoad> others, int gatewaysInZone) {
         int least = others.stream().mapToInt(TargetLoad::inFlight).min().orElse(Integer.MAX_VALUE);
         double extra = (double) Math.max(0, load.inFlight() - least) * Math.max(1, gatewaysInZone);
-        return extra * TargetSelector.SLOWDOWN_PER_REQUEST_RATIO <= KEPT_OBJECT_GAIN_RATIO;
+        return extra * LocalWaitEstimator.SLOWDOWN_PER_REQUEST_RATIO <= KEPT_OBJECT_GAIN_RATIO;
     }
 
     private static boolean isSlow(TargetLoad load, List<TargetLoad> others) {
--- a/src/main/java/org/heathercourse/daemon/settings/Setting.java
+++ b/src/main/java/org/heathercourse/daemon/settings/Setting.java
@@ -87,6 +87,11 @@
             "",
             "table of the platform with the region of each zone; without it, regions bind nothing",
             Program.ONLY_GATEWAY),
+    LOAD_SHARING(
+            ValueType.SWITCH,
+            "auto",
+            "whether gateways share the load of targets; auto: if a route retains histories",
+            Program.ONLY_GATEWAY),
     LOG_LEVEL(ValueType.LOG_LEVEL, "info", "minimum level of log lines", Program.SERVERS);
 
     private static final String ENVIRONMENT_PREFIX = "HEATHERCOURSE_";
--- a/src/main/java/org/heathercourse/daemon/settings/ValueType.java
+++ b/src/main/java/org/heathercourse/daemon/settings/ValueType.java
@@ -87,6 +87,12 @@
             return true;
         }
     },
+    SWITCH("auto, on or off") {
+        @Override
+        boolean accepts(String value) {
+            return value.equals("auto") || value.equals("on") || value.equals("off");
+        }
+    },
     LOG_LEVEL("debug, info, warn or error") {
         @Override
         boolean accepts(String value) {
--- a/src/main/java/org/heathercourse/gateway/Gateway.java
+++ b/src/main/java/org/heathercourse/gateway/Gateway.java
@@ -26,9 +26,12 @@
 import org.heathercourse.core.limits.RateGrant;
 import org.heathercourse.core.limits.RateRequest;
 import org.heathercourse.core.limits.WorkspaceRates;
+import org.heathercourse.core.load.OwnWork;
+import org.heathercourse.core.load.WaitEstimate;
 import org.heathercourse.core.model.Zone;
 import org.heathercourse.core.routing.RoutingTable;
 import org.heathercourse.core.target.ColdTargetRule;
+import org.heathercourse.core.target.LocalWaitEstimator;
 import org.heathercourse.core.target.ObjectAffinity;
 import org.heathercourse.core.target.RegionRule;
 import org.heathercourse.core.target.Target;
@@ -39,8 +42,11 @@
 import org.heathercourse.daemon.settings.Settings;
 import org.heathercourse.gateway.call.CallDependencies;
 import org.heathercourse.gateway.call.CallMetrics;
+import org.heathercourse.gateway.call.LoadTracking;
 import org.heathercourse.gateway.control.ControlPlane;
 import org.heathercourse.gateway.control.HistoryOptions;
+import org.heathercourse.gateway.control.LoadSharing;
+import org.heathercourse.gateway.control.LoadSharingMode;
 import org.heathercourse.gateway.history.HistoryMetrics;
 import org.heathercourse.gateway.http.CallerServer;
 import org.heathercourse.gateway.http.EndpointServer;
@@ -156,6 +162,20 @@
                         mMemory,
                         target -> recordLeaving(target, callMetrics));
         Zone zone = settings.zone();
+        OwnWork ownWork = new OwnWork();
+        LoadSharing loadSharing = mControl.loadSharing();
+        loadSharing.configure(
+                LoadSharingMode.fromSetting(settings.text(Setting.LOAD_SHARING)),
+                () ->
+                        CompletableFuture.supplyAsync(
+                                () -> ownWork.snapshot(ticker.readMillis()), mTraffic));
+        WaitEstimate waits =
+                new WaitEstimate(
+                        loadSharing::shared,
+                        ownWork,
+                        new SuspendAwareClock(ticker, clock),
+                        mTrafficRandom,
+                        new LocalWaitEstimator());
         mControl.start();
         CallDependencies services =
                 new CallDependencies(
@@ -171,7 +191,7 @@
                         mControl.budgetService(),
                         mControl.crashRecords(),
                         mPools,
-                        new TargetSelector(zone, mTrafficRandom),
+                        new TargetSelector(zone, mTrafficRandom, waits),
                         regionRule(settings, platform),
                         new ObjectAffinity(zone),
                         new ColdTargetRule(
@@ -179,6 +199,7 @@
                                 mControl.coldTargets(),
                                 mControl.fleetHistory(),
                                 ticker),
+                        new LoadTracking(loadSharing, ownWork, waits),
                         mTrafficRandom,
                         callMetrics,
                         mMemory,
@@ -188,6 +209,7 @@
         mCallerServer = new CallerServer(services);
         mMetrics.registerAll(gauges());
         mMetrics.registerAll(zoneGauges());
+        mMetrics.registerAll(loadSharing.metrics());
     }
 
     private long maxConfigurationAgeMillis() {
--- a/src/main/java/org/heathercourse/gateway/call/Call.java
+++ b/src/main/java/org/heathercourse/gateway/call/Call.java
@@ -54,6 +54,7 @@
     /** Null if the route retains no histories. */
     private RetainedTurn mTurn;
 
+    private CallWork mWork;
     private ScheduledFuture<?> mTimeout;
     private Attempt mAttempt;
     private Target mLastTarget;
@@ -104,8 +105,9 @@
         mAdmission = admission.get();
         mLogEntry.recordAdmission(mAdmission);
         mBudget = new TurnBudget(mDependencies, mFacts, mAdmission);
-        mPlacement = new Placement(mDependencies, mFacts, mAdmission);
         mTurn = RetainedTurn.of(this, mRequest, mFacts, mAdmission);
+        mWork = new CallWork(mDependencies, mFacts, mAdmission, mRequest.body().length);
+        mPlacement = new Placement(mDependencies, mFacts, mAdmission, mWork);
         mCrashGuard =
                 new CrashGuard(mDependencies.crashRecords(), mRequest, mAdmission.workspaceName());
         mHistory =
@@ -242,7 +244,8 @@
     private void tryTarget(Target target) {
         mLastTarget = target;
         TargetPool pool = mDependencies.pools().pool(target);
-        Attempt attempt = new Attempt(this, pool);
+        mLogEntry.recordSelection(mWork);
+        Attempt attempt = new Attempt(this, pool, mWork.begin(target));
         mAttempt = attempt;
         pool.load().recordStart();
         pool.acquire(mFacts.requestId(), mPlacement.maxConnections(target), attempt);
@@ -283,7 +286,7 @@
                         target.id(),
                         mAdmission.workspaceName(),
                         remainingMillis,
-                        mAdmission.priority(),
+                        mWork.priority(elapsedMillis()),
                         afterEventId);
         attempt.recordSent(exchange);
         exchange.send(
--- a/src/main/java/org/heathercourse/gateway/call/CallDependencies.java
+++ b/src/main/java/org/heathercourse/gateway/call/CallDependencies.java
@@ -46,6 +46,7 @@
  * @param regionRule decides to which regions a request may be sent
  * @param objectAffinity prefers targets that have kept the object of a request
  * @param coldTargetRule decides which requests are sent to cold targets
+ * @param loadTracking load of the targets, as far as gateways share it
  * @param random source of random numbers for load balancing and jitter
  * @param metrics counters and histograms of calls
  * @param memory budget for bytes of callers and targets
@@ -70,6 +71,7 @@
         RegionRule regionRule,
         ObjectAffinity objectAffinity,
         ColdTargetRule coldTargetRule,
+        LoadTracking loadTracking,
         RandomGenerator random,
         CallMetrics metrics,
         MemoryBudget memory,
--- a/src/main/java/org/heathercourse/gateway/call/CallLogEntry.java
+++ b/src/main/java/org/heathercourse/gateway/call/CallLogEntry.java
@@ -37,6 +37,7 @@
     private String mReason = "";
     private long mFirstByteMillis = -1;
     private long mEventCount;
+    private CallWork mWork;
 
     CallLogEntry(CallFacts facts, long arrivedMillis) {
         mFacts = facts;
@@ -92,6 +93,11 @@
         mHistoryRefusal = refusal;
     }
 
+    /** Records why the target was selected. */
+    void recordSelection(CallWork work) {
+        mWork = work;
+    }
+
     void recordBudget(Reservation reservation, long durationMillis) {
         mBudgetMillis = durationMillis;
         if (reservation != null) {
@@ -283,6 +289,12 @@
                 mTurnHeldMillis,
                 "roomWaitMillis",
                 mCapacityWaitMillis,
+                "loadBasis",
+                mWork == null ? "" : mWork.basis(),
+                "loadAgeMillis",
+                mWork == null ? -1 : mWork.knownAgeMillis(),
+                "atPreferredTarget",
+                mWork != null && mWork.isAtPreferredTarget(),
                 "framing",
                 mFraming,
                 "events",
--- a/src/main/java/org/heathercourse/gateway/call/Placement.java
+++ b/src/main/java/org/heathercourse/gateway/call/Placement.java
@@ -25,8 +25,10 @@
     private final CallDependencies mDependencies;
     private final CallFacts mFacts;
     private final Admission mAdmission;
+    private final CallWork mWork;
 
-    Placement(CallDependencies dependencies, CallFacts facts, Admission admission) {
+    Placement(CallDependencies dependencies, CallFacts facts, Admission admission, CallWork work) {
+        mWork = work;
         mDependencies = dependencies;
         mFacts = facts;
         mAdmission = admission;
@@ -80,13 +82,16 @@
         if (preferred.isPresent()) {
             return preferred;
         }
-        return mDependencies
-                .targetSelector()
-                .select(
-                        candidates,
-                        open,
-                        candidate -> mDependencies.pools().pool(candidate).load(),
-                        context);
+        Optional<Target> selected =
+                mDependencies
+                        .targetSelector()
+                        .select(
+                                candidates,
+                                open,
+                                candidate -> mDependencies.pools().pool(candidate).load(),
+                                context);
+        selected.ifPresent(target -> mWork.recordSelection(candidates, target, context));
+        return selected;
     }
 
     /** Returns the target that is preferred for the call's object, if its route wants it. */
--- a/src/main/java/org/heathercourse/gateway/control/ControlPlane.java
+++ b/src/main/java/org/heathercourse/gateway/control/ControlPlane.java
@@ -58,6 +58,7 @@
     private final CompletableFuture<BudgetService> mBudgetService = new CompletableFuture<>();
     private final CompletableFuture<RateService> mRateService = new CompletableFuture<>();
     private final RateService.LocalOwner mLocalRateOwner;
+    private final LoadSharing mLoadSharing;
     private volatile boolean mLeaving;
     private NettyPeerNetwork mPeers;
 
@@ -114,6 +115,7 @@
                         wallTicker,
                         mClusterView,
                         mColdTargets);
+        mLoadSharing = new LoadSharing(mClusterView, self, mControl, wallTicker);
         mMembers =
                 new MembershipLoop(
                         mStore,
@@ -192,6 +194,7 @@
                             }
                             mMembers.start();
                             mHistories.startRemoval();
+                            mLoadSharing.start(mPeers);
                             new BudgetSweeper(mStore, mControl, this::isLeader).start();
                             mControl.scheduleWithFixedDelay(
                                     budgets::returnUnownedTokens,
@@ -212,6 +215,11 @@
                 .isPresent();
     }
 
+    /** Returns what the gateways tell each other about the load of the targets. */
+    public LoadSharing loadSharing() {
+        return mLoadSharing;
+    }
+
     /** Returns the latest configuration, targets and gateways. */
     public ClusterView clusterView() {
         return mClusterView;
--- a/src/test/java/org/heathercourse/gateway/http/CallerServerDrainTest.java
+++ b/src/test/java/org/heathercourse/gateway/http/CallerServerDrainTest.java
@@ -69,6 +69,7 @@
                 null,
                 null,
                 null,
+                null,
                 new CallMetrics(new MetricRegistry()),
                 new MemoryBudget(MAX_BUFFER_BYTES),
                 () -> mSchedule,
