--- a/src/main/java/org/heathercourse/core/load/SpeedTable.java
+++ b/src/main/java/org/heathercourse/core/load/SpeedTable.java
@@ -90,6 +90,11 @@
      */
     public double speed(String incarnation, String service) {
         Double speed = mSpeeds.get(incarnation);
-        return speed != null ? speed : mMedians.getOrDefault(service, 1.0);
+        return speed != null ? speed : median(service);
+    }
+
+    /** Returns the median speed of the targets of a service; 1 without samples. */
+    public double median(String service) {
+        return mMedians.getOrDefault(service, 1.0);
     }
 }
--- a/src/main/java/org/heathercourse/core/load/WaitEstimate.java
+++ b/src/main/java/org/heathercourse/core/load/WaitEstimate.java
@@ -35,6 +35,13 @@
     /** The same for each request at the target, as all of them wait for the prompt. */
     private static final double DISPLACEMENT_RATIO_PER_REQUEST = 2;
 
+    /**
+     * Nominal run time that a request loses at a target below the median speed. A target that fails
+     * or stalls has little work, so its wait alone would attract requests.
+     */
+    private static final double OWN_RUN_MILLIS =
+            EngineCost.runMillis(0, EngineCost.DEFAULT_OUTPUT_TOKENS);
+
     private final Supplier<SharedLoad> mShared;
     private final OwnWork mOwn;
     private final SuspendAwareClock mClock;
@@ -80,11 +87,14 @@
                             * (DISPLACEMENT_RATIO
                                     + DISPLACEMENT_RATIO_PER_REQUEST * work.requests());
         }
-        double speed = shared.speeds().speed(target.incarnation(), target.service());
+        SpeedTable speeds = shared.speeds();
+        double speed = speeds.speed(target.incarnation(), target.service());
         double utilization = Math.min(1, (double) work.requests() / slots);
         double noiseMillis =
                 NOISE_RATIO * utilization * shared.currentAgeMillis(mClock) * mRandom.nextDouble();
-        return nominal / speed + noiseMillis;
+        double median = speeds.median(target.service());
+        double slownessMillis = Math.max(0, OWN_RUN_MILLIS / speed - OWN_RUN_MILLIS / median);
+        return nominal / speed + slownessMillis + noiseMillis;
     }
 
     /**
--- a/src/test/java/org/heathercourse/core/load/WaitEstimateTest.java
+++ b/src/test/java/org/heathercourse/core/load/WaitEstimateTest.java
@@ -117,6 +117,20 @@
         assertThat(speeds.speed(stalled.incarnation(), "s")).isLessThan(soundSpeed / 2);
     }
 
+    /** Guards against a failing target that attracts requests because it answers none. */
+    @Test
+    void idleTargetThatFailsIsMoreExpensiveThanIdleTargets() {
+        share(
+                Map.of(
+                        "a@1", new TargetWork(0, 0, 0, 0, 3_000),
+                        "b@1", new TargetWork(0, 0, 0, 3_000, 3_000),
+                        "c@1", new TargetWork(0, 0, 0, 3_000, 3_000)),
+                0,
+                1_000);
+        assertThat(waitMillis(target("a"))).isGreaterThan(300);
+        assertThat(waitMillis(target("b"))).isZero();
+    }
+
     @Test
     void forgetsTargetsWithoutWork() {
         mOwn.begin(target("a"), 600, 30, 160, 0).end(Outcome.ANSWERED, 160);
