--- a/src/test/java/org/heathercourse/gateway/LoadSharingGatewayTest.java
+++ b/src/test/java/org/heathercourse/gateway/LoadSharingGatewayTest.java
@@ -6,6 +6,7 @@
 import java.io.IOException;
 import java.time.Duration;
 import java.util.Map;
+import java.util.stream.Stream;
 import org.heathercourse.daemon.settings.Setting;
 import org.heathercourse.testing.hosted.HostedDeployment;
 import org.junit.jupiter.api.AfterEach;
@@ -25,6 +26,10 @@
     }
 
     private RawCaller.Response stream(int gateway) throws IOException {
+        return stream(gateway, 1_200);
+    }
+
+    private RawCaller.Response stream(int gateway, int promptTokens) throws IOException {
         try (RawCaller caller =
                 new RawCaller(mDeployment.settings(gateway).endpoint(Setting.CALLER_ADDRESS))) {
             return caller.call(
@@ -32,13 +37,14 @@
                             "POST /stream/1 HTTP/1.1\r\nHost: %s\r\nApi-Key: %s\r\n"
                                     + "X-Heathercourse-Request-Id: l%d\r\n"
                                     + "X-Heathercourse-Program-Id: p%d\r\n"
-                                    + "X-Heathercourse-Token-Usage: 1200,30\r\n"
+                                    + "X-Heathercourse-Token-Usage: %d,30\r\n"
                                     + "X-Heathercourse-Request-Deadline: 2500\r\n"
                                     + "Content-Length: 0\r\n\r\n",
                             HostedDeployment.HOST,
                             HostedDeployment.KEY,
                             ++mRequestCount,
-                            mRequestCount));
+                            mRequestCount,
+                            promptTokens));
         }
     }
 
@@ -82,6 +88,30 @@
         }
     }
 
+    /** Returns the priority with which a target got the last request. */
+    private int lastPriority() {
+        return Stream.of(mDeployment.engineA(), mDeployment.engineB())
+                .flatMap(engine -> engine.receivedRequests().stream())
+                .filter(request -> ("l" + mRequestCount).equals(request.id()))
+                .mapToInt(r -> r.headers().getInt("X-Heathercourse-Request-Priority"))
+                .findFirst()
+                .orElseThrow();
+    }
+
+    /** Guards against long prompts that targets start before short ones. */
+    @Test
+    void targetsSeeShortPromptsAsMoreUrgent() throws IOException {
+        startGateways("on");
+        await().atMost(MAX_WAIT)
+                .untilAsserted(
+                        () -> {
+                            stream(0, 1_200);
+                            int shortPriority = lastPriority();
+                            stream(0, 300_000);
+                            assertThat(lastPriority()).isEqualTo(shortPriority + 2);
+                        });
+    }
+
     @Test
     void gatewaysUseTheLoadOfEachOther() throws IOException {
         mDeployment.engineA().setEventIntervalMillis(60);
@@ -102,6 +132,10 @@
     void sendsNothingByDefault() throws IOException {
         startGateways("auto");
         streamFromAll(10);
+        stream(0, 1_200);
+        int shortPriority = lastPriority();
+        stream(0, 300_000);
+        assertThat(lastPriority()).as("priority of the route").isEqualTo(shortPriority);
         assertThat(sum("load_reports_sent")).isZero();
         assertThat(sum("selections_by_own_load_total")).isZero();
         assertThat(sum("selections_by_shared_load_total")).isZero();
