--- a/src/main/java/org/heathercourse/gateway/call/CallLogEntry.java
+++ b/src/main/java/org/heathercourse/gateway/call/CallLogEntry.java
@@ -1,5 +1,7 @@
 package org.heathercourse.gateway.call;
 
+import java.util.Arrays;
+import java.util.stream.Stream;
 import org.heathercourse.core.attempt.Delivery;
 import org.heathercourse.core.crash.RequestDigest;
 import org.heathercourse.core.target.Target;
@@ -307,5 +309,77 @@
                 mLeavingMillis,
                 "reason",
                 mReason);
+        Object[] pairs = {
+            "id",
+            mFacts.requestId(),
+            "outcome",
+            mOutcome,
+            "status",
+            mStatus,
+            "target",
+            target == null ? "" : target.id(),
+            "failedAttempts",
+            mFailedAttempts,
+            "connection",
+            mConnectionUse.connectionId(),
+            "connectionRequests",
+            mConnectionUse.carriedRequests(),
+            "connectionAgeMillis",
+            mConnectionUse.ageMillis(),
+            "connectionIdleMillis",
+            mConnectionUse.idleMillis(),
+            "skippedResponses",
+            mSkippedResponses,
+            "program",
+            mFacts.programId(),
+            "route",
+            mAdmission == null ? "" : mAdmission.route().name(),
+            "kind",
+            mAdmission == null ? "" : mAdmission.route().kind(),
+            "workspace",
+            mAdmission == null ? "" : mAdmission.workspaceName(),
+            "version",
+            mAdmission == null ? "" : mAdmission.routing().version(),
+            "configurationAgeMillis",
+            mConfigurationAgeMillis,
+            "rate",
+            mRate,
+            "rateWaitMillis",
+            mRateWaitMillis,
+            "budget",
+            mBudget,
+            "budgetMillis",
+            mBudgetMillis,
+            "roomWaitMillis",
+            mCapacityWaitMillis,
+            "framing",
+            mFraming,
+            "events",
+            mEventCount,
+            "firstByteMillis",
+            mFirstByteMillis,
+            "totalMillis",
+            nowMillis - mArrivedMillis,
+            "leavingMillis",
+            mLeavingMillis,
+            "reason",
+            mReason
+        };
+        boolean hasHistory = mAdmission != null && mAdmission.route().retainsHistory();
+        LOG.info("call", hasHistory ? withHistory(pairs) : pairs);
+    }
+
+    private Object[] withHistory(Object[] pairs) {
+        Object[] historyPairs = {
+            "historyBytes",
+            mHistoryBytes,
+            "historyReadMillis",
+            mHistoryReadMillis,
+            "historyRefusal",
+            mHistoryRefusal.logName(),
+            "turnHeldMillis",
+            mTurnHeldMillis
+        };
+        return Stream.concat(Arrays.stream(pairs), Arrays.stream(historyPairs)).toArray();
     }
 }
