--- a/src/main/java/org/heathercourse/testing/hosted/TargetStandIn.java
+++ b/src/main/java/org/heathercourse/testing/hosted/TargetStandIn.java
@@ -27,6 +27,8 @@
         NONE,
         /** Responds with status 503 and marks the request as not executed. */
         REFUSE,
+        /** Responds with status 421, as a target that has another version than the expected one. */
+        WRONG_VERSION,
         /** Writes the last refusal of the connection once more, and executes the request. */
         REPEAT_REFUSAL,
         /** Writes a refusal without a request id, and executes the request. */
--- a/src/main/java/org/heathercourse/testing/hosted/TargetStandInConnection.java
+++ b/src/main/java/org/heathercourse/testing/hosted/TargetStandInConnection.java
@@ -61,6 +61,7 @@
         Fault fault = mTarget.nextFault();
         String expected = request.headers().get("X-Heathercourse-Expected-Instance");
         boolean misdirected = expected != null && !expected.equals(mTarget.id());
+        misdirected |= fault == Fault.WRONG_VERSION;
         boolean executed = fault != Fault.REFUSE && !misdirected;
         mTarget.record(
                 new ReceivedRequest(
--- a/src/test/java/org/heathercourse/core/stream/EventSplitterTest.java
+++ b/src/test/java/org/heathercourse/core/stream/EventSplitterTest.java
@@ -36,6 +36,45 @@
         assertThat(mSplitter.eventCount()).isEqualTo(1);
     }
 
+    /**
+     * Guards against events with the versions of weights that are changed, counted twice or not
+     * recognized as events, also where one event has several tokens.
+     */
+    @Test
+    void linesWithVersionsOfWeightsPassUnchanged() {
+        String stream =
+                "x-heathercourse-weight-versions: 3\nid: 1\ndata: a\n\n"
+                        + "x-heathercourse-weight-versions: 3\r\nid: 2\r\n"
+                        + "data: b\r\ndata: c\r\n\r\n"
+                        + "x-heathercourse-weight-versions: 3,4\nid: 3\ndata: d e f\ndata: g\n\n";
+        for (int size = 1; size <= stream.length(); size++) {
+            EventSplitter splitter = new EventSplitter();
+            StringBuilder passed = new StringBuilder();
+            for (int from = 0; from < stream.length(); from += size) {
+                String part = stream.substring(from, Math.min(stream.length(), from + size));
+                byte[] complete = splitter.add(part.getBytes(StandardCharsets.UTF_8));
+                passed.append(new String(complete, StandardCharsets.UTF_8));
+            }
+            assertThat(splitter.endInput()).isTrue();
+            passed.append(new String(splitter.drainIncomplete(), StandardCharsets.UTF_8));
+            assertThat(passed).hasToString(stream);
+            assertThat(splitter.eventCount()).isEqualTo(3);
+            assertThat(splitter.lastEventId()).isEqualTo("3");
+        }
+    }
+
+    /** Guards against a stream that cannot go on at a target with other versions of its weights. */
+    @Test
+    void streamWithVersionsOfWeightsIsContinued() {
+        add("x-heathercourse-weight-versions: 3\nid: 1\ndata: a\ndata: b\n\nx-heather");
+        mSplitter.discardIncomplete();
+        assertThat(mSplitter.canBeContinued()).isTrue();
+        mSplitter.expectContinuation();
+        String next = "x-heathercourse-weight-versions: 4\nid: 2\ndata: c\n\n";
+        assertThat(add(next)).isEqualTo(next);
+        assertThat(mSplitter.isMisplaced()).isFalse();
+    }
+
     @Test
     void resumesAfterIncompleteEvent() {
         add("id: 1\ndata: a\n\nid: 2\ndata: bro");
