--- a/src/main/java/org/heathercourse/core/fleet/Fleet.java
+++ b/src/main/java/org/heathercourse/core/fleet/Fleet.java
@@ -9,6 +9,7 @@
 import java.util.Optional;
 import java.util.Random;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.function.Predicate;
 import java.util.random.RandomGenerator;
 import org.heathercourse.core.model.VmId;
 import org.heathercourse.core.model.Zone;
@@ -64,11 +65,19 @@
      * @param zone zone of the caller
      * @param maxCount maximum number of addresses to return
      * @param random selects the addresses to leave out if there are too many
+     * @param isConfirmed returns whether a gateway was running a short time ago for certain; others
+     *     are not recommended beside such gateways
      */
-    public List<String> recommendedAddresses(Zone zone, int maxCount, RandomGenerator random) {
-        List<Member> chosen = readyMembers(zone);
+    public List<String> recommendedAddresses(
+            Zone zone, int maxCount, RandomGenerator random, Predicate<Member> isConfirmed) {
+        List<Member> ready = readyMembers();
+        if (ready.stream().anyMatch(isConfirmed)) {
+            ready.removeIf(isConfirmed.negate());
+        }
+        List<Member> chosen = new ArrayList<>(ready);
+        chosen.removeIf(member -> !member.zone().equals(zone));
         if (chosen.size() < MIN_GATEWAYS_IN_ZONE) {
-            readyMembers().stream().filter(m -> !m.zone().equals(zone)).forEach(chosen::add);
+            ready.stream().filter(m -> !m.zone().equals(zone)).forEach(chosen::add);
         }
         Collections.shuffle(chosen, new Random(random.nextLong()));
         return chosen.stream().limit(maxCount).map(Member::callerAddress).toList();
--- a/src/main/java/org/heathercourse/gateway/Gateway.java
+++ b/src/main/java/org/heathercourse/gateway/Gateway.java
@@ -360,7 +360,11 @@
                 withoutLeaving(
                         mControl.clusterView()
                                 .fleet()
-                                .recommendedAddresses(zone, MAX_ADDRESSES, mTrafficRandom));
+                                .recommendedAddresses(
+                                        zone,
+                                        MAX_ADDRESSES,
+                                        mTrafficRandom,
+                                        mControl.recentContacts()::isConfirmed));
         if (addresses.isEmpty()
                 || !mControl.configurationAge().isYoungerThan(maxConfigurationAgeMillis())) {
             return Response.empty(UNAVAILABLE);
--- a/src/main/java/org/heathercourse/gateway/control/ControlPlane.java
+++ b/src/main/java/org/heathercourse/gateway/control/ControlPlane.java
@@ -6,9 +6,11 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.random.RandomGenerator;
+import org.heathercourse.core.fleet.Fleet;
 import org.heathercourse.core.fleet.FleetHistory;
 import org.heathercourse.core.fleet.Member;
 import org.heathercourse.core.fleet.MemberState;
+import org.heathercourse.core.fleet.RecentContacts;
 import org.heathercourse.core.freshness.ReadFreshness;
 import org.heathercourse.core.limits.RateFractions;
 import org.heathercourse.core.ownership.DaemonInfo;
@@ -39,6 +41,7 @@
 
     private final ClusterView mClusterView;
     private final FleetHistory mFleetHistory;
+    private final RecentContacts mRecentContacts;
     private final ColdTargets mColdTargets;
     private final EventLoop mControl;
     private final EventLoopGroup mGroup;
@@ -93,7 +96,8 @@
         mCrashRecords = new CrashRecordService(mStore, mControl, wallTicker, random);
         mFleetHistory = new FleetHistory(wallTicker);
         mColdTargets = new ColdTargets(ticker);
-        mClusterView = new ClusterView(mFleetHistory::record);
+        mRecentContacts = new RecentContacts(self.vm(), wallTicker);
+        mClusterView = new ClusterView(this::recordFleet);
         mConfiguration =
                 new ConfigurationFollower(
                         platform.declaredRows(),
@@ -203,6 +207,16 @@
         return mClusterView;
     }
 
+    private void recordFleet(Fleet fleet) {
+        mFleetHistory.record(fleet);
+        mRecentContacts.record(fleet);
+    }
+
+    /** Returns when each gateway was running for certain. */
+    public RecentContacts recentContacts() {
+        return mRecentContacts;
+    }
+
     /** Returns the recent views of the live gateways. */
     public FleetHistory fleetHistory() {
         return mFleetHistory;
--- a/src/test/java/org/heathercourse/core/fleet/FleetTest.java
+++ b/src/test/java/org/heathercourse/core/fleet/FleetTest.java
@@ -37,7 +37,8 @@
     private static List<String> recommended(Fleet fleet, Zone zone, int maxCount) {
         List<String> recommended =
                 new ArrayList<>(
-                        fleet.recommendedAddresses(zone, maxCount, new SplittableRandom(3)));
+                        fleet.recommendedAddresses(
+                                zone, maxCount, new SplittableRandom(3), member -> true));
         recommended.sort(null);
         return recommended;
     }
