--- a/src/main/java/org/heathercourse/gateway/Gateway.java
+++ b/src/main/java/org/heathercourse/gateway/Gateway.java
@@ -394,6 +394,10 @@
                                 .fleet()
                                 .recommendedAddresses(
                                         zone, MAX_ADDRESSES, mTrafficRandom, mSettings.vm()));
+                                        zone,
+                                        MAX_ADDRESSES,
+                                        mTrafficRandom,
+                                        mControl.recentContacts()::isConfirmed));
         if (addresses.isEmpty()
                 || !mControl.configurationAge().isYoungerThan(maxConfigurationAgeMillis())) {
             return Response.empty(UNAVAILABLE);
--- a/src/test/java/org/heathercourse/core/fleet/FleetTest.java
+++ b/src/test/java/org/heathercourse/core/fleet/FleetTest.java
@@ -39,6 +39,7 @@
                 new ArrayList<>(
                         fleet.recommendedAddresses(
                                 zone, maxCount, new SplittableRandom(3), new VmId("d")));
+                                zone, maxCount, new SplittableRandom(3), member -> true));
         recommended.sort(null);
         return recommended;
     }
