--- a/src/main/java/org/heathercourse/core/fleet/Fleet.java
+++ b/src/main/java/org/heathercourse/core/fleet/Fleet.java
@@ -66,25 +66,25 @@
      * @param maxCount maximum number of addresses to return
      * @param random selects the addresses to leave out if there are too many
      * @param directory gateway that answers the caller; see {@link CapacityShare}
-     */
-    public List<String> recommendedAddresses(
-            Zone zone, int maxCount, RandomGenerator random, VmId directory) {
-        List<Member> inZone = readyMembers(zone);
-        List<Member> chosen = CapacityShare.select(inZone, directory);
-        if (chosen.size() < MIN_GATEWAYS_IN_ZONE) {
-            chosen = inZone;
-        }
      * @param isConfirmed returns whether a gateway was running a short time ago for certain; others
      *     are not recommended beside such gateways
      */
     public List<String> recommendedAddresses(
-            Zone zone, int maxCount, RandomGenerator random, Predicate<Member> isConfirmed) {
+            Zone zone,
+            int maxCount,
+            RandomGenerator random,
+            VmId directory,
+            Predicate<Member> isConfirmed) {
         List<Member> ready = readyMembers();
         if (ready.stream().anyMatch(isConfirmed)) {
             ready.removeIf(isConfirmed.negate());
         }
-        List<Member> chosen = new ArrayList<>(ready);
-        chosen.removeIf(member -> !member.zone().equals(zone));
+        List<Member> inZone = new ArrayList<>(ready);
+        inZone.removeIf(member -> !member.zone().equals(zone));
+        List<Member> chosen = CapacityShare.select(inZone, directory);
+        if (chosen.size() < MIN_GATEWAYS_IN_ZONE) {
+            chosen = inZone;
+        }
         if (chosen.size() < MIN_GATEWAYS_IN_ZONE) {
             ready.stream().filter(m -> !m.zone().equals(zone)).forEach(chosen::add);
         }
--- a/src/main/java/org/heathercourse/gateway/Gateway.java
+++ b/src/main/java/org/heathercourse/gateway/Gateway.java
@@ -393,10 +393,10 @@
                         mControl.clusterView()
                                 .fleet()
                                 .recommendedAddresses(
-                                        zone, MAX_ADDRESSES, mTrafficRandom, mSettings.vm()));
                                         zone,
                                         MAX_ADDRESSES,
                                         mTrafficRandom,
+                                        mSettings.vm(),
                                         mControl.recentContacts()::isConfirmed));
         if (addresses.isEmpty()
                 || !mControl.configurationAge().isYoungerThan(maxConfigurationAgeMillis())) {
--- a/src/test/java/org/heathercourse/core/fleet/FleetTest.java
+++ b/src/test/java/org/heathercourse/core/fleet/FleetTest.java
@@ -38,8 +38,11 @@
         List<String> recommended =
                 new ArrayList<>(
                         fleet.recommendedAddresses(
-                                zone, maxCount, new SplittableRandom(3), new VmId("d")));
-                                zone, maxCount, new SplittableRandom(3), member -> true));
+                                zone,
+                                maxCount,
+                                new SplittableRandom(3),
+                                new VmId("d"),
+                                member -> true));
         recommended.sort(null);
         return recommended;
     }
--- a/src/test/java/org/heathercourse/core/fleet/RecentContactsTest.java
+++ b/src/test/java/org/heathercourse/core/fleet/RecentContactsTest.java
@@ -45,7 +45,7 @@
     private static Member member(int number, long heartbeat) {
         String vm = "vm" + number;
         return new Member(
-                new VmId(vm), 1, ZONE, vm, vm, 81, MemberState.READY, heartbeat, PERIOD_MILLIS);
+                new VmId(vm), 1, ZONE, vm, vm, 81, MemberState.READY, heartbeat, PERIOD_MILLIS, 0);
     }
 
     private void restartSelf() {
@@ -56,7 +56,7 @@
 
     private List<String> named() {
         return mFleet.recommendedAddresses(
-                ZONE, 64, new SplittableRandom(1), mContacts::isConfirmed);
+                ZONE, 64, new SplittableRandom(1), new VmId("vm" + SELF), mContacts::isConfirmed);
     }
 
     private boolean isStoreDown() {
@@ -156,7 +156,11 @@
         mContacts.record(fleet);
         assertThat(
                         fleet.recommendedAddresses(
-                                ZONE, 64, new SplittableRandom(1), mContacts::isConfirmed))
+                                ZONE,
+                                64,
+                                new SplittableRandom(1),
+                                new VmId("vm" + SELF),
+                                mContacts::isConfirmed))
                 .hasSize(2);
     }
 
