--- a/src/test/java/org/heathercourse/core/fleet/RecentContactsTest.java
+++ b/src/test/java/org/heathercourse/core/fleet/RecentContactsTest.java
@@ -188,7 +188,8 @@
                                 81,
                                 MemberState.READY,
                                 3L * read,
-                                periodMillis));
+                                periodMillis,
+                                0));
             }
             contacts.record(new Fleet(members));
             for (long elapsed = 0; elapsed < readIntervalMillis; elapsed += 100) {
