--- a/src/test/java/org/heathercourse/gateway/history/StoreTurnHistoryTest.java
+++ b/src/test/java/org/heathercourse/gateway/history/StoreTurnHistoryTest.java
@@ -251,8 +251,9 @@
     /** Guards against a row that consists of continuations of two writers. */
     @Test
     void largeTurnOfTwoWritersIsThatOfTheFirst() {
-        byte[] first = bytes(200_000, 1);
-        byte[] second = bytes(200_000, 2);
+        // So large that the continuations take several transactions.
+        byte[] first = bytes(1_000_000, 1);
+        byte[] second = bytes(1_000_000, 2);
         mGateways.turn(mGateway, "t1", null, first);
         CompletableFuture<Void> append =
                 mGateways.create().append("w", "t1", null, second, new byte[0], 60_000, 1_000);
