--- a/src/main/java/org/heathercourse/testing/hosted/GatewayProcess.java
+++ b/src/main/java/org/heathercourse/testing/hosted/GatewayProcess.java
@@ -88,6 +88,11 @@
         }
     }
 
+    /** Returns the identity of the present process at the operating system. */
+    long pid() {
+        return mProcess.pid();
+    }
+
     /** Returns whether the process has exited. */
     boolean hasExited() {
         return !mProcess.isAlive();
