Bound what untrusted callers keep by its cost in memory

Cause: what a connection keeps was bounded by its bytes on the wire. A header field of two characters costs far more as objects, so 80 unfinished heads of 3,900 fields filled a heap of 24 MB, and the process stayed up without answering. Finished heads of running calls, trailers, requests behind a call and connections were not bounded in their sum.

Change: - UnfinishedHeadHandler passes bytes to the decoder in slices that contain the end of at most one request, charges lines as well as bytes, and holds the bytes behind a running call undecoded. - A finished head is charged until its call ends; a body without a length is kept once. - The readiness, directory and metrics ports have the same handler, a timeout of 3 s for a request, and discard bodies. - Open connections for each port and peer connections without a handshake are bounded by descriptors and heap. - Timers of closed connections are cancelled.

Not run: the build that records the class archive, and the known-red tests.

--- a/src/main/java/org/heathercourse/daemon/peer/LinkHandler.java
+++ b/src/main/java/org/heathercourse/daemon/peer/LinkHandler.java
@@ -1,12 +1,14 @@
 package org.heathercourse.daemon.peer;
 
 import io.netty.buffer.ByteBuf;
+import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.handler.codec.LengthFieldBasedFrameDecoder;
 import io.netty.handler.timeout.IdleState;
 import io.netty.handler.timeout.IdleStateEvent;
 import io.netty.util.ReferenceCountUtil;
+import io.netty.util.concurrent.ScheduledFuture;
 import java.io.IOException;
 import java.util.concurrent.TimeUnit;
 import org.heathercourse.log.EventLog;
@@ -27,6 +29,12 @@
         /** Returns whether the acceptor that answered is the daemon to which the link leads. */
         boolean isExpectedPeer(Frame challenge);
 
+        /** Called when a connection is open and its handshake begins. */
+        default void onAccepted(Channel channel) {}
+
+        /** Called when a handshake has completed, and when the connection has closed. */
+        default void onHandshakeEnded(Channel channel) {}
+
         void onReady(Link link);
 
         void onFrame(Link link, Frame frame);
@@ -42,6 +50,7 @@
     private Frame mChallenge;
     private Link mLink;
     private boolean mReady;
+    private ScheduledFuture<?> mHandshakeEnd;
     private String mCloseReason = "the connection was closed";
 
     /**
@@ -65,16 +74,13 @@
     @Override
     public void channelActive(ChannelHandlerContext ctx) {
         mLink = new Link(ctx.channel());
-        ctx.channel()
-                .eventLoop()
-                .schedule(
-                        () -> {
-                            if (!mReady) {
-                                closeWithReason(ctx, "the handshake timed out");
-                            }
-                        },
-                        HANDSHAKE_TIMEOUT_MILLIS,
-                        TimeUnit.MILLISECONDS);
+        mEvents.onAccepted(ctx.channel());
+        mHandshakeEnd =
+                ctx.executor()
+                        .schedule(
+                                () -> closeWithReason(ctx, "the handshake timed out"),
+                                HANDSHAKE_TIMEOUT_MILLIS,
+                                TimeUnit.MILLISECONDS);
         if (mIsOpener) {
             mHello = mOwnFrame;
             mLink.write(mOwnFrame);
@@ -146,8 +152,17 @@
         }
     }
 
+    /** Cancels the timeout, which would keep a closed connection in memory until its time. */
+    private void endHandshake(ChannelHandlerContext ctx) {
+        if (mHandshakeEnd != null) {
+            mHandshakeEnd.cancel(false);
+        }
+        mEvents.onHandshakeEnded(ctx.channel());
+    }
+
     private void completeHandshake(ChannelHandlerContext ctx) {
         mReady = true;
+        endHandshake(ctx);
         ctx.pipeline().replace("decoder", "decoder", decoder(MAX_FRAME_BYTES));
         mEvents.onReady(mLink);
     }
@@ -181,6 +196,7 @@
 
     @Override
     public void channelInactive(ChannelHandlerContext ctx) {
+        endHandshake(ctx);
         if (mLink != null) {
             mLink.onChannelClosed();
         }
@@ -189,6 +205,9 @@
 
     @Override
     public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+        if (cause instanceof Error) {
+            LOG.error("peer_link_failed", cause);
+        }
         closeWithReason(ctx, "I/O error: " + cause.getClass().getSimpleName());
     }
 }
--- a/src/main/java/org/heathercourse/daemon/peer/NettyPeerNetwork.java
+++ b/src/main/java/org/heathercourse/daemon/peer/NettyPeerNetwork.java
@@ -61,6 +61,7 @@
     private final Ticker mTicker;
     private final RandomGenerator mRandom;
     private final Handshake mHandshake;
+    private final Handshakes mHandshakes;
     private final EventLoopGroup mGroup;
     private final Map<PeerKey, OutboundLink> mLinks = new ConcurrentHashMap<>();
     private final Map<Class<?>, Function<PeerMessage, CompletionStage<? extends PeerMessage>>>
@@ -118,6 +119,7 @@
         mTicker = ticker;
         mRandom = random;
         mHandshake = new Handshake(settings.secret());
+        mHandshakes = new Handshakes(settings.maxHandshakes(), ticker);
         mGroup = group;
     }
 
@@ -173,6 +175,11 @@
                 .build();
     }
 
+    /** Returns how many connections were closed because too many had not authenticated. */
+    public long closedHandshakes() {
+        return mHandshakes.closedCount();
+    }
+
     @Override
     public <R extends PeerMessage> CompletableFuture<R> request(
             DaemonInfo to, PeerMessage message, Class<R> replyType, long timeoutMillis) {
@@ -317,6 +324,16 @@
                     public void onFrame(Link link, Frame frame) {
                         handleInboundFrame(link, frame);
                     }
+
+                    @Override
+                    public void onAccepted(Channel channel) {
+                        mHandshakes.add(channel);
+                    }
+
+                    @Override
+                    public void onHandshakeEnded(Channel channel) {
+                        mHandshakes.remove(channel);
+                    }
                 });
     }
 
--- a/src/main/java/org/heathercourse/gateway/Gateway.java
+++ b/src/main/java/org/heathercourse/gateway/Gateway.java
@@ -18,6 +18,7 @@
 import java.util.concurrent.ThreadFactory;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
+import java.util.function.Function;
 import java.util.random.RandomGenerator;
 import org.heathercourse.core.drain.DrainSchedule;
 import org.heathercourse.core.fleet.Member;
@@ -38,6 +39,9 @@
 import org.heathercourse.gateway.call.CallMetrics;
 import org.heathercourse.gateway.control.ControlPlane;
 import org.heathercourse.gateway.http.CallerServer;
+import org.heathercourse.gateway.http.ClosedConnections;
+import org.heathercourse.gateway.http.ClosedConnections.Cause;
+import org.heathercourse.gateway.http.ConnectionLimits;
 import org.heathercourse.gateway.http.EndpointServer;
 import org.heathercourse.gateway.http.EndpointServer.Response;
 import org.heathercourse.gateway.target.TargetPools;
@@ -93,6 +97,8 @@
     /** Confined to the traffic loop. */
     private final MemoryBudget mMemory;
 
+    private final ConnectionLimits mConnectionLimits = ConnectionLimits.ofProcess();
+    private final ClosedConnections mClosedConnections;
     private final TargetPools mPools;
     private final CallerServer mCallerServer;
 
@@ -134,8 +140,10 @@
                         ticker,
                         new SuspendAwareClock(ticker, clock),
                         random,
-                        this::reserveRate);
+                        this::reserveRate,
+                        mConnectionLimits.handshakes());
         mMemory = new MemoryBudget(settings.number(Setting.MAX_BUFFER_BYTES));
+        mClosedConnections = new ClosedConnections(ticker);
         CallMetrics callMetrics = new CallMetrics(mMetrics);
         mRates = new WorkspaceRates(mControl.rateFractions(), ticker);
         mPools =
@@ -167,8 +175,9 @@
                         callMetrics,
                         mMemory,
                         () -> mDrainSchedule);
-        mCallerServer = new CallerServer(services);
+        mCallerServer = new CallerServer(services, mConnectionLimits.callers(), mClosedConnections);
         mMetrics.registerAll(gauges());
+        mMetrics.registerAll(closedConnectionGauges());
     }
 
     private long maxConfigurationAgeMillis() {
@@ -269,6 +278,19 @@
                         gauge(mMemory::refusedCount));
     }
 
+    private MetricSet closedConnectionGauges() {
+        return () ->
+                Map.of(
+                        "callers_closed_for_memory",
+                        gauge(() -> mClosedConnections.count(Cause.MEMORY)),
+                        "callers_closed_for_connections",
+                        gauge(() -> mClosedConnections.count(Cause.CONNECTIONS)),
+                        "callers_closed_for_timeout",
+                        gauge(() -> mClosedConnections.count(Cause.TIMEOUT)),
+                        "peer_handshakes_closed",
+                        gauge(mControl::closedHandshakes));
+    }
+
     private static <T> Gauge<T> gauge(Gauge<T> gauge) {
         return gauge;
     }
@@ -280,16 +302,9 @@
      *     address cannot be bound
      */
     public void start() {
-        EndpointServer.open(
-                mSettings.endpoint(Setting.READINESS_ADDRESS),
-                mTrafficGroup,
-                this::respondReadiness);
-        EndpointServer.open(
-                mSettings.endpoint(Setting.DIRECTORY_ADDRESS),
-                mTrafficGroup,
-                this::respondAddresses);
-        EndpointServer.open(
-                mSettings.endpoint(Setting.METRICS_ADDRESS), mTrafficGroup, this::respondMetrics);
+        openEndpoint(Setting.READINESS_ADDRESS, this::respondReadiness);
+        openEndpoint(Setting.DIRECTORY_ADDRESS, this::respondAddresses);
+        openEndpoint(Setting.METRICS_ADDRESS, this::respondMetrics);
         mCallerServer.open(mSettings.endpoint(Setting.CALLER_ADDRESS), mTrafficGroup);
         mTraffic.scheduleWithFixedDelay(
                 this::runHousekeeping,
@@ -299,6 +314,15 @@
         LOG.info("gateway_started", "vm", mSettings.vm(), "zone", mSettings.zone());
     }
 
+    private void openEndpoint(Setting address, Function<String, Response> responder) {
+        EndpointServer.open(
+                mSettings.endpoint(address),
+                mTrafficGroup,
+                new EndpointServer.Limits(
+                        mConnectionLimits.endpoint(), mMemory, mClosedConnections),
+                responder);
+    }
+
     private void runHousekeeping() {
         mPools.retainAll(mControl.clusterView().targets());
         mControl.clusterView().routing().ifPresent(table -> mRates.refresh(table.workspaces()));
--- a/src/main/java/org/heathercourse/gateway/GatewayMain.java
+++ b/src/main/java/org/heathercourse/gateway/GatewayMain.java
@@ -43,6 +43,7 @@
             return;
         }
         LogSetup.configureQueued(settings.get().logLevel());
+        ExhaustedMemory.install();
         run(settings.get(), arguments);
     }
 
--- a/src/main/java/org/heathercourse/gateway/call/CallErrors.java
+++ b/src/main/java/org/heathercourse/gateway/call/CallErrors.java
@@ -40,7 +40,7 @@
     public static ErrorResponse memoryExhausted(RandomGenerator random) {
         return new ErrorResponse(
                 ErrorKind.OVERLOADED,
-                "the request has not run: the gateway has no memory left for its body",
+                "the request has not run: the gateway has no memory left for it",
                 "retry the request after the time in Retry-After, at another gateway",
                 random.nextLong(MIN_MEMORY_RETRY_AFTER_MILLIS, MAX_MEMORY_RETRY_AFTER_MILLIS));
     }
--- a/src/main/java/org/heathercourse/gateway/control/ControlPlane.java
+++ b/src/main/java/org/heathercourse/gateway/control/ControlPlane.java
@@ -40,6 +40,7 @@
     private final EventLoopGroup mGroup;
     private final Ticker mTicker;
     private final RandomGenerator mRandom;
+    private final int mMaxHandshakes;
     private final Member mSelf;
     private final DirectChannel mDirectChannel;
     private final RelayingChannel mStoreChannel;
@@ -53,7 +54,9 @@
     private final CompletableFuture<RateService> mRateService = new CompletableFuture<>();
     private final RateService.LocalOwner mLocalRateOwner;
     private volatile boolean mLeaving;
-    private NettyPeerNetwork mPeers;
+
+    /** Null until the secret of the peers is known; written on the control loop. */
+    private volatile NettyPeerNetwork mPeers;
 
     /**
      * Creates a control plane that has not started.
@@ -75,8 +78,10 @@
             Ticker ticker,
             SuspendAwareClock wallTicker,
             RandomGenerator random,
-            RateService.LocalOwner localRateOwner) {
+            RateService.LocalOwner localRateOwner,
+            int maxHandshakes) {
         mLocalRateOwner = localRateOwner;
+        mMaxHandshakes = maxHandshakes;
         mSelf = self;
         mGroup = group;
         mControl = group.next();
@@ -141,11 +146,18 @@
         return mRateService;
     }
 
+    /** Returns how many unauthenticated peer connections were closed because of their number. */
+    public long closedHandshakes() {
+        NettyPeerNetwork peers = mPeers;
+        return peers == null ? 0 : peers.closedHandshakes();
+    }
+
     private void startPeers(byte[] secret) {
         // Owners are chosen by VM, and buckets and budgets are safe with any process on it.
         PeerSettings settings =
                 new PeerSettings(mSelf.peerHost(), mSelf.peerPort(), secret, 1)
-                        .withIncarnationPolicy(IncarnationPolicy.SAME_OR_NEWER);
+                        .withIncarnationPolicy(IncarnationPolicy.SAME_OR_NEWER)
+                        .withMaxHandshakes(mMaxHandshakes);
         DaemonInfo self = PeerAddress.of(mSelf);
         mPeers = new NettyPeerNetwork(settings, () -> self, mTicker, mRandom, mGroup);
         String writerPrefix = mSelf.vm() + "/" + mSelf.incarnation() + "/";
--- a/src/main/java/org/heathercourse/gateway/http/BodyBuffer.java
+++ b/src/main/java/org/heathercourse/gateway/http/BodyBuffer.java
@@ -73,7 +73,11 @@
 
     /** Returns the body; the buffer must not be changed any more. */
     byte[] toByteArray() {
-        return mSize == mBytes.length ? mBytes : Arrays.copyOf(mBytes, mSize);
+        if (mSize < mBytes.length) {
+            mBytes = Arrays.copyOf(mBytes, mSize);
+            mMemory.resize(mSize);
+        }
+        return mBytes;
     }
 
     /** Returns the memory to the budget; no effect if that was done before. */
--- a/src/main/java/org/heathercourse/gateway/http/CallerConnection.java
+++ b/src/main/java/org/heathercourse/gateway/http/CallerConnection.java
@@ -23,6 +23,7 @@
 import io.netty.handler.codec.http.TooLongHttpLineException;
 import io.netty.handler.timeout.IdleStateEvent;
 import io.netty.util.ReferenceCountUtil;
+import io.netty.util.concurrent.ScheduledFuture;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.util.ArrayDeque;
@@ -30,6 +31,7 @@
 import java.util.Queue;
 import java.util.concurrent.TimeUnit;
 import org.heathercourse.core.error.ErrorKind;
+import org.heathercourse.core.limits.MemoryBudget;
 import org.heathercourse.core.routing.CallerLimits;
 import org.heathercourse.gateway.call.Call;
 import org.heathercourse.gateway.call.CallErrors;
@@ -42,16 +44,11 @@
  * A connection of a caller: processes one request at a time and writes responses in order.
  *
  * <p>A call starts when its request was read completely. Reading continues while a call runs,
- * because only a read detects that the caller has disconnected; pipelined requests are queued.
- * Confined to the traffic loop.
+ * because only a read detects that the caller has disconnected; pipelined requests wait undecoded
+ * in the {@link UnfinishedHeadHandler}, at most the next one here. Confined to the traffic loop.
  */
-final class CallerConnection extends ChannelInboundHandlerAdapter implements ResponseWriter {
-    /** Number of HTTP messages queued behind a running call from which on no more are read. */
-    private static final int MAX_PENDING_MESSAGES = 64;
-
-    /** Size in bytes of the bodies queued behind a running call from which on no more is read. */
-    private static final int MAX_PENDING_BYTES = 64 * 1024;
-
+final class CallerConnection extends ChannelInboundHandlerAdapter
+        implements ResponseWriter, UnfinishedHeadHandler.Consumer, OpenConnections.Connection {
     /**
      * Maximum time in milliseconds between the last response and the close of the connection: a few
      * round trips, in which the caller receives the response and closes the connection itself.
@@ -78,10 +75,16 @@
     private CallerLimits mLimits;
 
     private final Queue<Object> mPendingMessages = new ArrayDeque<>();
-    private int mPendingBytes;
+    private UnfinishedHeadHandler mInput;
     private ChannelHandlerContext mContext;
     private HttpRequest mHead;
     private final BodyBuffer mBody;
+
+    /** For the head from its end to the end of its call, and for the next one behind it. */
+    private final MemoryBudget.Reservation mHeadMemory;
+
+    private final MemoryBudget.Reservation mPendingMemory;
+    private long mPendingCost;
     private boolean mDiscardBody;
     private ByteArrayOutputStream mGathered = new ByteArrayOutputStream();
     private boolean mFlushScheduled;
@@ -90,6 +93,10 @@
     private boolean mKeepAlive;
     private boolean mLastResponseEnded;
     private boolean mLingering;
+
+    /** Cancelled at the close, as it would keep the closed connection in memory until its time. */
+    private ScheduledFuture<?> mLingerEnd;
+
     private boolean mSupportsChunked;
     private boolean mBodyEndsWithConnection;
     private boolean mIsHeadRequest;
@@ -103,7 +110,30 @@
     CallerConnection(CallerServer server, CallerLimits limits) {
         mServer = server;
         mLimits = limits;
-        mBody = new BodyBuffer(server.callDependencies().memory());
+        MemoryBudget memory = server.callDependencies().memory();
+        mBody = new BodyBuffer(memory);
+        mHeadMemory = memory.reserveNothing();
+        mPendingMemory = memory.reserveNothing();
+    }
+
+    /** Sets the handler that passes the bytes of this connection on. */
+    void setInput(UnfinishedHeadHandler input) {
+        mInput = input;
+    }
+
+    @Override
+    public boolean isReady() {
+        return mCall == null && mPendingMessages.isEmpty() && isWritable();
+    }
+
+    @Override
+    public boolean isEnded() {
+        return mLastResponseEnded;
+    }
+
+    @Override
+    public boolean isReplaceable() {
+        return mCall == null && mPendingMessages.isEmpty() && mUnwrittenResponses == 0;
     }
 
     @Override
@@ -116,6 +146,7 @@
 
     @Override
     public void channelRead(ChannelHandlerContext context, Object message) {
+        mInput.onMessage();
         if (mLastResponseEnded) {
             // The caller was told that the connection closes; what follows is not served.
             ReferenceCountUtil.release(message);
@@ -123,26 +154,35 @@
             process(message);
         } else {
             mPendingMessages.add(message);
-            mPendingBytes += bodyBytes(message);
-            pauseReadingIfQueueFull();
+            mPendingCost += cost(message);
+            if (!mPendingMemory.resize(mPendingCost)) {
+                context.close();
+            }
         }
     }
 
-    private void pauseReadingIfQueueFull() {
-        boolean isFull =
-                mPendingMessages.size() >= MAX_PENDING_MESSAGES
-                        || mPendingBytes >= MAX_PENDING_BYTES;
-        mContext.channel().config().setAutoRead(!isFull);
+    /** Returns the memory in bytes that a message needs while it waits or runs. */
+    private static long cost(Object message) {
+        if (message instanceof HttpRequest head) {
+            long textBytes = head.uri().length();
+            for (Map.Entry<CharSequence, CharSequence> field : fields(head)) {
+                textBytes += field.getKey().length() + field.getValue().length();
+                textBytes += UnfinishedHeadHandler.FIELD_BYTES / UnfinishedHeadHandler.TEXT_FACTOR;
+            }
+            return textBytes * UnfinishedHeadHandler.TEXT_FACTOR;
+        }
+        return message instanceof HttpContent content ? content.content().readableBytes() : 0;
     }
 
-    private static int bodyBytes(Object message) {
-        return message instanceof HttpContent content ? content.content().readableBytes() : 0;
+    private static Iterable<Map.Entry<CharSequence, CharSequence>> fields(HttpRequest head) {
+        return () -> head.headers().iteratorCharSequence();
     }
 
     private void discardPendingMessages() {
         mPendingMessages.forEach(ReferenceCountUtil::release);
         mPendingMessages.clear();
-        mPendingBytes = 0;
+        mPendingCost = 0;
+        mPendingMemory.release();
     }
 
     private void process(Object message) {
@@ -159,7 +199,7 @@
     }
 
     private void onHead(HttpRequest head) {
-        mServer.onHeadRead(this);
+        mInput.onHeadRead();
         updateLimits();
         mHead = head;
         mDiscardBody = false;
@@ -179,7 +219,8 @@
                             "send one Content-Length header, or a chunked body without one"));
         } else if (HttpUtil.getContentLength(head, 0L) > mLimits.maxBodyBytes()) {
             rejectTooLarge();
-        } else if (!mBody.reserve((int) HttpUtil.getContentLength(head, 0L))) {
+        } else if (!mHeadMemory.resize(cost(head))
+                || !mBody.reserve((int) HttpUtil.getContentLength(head, 0L))) {
             rejectAndClose(CallErrors.memoryExhausted(mServer.callDependencies().random()));
         } else if (HttpUtil.is100ContinueExpected(head)) {
             mContext.writeAndFlush(
@@ -201,7 +242,7 @@
     private boolean isTooLong(HttpRequest head) {
         int maxBytes = mLimits.maxHeaderBytes();
         int headerBytes = 0;
-        for (Map.Entry<String, String> header : head.headers()) {
+        for (Map.Entry<CharSequence, CharSequence> header : fields(head)) {
             headerBytes += header.getKey().length() + header.getValue().length();
         }
         return head.uri().length() > maxBytes || headerBytes > maxBytes;
@@ -251,6 +292,7 @@
     private void rejectAndClose(ErrorResponse error) {
         mHead = null;
         mBody.release();
+        mHeadMemory.release();
         mDiscardBody = true;
         mKeepAlive = false;
         error.writeTo(this);
@@ -291,13 +333,16 @@
     private void onCallEnded() {
         mCall = null;
         mBody.release();
+        mHeadMemory.release();
         mServer.onCallEnded(this);
+        mInput.onRequestEnded();
         while (mCall == null && !mLastResponseEnded && !mPendingMessages.isEmpty()) {
-            Object message = mPendingMessages.remove();
-            mPendingBytes -= bodyBytes(message);
-            process(message);
+            process(mPendingMessages.remove());
+        }
+        if (mPendingMessages.isEmpty()) {
+            discardPendingMessages();
         }
-        pauseReadingIfQueueFull();
+        mInput.resume();
         mServer.closeIfStopping(this);
     }
 
@@ -310,7 +355,8 @@
         return mCall != null || mHead != null || mUnwrittenResponses > 0 || mLingering;
     }
 
-    void close() {
+    @Override
+    public void close() {
         mContext.close();
     }
 
@@ -323,10 +369,6 @@
         }
     }
 
-    UnfinishedHeadHandler unfinishedHeadHandler(String name) {
-        return (UnfinishedHeadHandler) mContext.pipeline().get(name);
-    }
-
     // Responses
 
     @Override
@@ -338,7 +380,7 @@
         HttpResponse response = new DefaultHttpResponse(HttpVersion.HTTP_1_1, responseStatus);
         response.headers().set(headers);
         // A request that was read behind this one is answered; the response to the last one closes.
-        boolean keepAlive = mKeepAlive && !(mServer.isLeaving() && mPendingMessages.isEmpty());
+        boolean keepAlive = mKeepAlive && !(mServer.isLeaving() && !hasNextRequest());
         mBodyEndsWithConnection = lengthBytes == UNKNOWN_LENGTH && !mSupportsChunked;
         if (lengthBytes != UNKNOWN_LENGTH) {
             if (lengthBytes > 0 || !isLengthOfOtherBody(status)) {
@@ -356,6 +398,10 @@
         mContext.write(response);
     }
 
+    private boolean hasNextRequest() {
+        return !mPendingMessages.isEmpty() || mInput.hasHeldHead();
+    }
+
     /**
      * Returns whether a length in a response without a body would be that of another response's
      * body, which is not known here.
@@ -425,7 +471,7 @@
             channel.shutdownOutput();
             boolean awaitsBody = mDiscardBody && !mServer.isLeaving();
             long millis = awaitsBody ? BODY_LINGER_MILLIS : LINGER_MILLIS;
-            mContext.executor().schedule(this::close, millis, TimeUnit.MILLISECONDS);
+            mLingerEnd = mContext.executor().schedule(this::close, millis, TimeUnit.MILLISECONDS);
         } else {
             mContext.close();
         }
@@ -455,6 +501,9 @@
         if (mCall != null) {
             mCall.onWritabilityChanged();
         }
+        if (isWritable()) {
+            mInput.resume();
+        }
     }
 
     @Override
@@ -477,6 +526,10 @@
     public void channelInactive(ChannelHandlerContext context) {
         discardPendingMessages();
         mBody.release();
+        mHeadMemory.release();
+        if (mLingerEnd != null) {
+            mLingerEnd.cancel(false);
+        }
         mServer.onClosed(this);
         if (mCall != null) {
             mCall.onCallerDisconnected();
--- a/src/main/java/org/heathercourse/gateway/http/CallerServer.java
+++ b/src/main/java/org/heathercourse/gateway/http/CallerServer.java
@@ -1,5 +1,6 @@
 package org.heathercourse.gateway.http;
 
+import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelPipeline;
 import io.netty.channel.EventLoopGroup;
@@ -8,8 +9,6 @@
 import io.netty.handler.codec.http.HttpServerCodec;
 import io.netty.handler.timeout.IdleStateHandler;
 import java.net.InetSocketAddress;
-import java.util.HashSet;
-import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import org.heathercourse.core.routing.CallerLimits;
@@ -23,7 +22,11 @@
  * confined to the traffic loop.
  */
 public final class CallerServer {
-    private static final String HEAD_HANDLER = "unfinished-head";
+    /** Maximum size of a read in bytes, as it may have to wait behind a running call. */
+    private static final int MAX_READ_BYTES = 16 * 1024;
+
+    private static final int MIN_READ_BYTES = 64;
+    private static final int FIRST_READ_BYTES = 2 * 1024;
     private static final String IDLE_TIMEOUT_HANDLER = "idle-timer";
 
     /**
@@ -41,20 +44,38 @@
             new WriteBufferWaterMark(8 * 1024, 16 * 1024);
 
     private final CallDependencies mCallDependencies;
-    private final Set<CallerConnection> mConnections = new HashSet<>();
+    private final OpenConnections<CallerConnection> mConnections;
+    private final ClosedConnections mClosed;
     private final CompletableFuture<Void> mDrained = new CompletableFuture<>();
     private ServerPort mPort;
     private int mActiveCalls;
     private boolean mLeaving;
     private boolean mClosing;
 
+    /**
+     * Creates a server that does not listen yet and accepts any number of connections.
+     *
+     * @param callDependencies collaborators of calls
+     */
+    CallerServer(CallDependencies callDependencies) {
+        this(
+                callDependencies,
+                ConnectionLimits.NONE.callers(),
+                new ClosedConnections(callDependencies.ticker()));
+    }
+
     /**
      * Creates a server that does not listen yet.
      *
      * @param callDependencies collaborators of calls
+     * @param maxConnections maximum number of open connections
+     * @param closed records the connections that a limit closes
      */
-    public CallerServer(CallDependencies callDependencies) {
+    public CallerServer(
+            CallDependencies callDependencies, int maxConnections, ClosedConnections closed) {
         mCallDependencies = callDependencies;
+        mClosed = closed;
+        mConnections = new OpenConnections<>(maxConnections, closed);
     }
 
     /**
@@ -79,13 +100,22 @@
                         .setMaxHeaderSize(decoderLimitBytes);
         channel.config().setWriteBufferWaterMark(UNSENT_BYTES);
         ChannelPipeline pipeline = channel.pipeline();
-        pipeline.addLast(
-                HEAD_HANDLER,
+        channel.config()
+                .setRecvByteBufAllocator(
+                        new AdaptiveRecvByteBufAllocator(
+                                MIN_READ_BYTES, FIRST_READ_BYTES, MAX_READ_BYTES));
+        CallerConnection connection = new CallerConnection(this, limits);
+        UnfinishedHeadHandler input =
                 new UnfinishedHeadHandler(
-                        () -> limits().headerTimeoutMillis(), mCallDependencies.memory()));
+                        () -> limits().headerTimeoutMillis(),
+                        mCallDependencies.memory(),
+                        connection,
+                        mClosed);
+        connection.setInput(input);
+        pipeline.addLast(input);
         pipeline.addLast(new HttpServerCodec(decoder));
         pipeline.addLast(IDLE_TIMEOUT_HANDLER, idleTimeoutHandler(limits));
-        pipeline.addLast(new CallerConnection(this, limits));
+        pipeline.addLast(connection);
     }
 
     private static IdleStateHandler idleTimeoutHandler(CallerLimits limits) {
@@ -121,17 +151,13 @@
         completeIfDrained();
     }
 
-    void onHeadRead(CallerConnection connection) {
-        connection.unfinishedHeadHandler(HEAD_HANDLER).onHeadRead();
-    }
-
     void onCallStarted() {
         mActiveCalls++;
     }
 
     void onCallEnded(CallerConnection connection) {
         mActiveCalls--;
-        connection.unfinishedHeadHandler(HEAD_HANDLER).onRequestEnded();
+        mConnections.onRequestEnded(connection);
     }
 
     /** Closes the connection if the server is stopping and the connection is not busy. */
@@ -177,7 +203,7 @@
         if (mPort != null) {
             mPort.close();
         }
-        for (CallerConnection connection : Set.copyOf(mConnections)) {
+        for (CallerConnection connection : mConnections.copy()) {
             if (!connection.isBusy()) {
                 connection.close();
             }
@@ -189,7 +215,7 @@
     /** Ends the active calls because the process exits; returns their number. */
     public int endCallsForExit() {
         int calls = mActiveCalls;
-        Set.copyOf(mConnections).forEach(CallerConnection::endForExit);
+        mConnections.copy().forEach(CallerConnection::endForExit);
         return calls;
     }
 
--- a/src/main/java/org/heathercourse/gateway/http/EndpointServer.java
+++ b/src/main/java/org/heathercourse/gateway/http/EndpointServer.java
@@ -1,32 +1,45 @@
 package org.heathercourse.gateway.http;
 
-import io.netty.buffer.Unpooled;
-import io.netty.channel.ChannelFutureListener;
-import io.netty.channel.ChannelHandler;
-import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.AdaptiveRecvByteBufAllocator;
+import io.netty.channel.Channel;
 import io.netty.channel.EventLoopGroup;
-import io.netty.channel.SimpleChannelInboundHandler;
-import io.netty.handler.codec.http.DefaultFullHttpResponse;
-import io.netty.handler.codec.http.FullHttpRequest;
-import io.netty.handler.codec.http.FullHttpResponse;
-import io.netty.handler.codec.http.HttpHeaderNames;
-import io.netty.handler.codec.http.HttpObjectAggregator;
-import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.channel.WriteBufferWaterMark;
+import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpServerCodec;
-import io.netty.handler.codec.http.HttpUtil;
-import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.timeout.IdleStateHandler;
 import java.net.InetSocketAddress;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Function;
+import org.heathercourse.core.limits.MemoryBudget;
 
 /** Opens HTTP ports for the gateway's own endpoints: readiness, directory and metrics. */
 public final class EndpointServer {
-    private static final int MAX_REQUEST_BYTES = 16 * 1024;
+    /** Maximum size in bytes of a request line, and of the headers. */
+    private static final int MAX_HEAD_BYTES = 16 * 1024;
+
     private static final long IDLE_TIMEOUT_SECONDS = 15;
 
+    /** Maximum time in milliseconds from the first byte of a request to its end. */
+    private static final long REQUEST_TIMEOUT_MILLIS = 3_000;
+
+    private static final int MIN_READ_BYTES = 64;
+    private static final int FIRST_READ_BYTES = 1024;
+    private static final int MAX_READ_BYTES = 4 * 1024;
+
+    /** Unsent bytes of responses from which on no further request of a connection is answered. */
+    private static final WriteBufferWaterMark UNSENT_BYTES = new WriteBufferWaterMark(1, 2);
+
     private EndpointServer() {}
 
+    /**
+     * Bounds of what the connections of a port keep. Immutable.
+     *
+     * @param maxConnections maximum number of open connections
+     * @param memory budget of the process; confined to the event loop
+     * @param closed records the connections that a limit closes
+     */
+    public record Limits(int maxConnections, MemoryBudget memory, ClosedConnections closed) {}
+
     /**
      * An HTTP response. The body array must not be modified.
      *
@@ -51,60 +64,44 @@
      *
      * @param address address to listen on
      * @param group event loops of the connections
+     * @param limits bounds what the connections keep
      * @param responder maps the request target to the response; called on an event loop
      * @return the port
      */
     public static ServerPort open(
-            InetSocketAddress address, EventLoopGroup group, Function<String, Response> responder) {
-        Handler handler = new Handler(responder);
+            InetSocketAddress address,
+            EventLoopGroup group,
+            Limits limits,
+            Function<String, Response> responder) {
+        OpenConnections<EndpointConnection> connections =
+                new OpenConnections<>(limits.maxConnections(), limits.closed());
         return ServerPort.open(
-                address,
-                group,
-                channel ->
-                        channel.pipeline()
-                                .addLast(new HttpServerCodec())
-                                .addLast(new HttpObjectAggregator(MAX_REQUEST_BYTES))
-                                .addLast(
-                                        new IdleStateHandler(
-                                                0, 0, IDLE_TIMEOUT_SECONDS, TimeUnit.SECONDS))
-                                .addLast(handler));
+                address, group, channel -> initialize(channel, limits, responder, connections));
     }
 
-    @ChannelHandler.Sharable
-    private static final class Handler extends SimpleChannelInboundHandler<FullHttpRequest> {
-        private final Function<String, Response> mResponder;
-
-        Handler(Function<String, Response> responder) {
-            mResponder = responder;
-        }
-
-        @Override
-        protected void channelRead0(ChannelHandlerContext context, FullHttpRequest request) {
-            Response content = mResponder.apply(request.uri());
-            FullHttpResponse response =
-                    new DefaultFullHttpResponse(
-                            HttpVersion.HTTP_1_1,
-                            HttpResponseStatus.valueOf(content.status()),
-                            Unpooled.wrappedBuffer(content.body()));
-            response.headers()
-                    .set(HttpHeaderNames.CONTENT_TYPE, content.contentType())
-                    .set(HttpHeaderNames.CONTENT_LENGTH, content.body().length);
-            boolean keepAlive = HttpUtil.isKeepAlive(request);
-            HttpUtil.setKeepAlive(response, keepAlive);
-            var writeFuture = context.writeAndFlush(response);
-            if (!keepAlive) {
-                writeFuture.addListener(ChannelFutureListener.CLOSE);
-            }
-        }
-
-        @Override
-        public void userEventTriggered(ChannelHandlerContext context, Object event) {
-            context.close();
-        }
-
-        @Override
-        public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
-            context.close();
-        }
+    private static void initialize(
+            Channel channel,
+            Limits limits,
+            Function<String, Response> responder,
+            OpenConnections<EndpointConnection> connections) {
+        HttpDecoderConfig decoder =
+                new HttpDecoderConfig()
+                        .setMaxInitialLineLength(MAX_HEAD_BYTES)
+                        .setMaxHeaderSize(MAX_HEAD_BYTES);
+        EndpointConnection connection = new EndpointConnection(responder, connections);
+        UnfinishedHeadHandler input =
+                new UnfinishedHeadHandler(
+                        () -> REQUEST_TIMEOUT_MILLIS, limits.memory(), connection, limits.closed());
+        connection.setInput(input);
+        channel.config().setWriteBufferWaterMark(UNSENT_BYTES);
+        channel.config()
+                .setRecvByteBufAllocator(
+                        new AdaptiveRecvByteBufAllocator(
+                                MIN_READ_BYTES, FIRST_READ_BYTES, MAX_READ_BYTES));
+        channel.pipeline()
+                .addLast(input)
+                .addLast(new HttpServerCodec(decoder))
+                .addLast(new IdleStateHandler(0, 0, IDLE_TIMEOUT_SECONDS, TimeUnit.SECONDS))
+                .addLast(connection);
     }
 }
--- a/src/main/java/org/heathercourse/gateway/http/UnfinishedHeadHandler.java
+++ b/src/main/java/org/heathercourse/gateway/http/UnfinishedHeadHandler.java
@@ -7,20 +7,65 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
 import org.heathercourse.core.limits.MemoryBudget;
+import org.heathercourse.gateway.http.ClosedConnections.Cause;
 
 /**
- * Closes a connection if the head of a request does not arrive in time, or if there is no memory
- * for more of it, so that slow senders hold neither connections nor the heap. Precedes the decoder
- * in the pipeline; {@link CallerConnection} reports heads and ends of requests. Confined to the
- * traffic loop.
+ * Bounds what a connection keeps before its requests are complete: closes it if the head of a
+ * request does not arrive in time, or if there is no memory for what the decoder keeps, and holds
+ * back the bytes of further requests undecoded. Precedes the decoder in the pipeline, which gets
+ * the bytes in slices that contain the end of at most one request. The consumer of the messages
+ * reports heads, ends of requests and messages. Confined to the traffic loop.
  */
 final class UnfinishedHeadHandler extends ChannelInboundHandlerAdapter {
+    /**
+     * Memory in bytes that a header field needs besides its text: the entry, the objects of its
+     * name and value, the name's text as a string, and the entry in the request to the target.
+     */
+    static final int FIELD_BYTES = 256;
+
+    /** Factor by which kept text needs more memory than its bytes, as buffers grow by doubling. */
+    static final int TEXT_FACTOR = 2;
+
+    /** Maximum size of a slice in bytes, which bounds what is decoded before it is charged. */
+    private static final int SLICE_BYTES = 1024;
+
+    /** Bytes held back from which on no more are read. */
+    private static final int MAX_HELD_BYTES = 16 * 1024;
+
+    /** Unused bytes of a buffer from which on its content is copied before it is passed on. */
+    private static final int MAX_UNUSED_BYTES = 4 * 1024;
+
+    private static final byte LINE_FEED = '\n';
+    private static final byte CARRIAGE_RETURN = '\r';
+
+    /** Consumer of the decoded messages. */
+    interface Consumer {
+        /** Returns whether it takes the bytes of a request now. */
+        boolean isReady();
+
+        /** Returns whether it takes no more bytes at all, so that they are discarded. */
+        boolean isEnded();
+    }
+
     private final LongSupplier mTimeoutMillis;
-    private final MemoryBudget.Reservation mMemory;
+    private final Consumer mConsumer;
+    private final ClosedConnections mClosed;
+
+    /** For what the decoder keeps while more bytes of the same read follow. */
+    private final MemoryBudget.Reservation mReadMemory;
+
+    /** For what the decoder keeps until the caller sends more. */
+    private final MemoryBudget.Reservation mWaitMemory;
+
+    private final MemoryBudget.Reservation mHeldMemory;
+    private ChannelHandlerContext mContext;
     private ScheduledFuture<?> mTimeout;
+    private ByteBuf mHeld;
+    private boolean mPassing;
     private boolean mAwaitingFirstByte = true;
-    private boolean mAwaitingHead = true;
-    private int mHeadBytes;
+    private int mLineBytes;
+    private int mUndecodedBytes;
+    private int mUndecodedLines;
 
     /**
      * Creates a handler.
@@ -28,28 +73,186 @@
      * @param timeoutMillis returns the maximum time in milliseconds from the first byte of a head
      *     to its end; asked for each head, as the configuration may change
      * @param budget budget of the process
+     * @param consumer consumer of the decoded messages
+     * @param closed records the connections that this handler closes
      */
-    UnfinishedHeadHandler(LongSupplier timeoutMillis, MemoryBudget budget) {
+    UnfinishedHeadHandler(
+            LongSupplier timeoutMillis,
+            MemoryBudget budget,
+            Consumer consumer,
+            ClosedConnections closed) {
         mTimeoutMillis = timeoutMillis;
-        mMemory = budget.reserveHead();
+        mConsumer = consumer;
+        mClosed = closed;
+        mReadMemory = budget.reserveNothing();
+        mWaitMemory = budget.reserveHead();
+        mHeldMemory = budget.reserveNothing();
+    }
+
+    @Override
+    public void handlerAdded(ChannelHandlerContext context) {
+        mContext = context;
     }
 
     @Override
     public void channelRead(ChannelHandlerContext context, Object message) {
+        if (message instanceof ByteBuf bytes) {
+            hold(bytes);
+            resume();
+        } else {
+            context.fireChannelRead(message);
+        }
+    }
+
+    private void hold(ByteBuf bytes) {
+        if (mHeld == null) {
+            mHeld = bytes;
+            return;
+        }
+        int length = bytes.readableBytes();
+        if (mHeld.maxWritableBytes() < length || mHeld.readerIndex() > 0) {
+            ByteBuf larger = mContext.alloc().heapBuffer(mHeld.readableBytes() + length);
+            larger.writeBytes(mHeld);
+            mHeld.release();
+            mHeld = larger;
+        }
+        mHeld.writeBytes(bytes);
+        bytes.release();
+    }
+
+    /** Passes held bytes on as far as the consumer takes them. */
+    void resume() {
+        if (mPassing) {
+            return;
+        }
+        mPassing = true;
+        try {
+            mWaitMemory.release();
+            while (mHeld != null && mContext.channel().isOpen()) {
+                if (mConsumer.isEnded()) {
+                    discardHeld();
+                } else if (!mConsumer.isReady() || !passSlice()) {
+                    break;
+                }
+            }
+        } finally {
+            mPassing = false;
+        }
+        chargeKept();
+    }
+
+    /** Passes one slice on; returns false if there is no memory for what the decoder keeps. */
+    private boolean passSlice() {
         if (mAwaitingFirstByte) {
             mAwaitingFirstByte = false;
             mTimeout =
-                    context.executor()
+                    mContext.executor()
                             .schedule(
-                                    () -> context.close(),
+                                    () -> close(Cause.TIMEOUT),
                                     mTimeoutMillis.getAsLong(),
                                     TimeUnit.MILLISECONDS);
         }
-        mHeadBytes += message instanceof ByteBuf bytes ? bytes.readableBytes() : 0;
-        context.fireChannelRead(message);
-        if (mAwaitingHead && !mMemory.resize(mHeadBytes)) {
-            context.close();
+        ByteBuf slice = takeSlice(countSliceBytes());
+        mUndecodedBytes += slice.readableBytes();
+        mContext.fireChannelRead(slice);
+        if (mReadMemory.resize(undecodedCost())) {
+            return true;
+        }
+        close(Cause.MEMORY);
+        return false;
+    }
+
+    /**
+     * Returns the size of the next slice. It ends behind an empty line, as each head and each
+     * chunked body does.
+     */
+    private int countSliceBytes() {
+        int start = mHeld.readerIndex();
+        int end = start + Math.min(mHeld.readableBytes(), SLICE_BYTES);
+        int lineStart = start;
+        for (int at = mHeld.indexOf(start, end, LINE_FEED); at >= 0; ) {
+            mUndecodedLines++;
+            int length = mLineBytes + at - lineStart;
+            boolean isEmpty =
+                    length == 0
+                            || length == 1
+                                    && (at == lineStart
+                                            || mHeld.getByte(at - 1) == CARRIAGE_RETURN);
+            mLineBytes = 0;
+            lineStart = at + 1;
+            if (isEmpty) {
+                return lineStart - start;
+            }
+            at = mHeld.indexOf(lineStart, end, LINE_FEED);
+        }
+        mLineBytes += end - lineStart;
+        return end - start;
+    }
+
+    private ByteBuf takeSlice(int length) {
+        boolean isWhole = length == mHeld.readableBytes();
+        if (isWhole && mHeld.capacity() - length <= MAX_UNUSED_BYTES) {
+            ByteBuf whole = mHeld;
+            mHeld = null;
+            return whole;
+        }
+        ByteBuf slice = mContext.alloc().heapBuffer(length);
+        slice.writeBytes(mHeld, length);
+        if (isWhole) {
+            discardHeld();
         }
+        return slice;
+    }
+
+    private long undecodedCost() {
+        return (long) TEXT_FACTOR * mUndecodedBytes + (long) FIELD_BYTES * mUndecodedLines;
+    }
+
+    /** Charges what is kept until the caller sends more, and reads on if it is not too much. */
+    private void chargeKept() {
+        mReadMemory.release();
+        if (!mContext.channel().isOpen()) {
+            releaseAll();
+            return;
+        }
+        int heldBytes = mHeld == null ? 0 : mHeld.readableBytes();
+        boolean hasRoom = mHeldMemory.resize(mHeld == null ? 0 : mHeld.capacity());
+        if (!hasRoom || !mWaitMemory.resize(undecodedCost())) {
+            close(Cause.MEMORY);
+            return;
+        }
+        mContext.channel().config().setAutoRead(heldBytes < MAX_HELD_BYTES);
+    }
+
+    private void close(Cause cause) {
+        mClosed.record(cause);
+        mContext.close();
+    }
+
+    /** Called when the decoder has delivered a message, so that it keeps nothing more of it. */
+    void onMessage() {
+        mUndecodedBytes = 0;
+        mUndecodedLines = 0;
+    }
+
+    /**
+     * Returns whether the end of a request's head has been read and waits behind a running call. A
+     * request that follows in the bytes that are being passed on does not count.
+     */
+    boolean hasHeldHead() {
+        if (mHeld == null || mPassing) {
+            return false;
+        }
+        int end = mHeld.writerIndex();
+        int at = mHeld.indexOf(mHeld.readerIndex(), end, LINE_FEED);
+        while (at >= 0 && at + 1 < end) {
+            int next = mHeld.getByte(at + 1) == CARRIAGE_RETURN ? at + 2 : at + 1;
+            if (next < end && mHeld.getByte(next) == LINE_FEED) {
+                return true;
+            }
+            at = mHeld.indexOf(at + 1, end, LINE_FEED);
+        }
+        return false;
     }
 
     /**
@@ -58,8 +261,6 @@
      */
     void onHeadRead() {
         mAwaitingFirstByte = false;
-        mAwaitingHead = false;
-        mMemory.release();
         if (mTimeout != null) {
             mTimeout.cancel(false);
             mTimeout = null;
@@ -72,13 +273,26 @@
      */
     void onRequestEnded() {
         mAwaitingFirstByte = true;
-        mAwaitingHead = true;
-        mHeadBytes = 0;
+    }
+
+    private void discardHeld() {
+        if (mHeld != null) {
+            mHeld.release();
+            mHeld = null;
+        }
+    }
+
+    private void releaseAll() {
+        discardHeld();
+        mReadMemory.release();
+        mWaitMemory.release();
+        mHeldMemory.release();
     }
 
     @Override
     public void channelInactive(ChannelHandlerContext context) {
         onHeadRead();
+        releaseAll();
         context.fireChannelInactive();
     }
 }
--- a/src/main/java/org/heathercourse/gateway/target/TargetConnection.java
+++ b/src/main/java/org/heathercourse/gateway/target/TargetConnection.java
@@ -499,6 +499,9 @@
 
     @Override
     public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+        if (cause instanceof Error) {
+            LOG.error("target_connection_failed", cause);
+        }
         fail(
                 cause instanceof IOException
                         ? ResponseFailure.CONNECTION_LOST
