--- a/src/main/java/org/heathercourse/gateway/Gateway.java
+++ b/src/main/java/org/heathercourse/gateway/Gateway.java
@@ -18,6 +18,7 @@
 import java.util.concurrent.ThreadFactory;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
+import java.util.function.Function;
 import java.util.random.RandomGenerator;
 import org.heathercourse.core.drain.DrainSchedule;
 import org.heathercourse.core.fleet.Member;
@@ -49,6 +50,9 @@
 import org.heathercourse.gateway.control.LoadSharingMode;
 import org.heathercourse.gateway.history.HistoryMetrics;
 import org.heathercourse.gateway.http.CallerServer;
+import org.heathercourse.gateway.http.ClosedConnections;
+import org.heathercourse.gateway.http.ClosedConnections.Cause;
+import org.heathercourse.gateway.http.ConnectionLimits;
 import org.heathercourse.gateway.http.EndpointServer;
 import org.heathercourse.gateway.http.EndpointServer.Response;
 import org.heathercourse.gateway.target.TargetPools;
@@ -104,6 +108,8 @@
     /** Confined to the traffic loop. */
     private final MemoryBudget mMemory;
 
+    private final ConnectionLimits mConnectionLimits = ConnectionLimits.ofProcess();
+    private final ClosedConnections mClosedConnections;
     private final TargetPools mPools;
     private final CallerServer mCallerServer;
 
@@ -149,8 +155,10 @@
                         new HistoryOptions(
                                 clock,
                                 new HistoryMetrics(mMetrics),
-                                settings.number(Setting.MAX_HISTORY_BYTES)));
+                                settings.number(Setting.MAX_HISTORY_BYTES)),
+                        mConnectionLimits.handshakes());
         mMemory = new MemoryBudget(settings.number(Setting.MAX_BUFFER_BYTES));
+        mClosedConnections = new ClosedConnections(ticker);
         CallMetrics callMetrics = new CallMetrics(mMetrics);
         mRates = new WorkspaceRates(mControl.rateFractions(), ticker);
         mPools =
@@ -206,10 +214,11 @@
                         () -> mDrainSchedule,
                         mControl.turnHistory(),
                         settings.number(Setting.MAX_HISTORY_BYTES));
-        mCallerServer = new CallerServer(services);
+        mCallerServer = new CallerServer(services, mConnectionLimits.callers(), mClosedConnections);
         mMetrics.registerAll(gauges());
         mMetrics.registerAll(zoneGauges());
         mMetrics.registerAll(loadSharing.metrics());
+        mMetrics.registerAll(closedConnectionGauges());
     }
 
     private long maxConfigurationAgeMillis() {
@@ -332,6 +341,19 @@
                         gauge(() -> mControl.coldTargets().count()));
     }
 
+    private MetricSet closedConnectionGauges() {
+        return () ->
+                Map.of(
+                        "callers_closed_for_memory",
+                        gauge(() -> mClosedConnections.count(Cause.MEMORY)),
+                        "callers_closed_for_connections",
+                        gauge(() -> mClosedConnections.count(Cause.CONNECTIONS)),
+                        "callers_closed_for_timeout",
+                        gauge(() -> mClosedConnections.count(Cause.TIMEOUT)),
+                        "peer_handshakes_closed",
+                        gauge(mControl::closedHandshakes));
+    }
+
     private static <T> Gauge<T> gauge(Gauge<T> gauge) {
         return gauge;
     }
@@ -343,16 +365,9 @@
      *     address cannot be bound
      */
     public void start() {
-        EndpointServer.open(
-                mSettings.endpoint(Setting.READINESS_ADDRESS),
-                mTrafficGroup,
-                this::respondReadiness);
-        EndpointServer.open(
-                mSettings.endpoint(Setting.DIRECTORY_ADDRESS),
-                mTrafficGroup,
-                this::respondAddresses);
-        EndpointServer.open(
-                mSettings.endpoint(Setting.METRICS_ADDRESS), mTrafficGroup, this::respondMetrics);
+        openEndpoint(Setting.READINESS_ADDRESS, this::respondReadiness);
+        openEndpoint(Setting.DIRECTORY_ADDRESS, this::respondAddresses);
+        openEndpoint(Setting.METRICS_ADDRESS, this::respondMetrics);
         mCallerServer.open(mSettings.endpoint(Setting.CALLER_ADDRESS), mTrafficGroup);
         mTraffic.scheduleWithFixedDelay(
                 this::runHousekeeping,
@@ -362,6 +377,15 @@
         LOG.info("gateway_started", "vm", mSettings.vm(), "zone", mSettings.zone());
     }
 
+    private void openEndpoint(Setting address, Function<String, Response> responder) {
+        EndpointServer.open(
+                mSettings.endpoint(address),
+                mTrafficGroup,
+                new EndpointServer.Limits(
+                        mConnectionLimits.endpoint(), mMemory, mClosedConnections),
+                responder);
+    }
+
     private void runHousekeeping() {
         mPools.retainAll(mControl.clusterView().targets());
         mControl.clusterView().routing().ifPresent(table -> mRates.refresh(table.workspaces()));
