Charge what follows a body in the decoder; pass declared bodies on without looking for lines

Review: the fields of an unfinished head behind a body of declared length reached the decoder uncharged, as did trailers behind a chunk in the same read; each line feed of a body ended a slice; a sound chunked upload was closed between two chunks while heads of others used half of the budget; at the bound of connections a slow upload was closed before connections without a request. Extensions of many bases run in groups; services without a bound for cold targets skip its rule. UnfinishedHeadHandlerTest and OpenConnectionsTest have a test for each of the first four.

--- a/src/main/java/org/heathercourse/core/target/ColdTargetRule.java
+++ b/src/main/java/org/heathercourse/core/target/ColdTargetRule.java
@@ -129,6 +129,9 @@
      * @param service its service
      */
     public boolean admits(Target target, Service service) {
+        if (service.coldPerSecond() <= 0) {
+            return true;
+        }
         if (!isLimited(target, service)) {
             mBuckets.remove(target.incarnation());
             return true;
--- a/src/main/java/org/heathercourse/gateway/history/StoreTurnHistory.java
+++ b/src/main/java/org/heathercourse/gateway/history/StoreTurnHistory.java
@@ -247,17 +247,20 @@
     /** Extends the lifetimes of those bases that would not be kept as long as the turn. */
     private CompletableFuture<Void> extendBases(TurnRow row, StoreCalls.TimeLimit limit) {
         long neededUntilMillis = row.lifetime().neededUntilMillis();
-        return CompletableFuture.allOf(
-                row.bases().stream()
-                        .filter(base -> base.retainedUntilMillis() < neededUntilMillis)
-                        .map(
-                                base ->
-                                        new LifetimeExtender.Extension(
-                                                base.key(),
-                                                neededUntilMillis,
-                                                row.lifetime().retainedUntilMillis()))
-                        .map(extension -> requireExtended(extension, limit))
-                        .toArray(CompletableFuture<?>[]::new));
+        List<Supplier<CompletableFuture<Void>>> extensions = new ArrayList<>();
+        for (TurnRow.Base base : row.bases()) {
+            if (base.retainedUntilMillis() < neededUntilMillis) {
+                LifetimeExtender.Extension extension =
+                        new LifetimeExtender.Extension(
+                                base.key(),
+                                neededUntilMillis,
+                                row.lifetime().retainedUntilMillis());
+                extensions.add(() -> requireExtended(extension, limit));
+            }
+        }
+        // Bases that were extended together lapse together, and each takes as much memory as a
+        // read.
+        return GroupedReads.read(extensions).thenAccept(done -> {});
     }
 
     private CompletableFuture<Void> requireExtended(
--- a/src/main/java/org/heathercourse/gateway/http/CallerConnection.java
+++ b/src/main/java/org/heathercourse/gateway/http/CallerConnection.java
@@ -13,6 +13,7 @@
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
@@ -133,6 +134,11 @@
 
     @Override
     public boolean isReplaceable() {
+        return isReceiving() && mHead == null;
+    }
+
+    @Override
+    public boolean isReceiving() {
         return mCall == null && mPendingMessages.isEmpty() && mUnwrittenResponses == 0;
     }
 
@@ -146,7 +152,7 @@
 
     @Override
     public void channelRead(ChannelHandlerContext context, Object message) {
-        mInput.onMessage();
+        mInput.onMessage((HttpObject) message);
         if (mLastResponseEnded) {
             // The caller was told that the connection closes; what follows is not served.
             ReferenceCountUtil.release(message);
--- a/src/main/java/org/heathercourse/gateway/http/EndpointConnection.java
+++ b/src/main/java/org/heathercourse/gateway/http/EndpointConnection.java
@@ -70,6 +70,11 @@
         return true;
     }
 
+    @Override
+    public boolean isReceiving() {
+        return true;
+    }
+
     @Override
     public void close() {
         mContext.close();
@@ -83,7 +88,7 @@
 
     @Override
     protected void channelRead0(ChannelHandlerContext context, HttpObject message) {
-        mInput.onMessage();
+        mInput.onMessage(message);
         if (mEnded) {
             return;
         }
--- a/src/main/java/org/heathercourse/gateway/http/OpenConnections.java
+++ b/src/main/java/org/heathercourse/gateway/http/OpenConnections.java
@@ -2,6 +2,7 @@
 
 import java.util.LinkedHashSet;
 import java.util.List;
+import java.util.Optional;
 import java.util.Set;
 import java.util.stream.Stream;
 import org.heathercourse.gateway.http.ClosedConnections.Cause;
@@ -19,6 +20,11 @@
         /** Returns whether no complete request is being answered. */
         boolean isReplaceable();
 
+        /**
+         * Returns whether it has no complete request, so that it may be closed if all others run.
+         */
+        boolean isReceiving();
+
         /** Closes the connection. */
         void close();
     }
@@ -46,6 +52,7 @@
                     mConnections.stream()
                             .filter(Connection::isReplaceable)
                             .findFirst()
+                            .or(this::firstReceiving)
                             .orElse(connection);
         }
         mConnections.add(connection);
@@ -56,6 +63,10 @@
         }
     }
 
+    private Optional<C> firstReceiving() {
+        return mConnections.stream().filter(Connection::isReceiving).findFirst();
+    }
+
     /** Records that a connection has had a complete request. */
     void onRequestEnded(C connection) {
         if (mConnections.remove(connection)) {
--- a/src/main/java/org/heathercourse/gateway/http/UnfinishedHeadHandler.java
+++ b/src/main/java/org/heathercourse/gateway/http/UnfinishedHeadHandler.java
@@ -3,6 +3,10 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.handler.codec.http.HttpObject;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
@@ -13,8 +17,9 @@
  * Bounds what a connection keeps before its requests are complete: closes it if the head of a
  * request does not arrive in time, or if there is no memory for what the decoder keeps, and holds
  * back the bytes of further requests undecoded. Precedes the decoder in the pipeline, which gets
- * the bytes in slices that contain the end of at most one request. The consumer of the messages
- * reports heads, ends of requests and messages. Confined to the traffic loop.
+ * the bytes in slices: one ends with a head, or with a body of declared length, so that the decoder
+ * keeps nothing of the next request. The consumer of the messages reports messages, heads and ends
+ * of requests. Confined to the traffic loop.
  */
 final class UnfinishedHeadHandler extends ChannelInboundHandlerAdapter {
     /**
@@ -38,6 +43,9 @@
     private static final byte LINE_FEED = '\n';
     private static final byte CARRIAGE_RETURN = '\r';
 
+    /** First digit of the size of the last chunk. */
+    private static final byte LAST_CHUNK_SIZE = '0';
+
     /** Consumer of the decoded messages. */
     interface Consumer {
         /** Returns whether it takes the bytes of a request now. */
@@ -54,9 +62,12 @@
     /** For what the decoder keeps while more bytes of the same read follow. */
     private final MemoryBudget.Reservation mReadMemory;
 
-    /** For what the decoder keeps until the caller sends more. */
+    /** For an unfinished head or trailers that the decoder keeps until the caller sends more. */
     private final MemoryBudget.Reservation mWaitMemory;
 
+    /** The same for the line of a chunk, which is not refused for the heads of others. */
+    private final MemoryBudget.Reservation mBodyWaitMemory;
+
     private final MemoryBudget.Reservation mHeldMemory;
     private ChannelHandlerContext mContext;
     private ScheduledFuture<?> mTimeout;
@@ -67,6 +78,13 @@
     private int mUndecodedBytes;
     private int mUndecodedLines;
 
+    /** Bytes of a body of declared length that were not passed on yet. */
+    private long mBodyBytesLeft;
+
+    private boolean mInChunkedBody;
+    private boolean mInTrailers;
+    private byte mFirstOfLine;
+
     /**
      * Creates a handler.
      *
@@ -86,6 +104,7 @@
         mClosed = closed;
         mReadMemory = budget.reserveNothing();
         mWaitMemory = budget.reserveHead();
+        mBodyWaitMemory = budget.reserveNothing();
         mHeldMemory = budget.reserveNothing();
     }
 
@@ -128,6 +147,7 @@
         mPassing = true;
         try {
             mWaitMemory.release();
+            mBodyWaitMemory.release();
             while (mHeld != null && mContext.channel().isOpen()) {
                 if (mConsumer.isEnded()) {
                     discardHeld();
@@ -152,6 +172,10 @@
                                     mTimeoutMillis.getAsLong(),
                                     TimeUnit.MILLISECONDS);
         }
+        if (mBodyBytesLeft > 0) {
+            passDeclaredBody();
+            return true;
+        }
         ByteBuf slice = takeSlice(countSliceBytes());
         mUndecodedBytes += slice.readableBytes();
         mContext.fireChannelRead(slice);
@@ -162,9 +186,17 @@
         return false;
     }
 
+    /** Passes on what is there of a body of declared length, which the decoder passes on itself. */
+    private void passDeclaredBody() {
+        int length = (int) Math.min(mHeld.readableBytes(), mBodyBytesLeft);
+        mBodyBytesLeft -= length;
+        mContext.fireChannelRead(takeSlice(length));
+    }
+
     /**
      * Returns the size of the next slice. It ends behind an empty line, as each head and each
-     * chunked body does.
+     * chunked body does, and within a chunked body behind a line that may be the size of the last
+     * chunk, so that the decoder delivers no message in the middle of the trailers.
      */
     private int countSliceBytes() {
         int start = mHeld.readerIndex();
@@ -178,17 +210,27 @@
                             || length == 1
                                     && (at == lineStart
                                             || mHeld.getByte(at - 1) == CARRIAGE_RETURN);
+            boolean isLastChunk = mInChunkedBody && firstOfLine(lineStart) == LAST_CHUNK_SIZE;
             mLineBytes = 0;
             lineStart = at + 1;
-            if (isEmpty) {
+            mInTrailers |= isLastChunk;
+            if (isEmpty || isLastChunk) {
                 return lineStart - start;
             }
             at = mHeld.indexOf(lineStart, end, LINE_FEED);
         }
-        mLineBytes += end - lineStart;
+        if (end > lineStart) {
+            mFirstOfLine = firstOfLine(lineStart);
+            mLineBytes += end - lineStart;
+        }
         return end - start;
     }
 
+    /** Returns the first byte of a line that may have begun in an earlier slice. */
+    private byte firstOfLine(int lineStart) {
+        return mLineBytes > 0 ? mFirstOfLine : mHeld.getByte(lineStart);
+    }
+
     private ByteBuf takeSlice(int length) {
         boolean isWhole = length == mHeld.readableBytes();
         if (isWhole && mHeld.capacity() - length <= MAX_UNUSED_BYTES) {
@@ -217,7 +259,9 @@
         }
         int heldBytes = mHeld == null ? 0 : mHeld.readableBytes();
         boolean hasRoom = mHeldMemory.resize(mHeld == null ? 0 : mHeld.capacity());
-        if (!hasRoom || !mWaitMemory.resize(undecodedCost())) {
+        boolean awaitsChunk = mInChunkedBody && !mInTrailers;
+        MemoryBudget.Reservation waitMemory = awaitsChunk ? mBodyWaitMemory : mWaitMemory;
+        if (!hasRoom || !waitMemory.resize(undecodedCost())) {
             close(Cause.MEMORY);
             return;
         }
@@ -229,10 +273,23 @@
         mContext.close();
     }
 
-    /** Called when the decoder has delivered a message, so that it keeps nothing more of it. */
-    void onMessage() {
+    /**
+     * Called when the decoder has delivered a message, so that it keeps nothing more of it.
+     *
+     * @param message the message
+     */
+    void onMessage(HttpObject message) {
         mUndecodedBytes = 0;
         mUndecodedLines = 0;
+        mInTrailers = false;
+        if (message instanceof HttpRequest head && message.decoderResult().isSuccess()) {
+            mInChunkedBody = HttpUtil.isTransferEncodingChunked(head);
+            mBodyBytesLeft = mInChunkedBody ? 0 : HttpUtil.getContentLength(head, 0L);
+        }
+        if (message instanceof LastHttpContent) {
+            mInChunkedBody = false;
+            mBodyBytesLeft = 0;
+        }
     }
 
     /**
@@ -286,6 +343,7 @@
         discardHeld();
         mReadMemory.release();
         mWaitMemory.release();
+        mBodyWaitMemory.release();
         mHeldMemory.release();
     }
 
--- a/src/test/java/org/heathercourse/gateway/http/OpenConnectionsTest.java
+++ b/src/test/java/org/heathercourse/gateway/http/OpenConnectionsTest.java
@@ -15,10 +15,16 @@
 
     private static final class FakeConnection implements OpenConnections.Connection {
         private boolean mBusy;
+        private boolean mReceiving;
         private boolean mIsClosed;
 
         @Override
         public boolean isReplaceable() {
+            return !mBusy && !mReceiving;
+        }
+
+        @Override
+        public boolean isReceiving() {
             return !mBusy;
         }
 
@@ -54,6 +60,20 @@
         assertThat(second.mIsClosed).isTrue();
     }
 
+    /** A slow sound upload used to be cut off before connections without a request. */
+    @Test
+    void closesOneWhoseRequestIsBeingReadOnlyIfNoOtherWaits() {
+        FakeConnection upload = open();
+        upload.mReceiving = true;
+        FakeConnection silent = open();
+        FakeConnection busy = open();
+        assertThat(upload.mIsClosed).isFalse();
+        assertThat(silent.mIsClosed).isTrue();
+        busy.mBusy = true;
+        open().mBusy = true;
+        assertThat(upload.mIsClosed).isTrue();
+    }
+
     @Test
     void closesTheNewOneIfAllAreAnswered() {
         open().mBusy = true;
--- a/src/test/java/org/heathercourse/gateway/http/UnfinishedHeadHandlerTest.java
+++ b/src/test/java/org/heathercourse/gateway/http/UnfinishedHeadHandlerTest.java
@@ -7,6 +7,7 @@
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.embedded.EmbeddedChannel;
 import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpRequestDecoder;
 import io.netty.handler.codec.http.LastHttpContent;
@@ -42,6 +43,7 @@
         private int mHeads;
         private int mEnds;
         private int mBodyBytes;
+        private int mContents;
 
         @Override
         public boolean isReady() {
@@ -55,13 +57,14 @@
 
         @Override
         public void channelRead(ChannelHandlerContext context, Object message) {
-            mHandler.onMessage();
+            mHandler.onMessage((HttpObject) message);
             if (message instanceof HttpRequest) {
                 mHandler.onHeadRead();
                 mHeads++;
             }
             if (message instanceof HttpContent content) {
                 mBodyBytes += content.content().readableBytes();
+                mContents++;
             }
             if (message instanceof LastHttpContent) {
                 mEnds++;
@@ -128,6 +131,44 @@
         assertThat(mBudget.usedBytes()).isLessThan(2_048);
     }
 
+    /** The fields of the next head used to reach the decoder uncharged with the end of a body. */
+    @Test
+    void chargesHeadBehindBodyOfDeclaredLength() {
+        receive(HEAD + "Content-Length: 1\r\n\r\nx" + HEAD + "a:\r\n".repeat(200));
+        assertThat(mMessages.mEnds).isEqualTo(1);
+        mMessages.takeNext();
+        assertThat(mBudget.usedBytes())
+                .isGreaterThanOrEqualTo(200L * UnfinishedHeadHandler.FIELD_BYTES);
+    }
+
+    /** Line feeds in a body used to end a slice each, which cost time for each byte. */
+    @Test
+    void passesBodyOfLineFeedsOnAtOnce() {
+        receive(HEAD + "Content-Length: 8000\r\n\r\n" + "\n".repeat(8_000));
+        assertThat(mMessages.mBodyBytes).isEqualTo(8_000);
+        assertThat(mMessages.mContents).isLessThan(10);
+        assertThat(mMessages.mEnds).isEqualTo(1);
+    }
+
+    /** Trailers that follow the last chunk in the same read used to be uncharged at first. */
+    @Test
+    void chargesTrailersBehindChunk() {
+        receive(CHUNKED + "3\r\nxyz\r\n0\r\n" + "a:\r\n".repeat(200));
+        assertThat(mBudget.usedBytes())
+                .isGreaterThanOrEqualTo(200L * UnfinishedHeadHandler.FIELD_BYTES);
+    }
+
+    /** A sound upload used to be closed between two chunks while heads of others used memory. */
+    @Test
+    void keepsChunkedBodyOpenWhileOthersUseHalfOfBudget() {
+        receive(CHUNKED + "3\r\nxyz\r\n");
+        assertThat(mBudget.reserveNothing().resize(BUDGET_BYTES * 5 / 8)).isTrue();
+        receive("3\r\n");
+        receive("xyz\r\n0\r\n\r\n");
+        assertThat(mChannel.isOpen()).isTrue();
+        assertThat(mMessages.mEnds).isEqualTo(1);
+    }
+
     @Test
     void decodesRequestsOneByOne() {
         receive((HEAD + "\r\n").repeat(3));
