Let the demonstration continue retained turns, so that the class archive has their classes

Gateways on the VMs load the classes of histories and of shared load from the archive instead of the jar at each start. The archive holds classes that a gateway loads in the demonstration.

--- a/src/main/java/org/heathercourse/testing/hosted/HostedDemo.java
+++ b/src/main/java/org/heathercourse/testing/hosted/HostedDemo.java
@@ -27,6 +27,8 @@
     private static final int ROUNDS = 40;
     private static final int GATEWAYS = 2;
 
+    private static final int TURNS_PER_PROGRAM = 4;
+
     private HostedDemo() {}
 
     /**
@@ -44,6 +46,7 @@
         LogSetup.configureQueued(LogLevel.WARN);
         OkHttpClient client = new OkHttpClient.Builder().callTimeout(5, TimeUnit.SECONDS).build();
         try (HostedDeployment deployment = new HostedDeployment()) {
+            deployment.retainHistories();
             for (int i = 0; i < GATEWAYS; i++) {
                 addGateway(deployment, "vm-" + i, gatewayCommand);
             }
@@ -95,7 +98,8 @@
         boolean allSucceeded = true;
         for (int i = 0; i < ROUNDS; i++) {
             Settings settings = deployment.settings(i % GATEWAYS);
-            for (String path : List.of("/stream/turn", "/read/notice", "/order/yarn")) {
+            for (String path :
+                    List.of("/stream/turn", "/kept/stream", "/read/notice", "/order/yarn")) {
                 allSucceeded &= sendRequest(client, settings, path, i, out) == HTTP_OK;
             }
         }
@@ -108,6 +112,10 @@
         return allSucceeded;
     }
 
+    private static String requestId(int number, String path) {
+        return "r" + number + path.replace('/', '-');
+    }
+
     private static int sendRequest(
             OkHttpClient client, Settings settings, String path, int number, PrintStream out)
             throws IOException {
@@ -116,10 +124,14 @@
                         .url("http://" + settings.text(Setting.CALLER_ADDRESS) + path)
                         .header("Host", HostedDeployment.HOST)
                         .header("Api-Key", HostedDeployment.KEY)
-                        .header("X-Heathercourse-Request-Id", "r" + number + path.length())
+                        .header("X-Heathercourse-Request-Id", requestId(number, path))
                         .header("X-Heathercourse-Request-Deadline", "3000");
-        if (path.startsWith("/stream/")) {
-            request.header("X-Heathercourse-Program-Id", "program-" + number / 4)
+        boolean isKept = path.startsWith("/kept/");
+        if (isKept && number % TURNS_PER_PROGRAM > 0) {
+            request.header("X-Heathercourse-Previous-Turn", requestId(number - 1, path));
+        }
+        if (isKept || path.startsWith("/stream/")) {
+            request.header("X-Heathercourse-Program-Id", "program-" + number / TURNS_PER_PROGRAM)
                     .header("X-Heathercourse-Token-Budget", "1000")
                     .header("X-Heathercourse-Token-Usage", "100,50");
         }
