--- a/src/test/java/org/heathercourse/gateway/GatewayHistoryTest.java
+++ b/src/test/java/org/heathercourse/gateway/GatewayHistoryTest.java
@@ -213,6 +213,18 @@
         assertThat(sFixture.receivedBody(second)).isEqualTo("i" + output() + "j");
     }
 
+    /** Guards against a complete response whose turn the store rejected, and a changed history. */
+    @Test
+    void responseIsBrokenOffIfItsTurnIsRejected() throws IOException {
+        String first = sFixture.runTurn(0, Turn.first("i"));
+        sFixture.repeatId();
+        Response repeated = sFixture.call(1, Turn.first("other"));
+        assertThat(repeated.status()).isEqualTo(200);
+        assertThat(repeated.isComplete()).isFalse();
+        String second = sFixture.runTurn(0, Turn.after(first, "j"));
+        assertThat(sFixture.receivedBody(second)).isEqualTo("i" + output() + "j");
+    }
+
     // Limits
 
     /** Guards against requests of unbounded size. */
--- a/src/test/java/org/heathercourse/gateway/HistoryFixture.java
+++ b/src/test/java/org/heathercourse/gateway/HistoryFixture.java
@@ -148,6 +148,11 @@
         return "turn-" + mRequestCount;
     }
 
+    /** Gives the next turn the request id of the last one. */
+    void repeatId() {
+        mRequestCount--;
+    }
+
     RawCaller connect(int gateway) throws IOException {
         return new RawCaller(mDeployment.settings(gateway).endpoint(Setting.CALLER_ADDRESS));
     }
