Count targets that end at the same time as one event in the record of crashes

Cause: the number of ended targets stood for the number of proofs, for a path and for a request alike. A request that crashes its target does so again at the next one, which begins to run it after the first has ended; targets that fail together show nothing about what ran on them.

Change: a crash has the time at which its run began. Only crashes of which each run began after the crash before count towards the limit of three, with 500 ms between the clocks of two gateways. The table is bounded by its crashes too, so that it fits into a row.

--- a/src/main/java/org/heathercourse/cli/CrashesPrinter.java
+++ b/src/main/java/org/heathercourse/cli/CrashesPrinter.java
@@ -74,6 +74,7 @@
         Map<String, Object> fields = new LinkedHashMap<>();
         fields.put("digest", entry.digest());
         fields.put("crashes", entry.targets().size());
+        fields.put("independent_crashes", entry.independentCrashCount());
         fields.put("engines", entry.targets());
         fields.put("last_crash", Instant.ofEpochMilli(entry.lastCrashMillis()).toString());
         return fields;
--- a/src/main/java/org/heathercourse/core/crash/CrashTable.java
+++ b/src/main/java/org/heathercourse/core/crash/CrashTable.java
@@ -18,20 +18,27 @@
  *
  * <p>Load pattern: a request that crashes each target that begins to run it comes again at any
  * gateway. All requests that ran on the target are suspects; a sound one may be so several times. A
- * request is quarantined once it has {@link #CRASH_LIMIT} crashes, unless another one ran in all of
- * these and in further ones, which then explains them.
+ * request is quarantined once it has {@link #CRASH_LIMIT} independent crashes, unless another one
+ * ran in all of its crashes and in further ones, which then explains them.
+ *
+ * <p>Crashes are independent if the run of each began after the one before. Targets that end at the
+ * same time, such as those of a rack, are one event, and no proof against what ran on them: a
+ * request that crashes targets does so again when it is sent to the next one.
  *
  * <p>Crashes are recorded for the request itself and for its path. A path at which requests with
  * different bodies crash targets, and none succeeds in between, is quarantined too; crashes that
  * one request explains do not count for it.
  */
 public final class CrashTable {
-    /** Number of crashes from which a request is quarantined. */
+    /** Number of independent crashes from which a request is quarantined. */
     public static final int CRASH_LIMIT = 3;
 
     /** Maximum number of entries. */
     public static final int MAX_ENTRIES = 256;
 
+    /** Maximum number of crashes of all entries, so that the table fits into a row of the store. */
+    public static final int MAX_CRASHES = 360;
+
     /** Time in milliseconds after its last crash for which a request is remembered. */
     public static final long EXPIRY_MILLIS = 600_000;
 
@@ -42,7 +49,8 @@
     public static final long PATH_EXPIRY_MILLIS = 60_000;
 
     private static final Comparator<CrashEntry> MOST_CRASHES_THEN_LATEST_FIRST =
-            Comparator.comparingInt(CrashEntry::crashCount)
+            Comparator.comparingInt(CrashEntry::independentCrashCount)
+                    .thenComparingInt(CrashEntry::crashCount)
                     .thenComparingLong(CrashEntry::lastCrashMillis)
                     .reversed()
                     .thenComparing(CrashEntry::digest);
@@ -56,16 +64,21 @@
     /**
      * Creates a table.
      *
-     * @param entries entries, of which at most {@link #MAX_ENTRIES} are kept: those with the most
-     *     crashes, and of these the latest
+     * @param entries entries, of which at most {@link #MAX_ENTRIES} with at most {@link
+     *     #MAX_CRASHES} crashes are kept: those with the most independent crashes, then those with
+     *     the most crashes, and of these the latest
      */
     @JsonCreator
     public CrashTable(@JsonProperty("entries") Collection<CrashEntry> entries) {
         mEntries = new TreeMap<>();
-        entries.stream()
-                .sorted(MOST_CRASHES_THEN_LATEST_FIRST)
-                .limit(MAX_ENTRIES)
-                .forEach(entry -> mEntries.putIfAbsent(entry.digest(), entry));
+        int crashes = 0;
+        for (CrashEntry entry : entries.stream().sorted(MOST_CRASHES_THEN_LATEST_FIRST).toList()) {
+            crashes += entry.crashCount();
+            if (mEntries.size() == MAX_ENTRIES || crashes > MAX_CRASHES) {
+                break;
+            }
+            mEntries.putIfAbsent(entry.digest(), entry);
+        }
         mQuarantined = chooseQuarantined(mEntries.values());
     }
 
@@ -73,7 +86,9 @@
 
     private static Set<String> chooseQuarantined(Collection<CrashEntry> entries) {
         List<CrashEntry> suspects =
-                entries.stream().filter(entry -> entry.crashCount() >= CRASH_LIMIT).toList();
+                entries.stream()
+                        .filter(entry -> entry.independentCrashCount() >= CRASH_LIMIT)
+                        .toList();
         Set<String> quarantined = new HashSet<>();
         for (CrashEntry suspect : suspects) {
             if (suspects.stream().noneMatch(other -> explains(other, suspect))) {
@@ -112,6 +127,12 @@
         return entry != null && entry.targets().contains(targetIncarnation);
     }
 
+    /** Returns the number of independent crashes of a request. */
+    public int independentCrashCount(RequestDigest digest) {
+        CrashEntry entry = mEntries.get(digest.text());
+        return entry == null ? 0 : entry.independentCrashCount();
+    }
+
     /** Returns the number of targets that ended while they ran a request. */
     public int crashCount(RequestDigest digest) {
         CrashEntry entry = mEntries.get(digest.text());
@@ -151,15 +172,13 @@
      * Returns a table that also has a crash.
      *
      * @param digest the request
-     * @param targetIncarnation identity of the target's process that ended; counts once
-     * @param atMillis wall-clock time of the crash in milliseconds since the epoch
+     * @param crash the crash; a target's process counts once
      */
-    public CrashTable withCrash(RequestDigest digest, String targetIncarnation, long atMillis) {
+    public CrashTable withCrash(RequestDigest digest, Crash crash) {
         CrashEntry entry = mEntries.get(digest.text());
-        CrashEntry base =
-                entry == null ? new CrashEntry(digest.text(), List.of(), atMillis) : entry;
+        CrashEntry base = entry == null ? new CrashEntry(digest.text(), List.of()) : entry;
         Map<String, CrashEntry> entries = new TreeMap<>(mEntries);
-        entries.put(digest.text(), base.withCrash(targetIncarnation, atMillis));
+        entries.put(digest.text(), base.withCrash(crash));
         return new CrashTable(entries.values());
     }
 
--- a/src/main/java/org/heathercourse/gateway/call/Attempt.java
+++ b/src/main/java/org/heathercourse/gateway/call/Attempt.java
@@ -75,6 +75,11 @@
         return mStatus;
     }
 
+    /** Returns the time in milliseconds since the request was sent. */
+    long runMillis() {
+        return now() - mSentMillis;
+    }
+
     boolean hasBeenSent() {
         return mExchange != null;
     }
--- a/src/main/java/org/heathercourse/gateway/call/Call.java
+++ b/src/main/java/org/heathercourse/gateway/call/Call.java
@@ -350,7 +350,7 @@
         mDependencies.metrics().recordTargetCrash();
         mLogEntry.logTargetCrash(attempt.target(), mCrashGuard.digest());
         mCrashGuard
-                .recordCrash(attempt.target())
+                .recordCrash(attempt.target(), attempt.runMillis())
                 .whenCompleteAsync(
                         (done, error) ->
                                 onAttemptFailed(attempt, Delivery.MAY_HAVE_RUN, reason, true),
--- a/src/main/java/org/heathercourse/gateway/call/CrashGuard.java
+++ b/src/main/java/org/heathercourse/gateway/call/CrashGuard.java
@@ -60,12 +60,15 @@
     /**
      * Records that a target ended while it ran the request.
      *
+     * @param target the target
+     * @param runMillis time in milliseconds since the request was sent to it
      * @return completes when {@link #isQuarantined} takes the crash into account, on any thread
      */
-    CompletableFuture<Void> recordCrash(Target target) {
+    CompletableFuture<Void> recordCrash(Target target, long runMillis) {
         String incarnation = target.incarnation();
-        return mRecords.recordCrash(digest(), incarnation)
-                .thenCompose(recorded -> mRecords.recordCrash(pathDigest(), incarnation));
+        return CompletableFuture.allOf(
+                mRecords.recordCrash(digest(), incarnation, runMillis),
+                mRecords.recordCrash(pathDigest(), incarnation, runMillis));
     }
 
     /**
@@ -91,7 +94,7 @@
     /** Returns why the request is quarantined. */
     String reason() {
         return CrashTable.CRASH_LIMIT
-                + " targets or more ended while they ran requests with digest "
+                + " targets or more ended, one after the other, while they ran requests with digest "
                 + quarantinedDigest();
     }
 
--- a/src/main/java/org/heathercourse/gateway/control/CrashRecordService.java
+++ b/src/main/java/org/heathercourse/gateway/control/CrashRecordService.java
@@ -8,6 +8,7 @@
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import java.util.random.RandomGenerator;
+import org.heathercourse.core.crash.Crash;
 import org.heathercourse.core.crash.CrashTable;
 import org.heathercourse.core.crash.RequestDigest;
 import org.heathercourse.core.time.SuspendAwareClock;
@@ -53,6 +54,10 @@
     private final ScheduledExecutorService mControl;
     private final SuspendAwareClock mClock;
     private final RandomGenerator mRandom;
+
+    /** Tells apart the gateways whose clocks the times of crashes are of. */
+    private final String mObserver;
+
     private final Deque<Change> mPending = new ArrayDeque<>();
     private List<Change> mWriting = List.of();
     private CrashTable mStored = CrashTable.EMPTY;
@@ -72,7 +77,7 @@
      * @param store store of the row
      * @param control the control thread
      * @param clock its wall-clock time is the time of crashes
-     * @param random spreads the writes of several gateways
+     * @param random names this gateway's clock, and spreads the writes of several gateways
      */
     CrashRecordService(
             RowStore store,
@@ -83,6 +88,7 @@
         mControl = control;
         mClock = clock;
         mRandom = random;
+        mObserver = Long.toString(random.nextLong() & Long.MAX_VALUE, Character.MAX_RADIX);
     }
 
     // For any thread
@@ -106,12 +112,14 @@
      *
      * @param digest the request
      * @param targetIncarnation identity of the target's process that ended
+     * @param runMillis time in milliseconds since the request was sent to the target
      * @return completes on the control thread when {@link #table} has the crash
      */
-    public CompletableFuture<Void> recordCrash(RequestDigest digest, String targetIncarnation) {
-        long atMillis = nowMillis();
-        return CompletableFuture.runAsync(
-                () -> addCrash(digest, targetIncarnation, atMillis), mControl);
+    public CompletableFuture<Void> recordCrash(
+            RequestDigest digest, String targetIncarnation, long runMillis) {
+        long endedMillis = nowMillis();
+        Crash crash = new Crash(targetIncarnation, mObserver, endedMillis - runMillis, endedMillis);
+        return CompletableFuture.runAsync(() -> addCrash(digest, crash), mControl);
     }
 
     /**
@@ -152,19 +160,23 @@
 
     // Changes
 
-    private void addCrash(RequestDigest digest, String targetIncarnation, long atMillis) {
-        if (mTable.hasCrash(digest, targetIncarnation)) {
+    private void addCrash(RequestDigest digest, Crash crash) {
+        if (mTable.hasCrash(digest, crash.target())) {
             return;
         }
-        addChange(table -> table.withCrash(digest, targetIncarnation, atMillis));
+        addChange(table -> table.withCrash(digest, crash));
         LOG.info(
                 "request_crash_recorded",
                 "digest",
                 digest,
                 "target",
-                targetIncarnation,
+                crash.target(),
+                "runMillis",
+                crash.endedMillis() - crash.startedMillis(),
                 "crashes",
-                mTable.crashCount(digest));
+                mTable.crashCount(digest),
+                "independentCrashes",
+                mTable.independentCrashCount(digest));
     }
 
     private void removeEntry(RequestDigest digest, String reason) {
