Return unused tokens of a budget to its row soon after their use

Cause: an owner kept the tokens of its chunk that turns had not used in memory until another owner was due or it left as planned. In the row they count as spent, so they were lost with it: up to four turns' worth or half of the budget.

Change: a chunk covers the turns that wait for it, in one write, and spare tokens of a 16th of what is left at most. Unused tokens go back to the row after 500 ms without use, if they are more than that. The row then tells what was used, but for turns that run. The same holds for programs that move between zones and for owners that are replaced while a turn runs. The return is the conditional write of planned stops, so no order of deaths and late writes gives a program more than its budget.

--- a/src/main/java/org/heathercourse/core/budget/ProgramBudget.java
+++ b/src/main/java/org/heathercourse/core/budget/ProgramBudget.java
@@ -5,15 +5,19 @@
  *
  * <p>Tokens are taken from the stored row in chunks before any turn may use them. A turn reserves
  * the maximum that it can generate from the chunk and returns the unused tokens when it ends.
- * Several gateways may hold chunks of one program; the row alone is authoritative. Not safe for use
- * by several threads.
+ * Several gateways may hold chunks of one program; the row alone is authoritative.
+ *
+ * <p>What the gateway holds is lost for the program if the gateway fails. Apart from the
+ * reservations of turns that are running, it is therefore a small part of what the program has
+ * left: a chunk has few spare tokens, and {@link #shouldReturn} tells when unused tokens are too
+ * many to keep. Not safe for use by several threads.
  */
 public final class ProgramBudget {
-    /**
-     * Maximum number of turns that a chunk covers. The program loses the tokens of a chunk if the
-     * gateway that holds it fails, so a chunk must be a small part of the budget.
-     */
-    private static final int CHUNK_TURNS = 4;
+    /** Maximum number of turns that a chunk covers beyond those that wait for it. */
+    private static final int SPARE_TURNS = 3;
+
+    /** Divisor of the remaining budget that gives the maximum number of spare tokens. */
+    private static final int SPARE_DIVISOR = 16;
 
     private long mAvailableTokens;
     private BudgetRow mRow = BudgetRow.ABSENT;
@@ -49,23 +53,35 @@
     }
 
     /**
-     * Returns the row to write in order to take the next chunk. The chunk covers a few turns, so
-     * that few writes are needed, but at most half of the remaining budget, so that other gateways
-     * can take chunks too. It always covers the tokens that the turn is missing, if the budget
-     * does.
+     * Returns the row to write in order to take the next chunk. The chunk covers the turns that
+     * wait, if the budget does, and a small part of what remains, so that a large budget needs few
+     * writes.
      *
      * @param limitTokens budget of the program, in tokens
-     * @param needTokens maximum number of tokens that the turn can generate
+     * @param waitingTokens maximum number of tokens that the turns that wait can generate
+     * @param turnTokens maximum number of tokens that the first of them can generate
      * @param writer identity of the write
      */
-    public BudgetRow afterChunk(long limitTokens, long needTokens, String writer) {
+    public BudgetRow afterChunk(
+            long limitTokens, long waitingTokens, long turnTokens, String writer) {
         long remainingTokens = Math.max(0, limitTokens - mRow.takenTokens());
-        long missingTokens = needTokens - mAvailableTokens;
-        long preferredTokens = Math.min(remainingTokens / 2, CHUNK_TURNS * needTokens);
-        long chunkTokens = Math.min(remainingTokens, Math.max(missingTokens, preferredTokens));
+        long missingTokens = Math.max(0, waitingTokens - mAvailableTokens);
+        long spareTokens = Math.min(remainingTokens / SPARE_DIVISOR, SPARE_TURNS * turnTokens);
+        long chunkTokens = Math.min(remainingTokens, missingTokens + spareTokens);
         return new BudgetRow(mRow.takenTokens() + chunkTokens, writer);
     }
 
+    /**
+     * Returns whether the unreserved tokens are so many, compared to what the program has left,
+     * that they should not be lost if this gateway fails.
+     *
+     * @param limitTokens budget of the program, in tokens
+     */
+    public boolean shouldReturn(long limitTokens) {
+        long remainingTokens = limitTokens - mRow.takenTokens() + mAvailableTokens;
+        return mAvailableTokens * SPARE_DIVISOR > remainingTokens;
+    }
+
     /**
      * Removes all unreserved tokens from this gateway before they are returned to the row.
      *
--- a/src/main/java/org/heathercourse/gateway/control/BudgetLedger.java
+++ b/src/main/java/org/heathercourse/gateway/control/BudgetLedger.java
@@ -26,6 +26,10 @@
 /**
  * The budgets of the programs that this gateway owns, backed by rows in the store.
  *
+ * <p>Unused tokens go back to the row soon after the last use, so that a program loses none of them
+ * if its owner fails; see {@link ProgramBudget}. Tokens of turns that run at that time count as
+ * spent.
+ *
  * <p>At most one store call per program is outstanding; turns that need its result wait. A write
  * whose reply was lost is retried with the same expected version and writer id, so that it takes
  * effect once. Confined to the control thread.
@@ -55,6 +59,13 @@
      */
     private static final long MAX_ROW_AGE_MILLIS = 500;
 
+    /**
+     * Time in milliseconds without use after which unused tokens of a program are returned to its
+     * row. A program that goes on sooner needs no write for its next turn. Callers expect that a
+     * turn counts with what it used 1 s after its end, also if its owner has failed.
+     */
+    static final long IDLE_RETURN_MILLIS = 500;
+
     static final String TABLE = "budget";
     private static final EventLog LOG = EventLog.of(BudgetLedger.class);
 
@@ -87,6 +98,8 @@
         private boolean mRowKnown;
         private long mRowReadMillis;
         private long mLastUsedMillis;
+        private long mLimitTokens;
+        private boolean mIdleCheckScheduled;
 
         /** The return that is under way or waits for a store call; null if there is none. */
         private CompletableFuture<Void> mReturn;
@@ -119,6 +132,8 @@
         evictIdle(now);
         Account account = mAccounts.computeIfAbsent(program, Account::new);
         account.mLastUsedMillis = now;
+        account.mLimitTokens = limitTokens;
+        scheduleIdleCheck(account, IDLE_RETURN_MILLIS);
         CompletableFuture<Grant> grant = new CompletableFuture<>();
         account.mWaitingTurns.add(
                 new WaitingTurn(limitTokens, needTokens, now + MAX_STORE_WAIT_MILLIS, grant));
@@ -151,10 +166,29 @@
         if (account != null && account.mBudget.openTurns() > 0) {
             account.mLastUsedMillis = mTicker.readMillis();
             account.mBudget.settle(unusedTokens, ran);
+            scheduleIdleCheck(account, IDLE_RETURN_MILLIS);
             serveWaiting(account);
         }
     }
 
+    /** Returns unused tokens once the program has not been used for a while. */
+    private void scheduleIdleCheck(Account account, long delayMillis) {
+        if (!account.mIdleCheckScheduled) {
+            account.mIdleCheckScheduled = true;
+            mControl.schedule(() -> checkIdle(account), delayMillis, TimeUnit.MILLISECONDS);
+        }
+    }
+
+    private void checkIdle(Account account) {
+        account.mIdleCheckScheduled = false;
+        long idleMillis = mTicker.readMillis() - account.mLastUsedMillis;
+        if (idleMillis < IDLE_RETURN_MILLIS) {
+            scheduleIdleCheck(account, IDLE_RETURN_MILLIS - idleMillis);
+        } else if (account.mBudget.shouldReturn(account.mLimitTokens)) {
+            beginReturn(account);
+        }
+    }
+
     private void evictIdle(long nowMillis) {
         var leastRecentlyUsed = mAccounts.values().iterator();
         while (leastRecentlyUsed.hasNext()) {
@@ -251,8 +285,11 @@
     }
 
     private void acquireChunk(Account account, WaitingTurn first) {
+        long waitingTokens =
+                account.mWaitingTurns.stream().mapToLong(WaitingTurn::needTokens).sum();
         BudgetRow row =
-                account.mBudget.afterChunk(first.limitTokens(), first.needTokens(), nextWriterId());
+                account.mBudget.afterChunk(
+                        first.limitTokens(), waitingTokens, first.needTokens(), nextWriterId());
         account.mStoreCallPending = true;
         write(account, new Write(row, 0));
     }
