Run a turn from its start when its caller resumes the stream

Cause: the output of a turn was what one response forwarded, and the caller's Last-Event-Id went to the target unseen.

Change: on a route that retains histories the turn runs from its start, all events are kept, and the caller receives those after the one that it names. Targets that can go on in each other's streams make the same events, so this is the output that the caller has. A stream without the named event ends with 502 and is not kept. Where streams may not be resumed the named id is dropped and the caller receives the whole stream.

--- a/src/main/java/org/heathercourse/gateway/call/Acceptance.java
+++ b/src/main/java/org/heathercourse/gateway/call/Acceptance.java
@@ -14,6 +14,8 @@
     OUT_OF_MEMORY("the gateway has no memory left for an incomplete event"),
     /** The output of a turn cannot be kept, so that the turn could not be continued. */
     OUTPUT_LOST("the gateway has no memory left for the output of the turn"),
+    /** The caller resumes the stream after an event that the stream does not have. */
+    UNKNOWN_LAST_EVENT("the stream has no event with the id that the caller received last"),
     /** An event of the stream has no end. */
     EVENT_TOO_LARGE(
             "an event of the stream is larger than " + EventSplitter.MAX_EVENT_BYTES + " bytes");
--- a/src/main/java/org/heathercourse/gateway/call/Call.java
+++ b/src/main/java/org/heathercourse/gateway/call/Call.java
@@ -280,14 +280,13 @@
             attempt.failUnsent("the target is cold and may get no request now", false);
             return;
         }
-        String afterEventId = mRelay == null ? null : mRelay.lastEventId();
         Dispatch dispatch =
                 new Dispatch(
                         target.id(),
                         mAdmission.workspaceName(),
                         remainingMillis,
                         mWork.priority(elapsedMillis()),
-                        afterEventId);
+                        afterEventId());
         attempt.recordSent(exchange);
         exchange.send(
                 OutboundRequest.build(
@@ -299,15 +298,16 @@
                 attempt);
     }
 
+    /** Returns after which event the next attempt goes on; see {@link Dispatch}. */
+    private String afterEventId() {
+        String lastEventId = mRelay == null ? null : mRelay.lastEventId();
+        return lastEventId == null && mTurn != null ? Dispatch.STREAM_START : lastEventId;
+    }
+
     /** Returns the relay to the caller; all attempts share it. */
     ResponseRelay relay() {
         if (mRelay == null) {
-            mRelay =
-                    new ResponseRelay(
-                            mWriter,
-                            mAdmission.route(),
-                            mDependencies.memory(),
-                            mTurn == null ? null : mTurn.output());
+            mRelay = new ResponseRelay(mWriter, mAdmission.route(), mDependencies.memory(), mTurn);
         }
         return mRelay;
     }
@@ -324,6 +324,8 @@
         mCrashGuard.recordAnswer(attempt.status());
         if (mTurn == null || !mTurn.isKeptAfter(attempt.status())) {
             endResponse(attempt);
+        } else if (!mRelay.hasReachedNewEvents()) {
+            endWithUnknownOutcome(Acceptance.UNKNOWN_LAST_EVENT.reason());
         } else if (mRelay.forwardRest()) {
             mTurn.keep(attempt);
         } else {
--- a/src/main/java/org/heathercourse/gateway/call/ResponseRelay.java
+++ b/src/main/java/org/heathercourse/gateway/call/ResponseRelay.java
@@ -7,6 +7,7 @@
 import org.heathercourse.core.limits.MemoryBudget;
 import org.heathercourse.core.routing.Route;
 import org.heathercourse.core.routing.RouteKind;
+import org.heathercourse.core.stream.EventSkipper;
 import org.heathercourse.core.stream.EventSplitter;
 
 /**
@@ -28,6 +29,10 @@
     private final EventSplitter mSplitter = new EventSplitter();
     private final MemoryBudget.Reservation mMemory;
     private final TurnOutput mOutput;
+
+    /** Drops what the caller already has; null if it has nothing. */
+    private final EventSkipper mSkipper;
+
     private ByteArrayOutputStream mBuffer = new ByteArrayOutputStream();
     private int mStatus;
     private String mReason = "";
@@ -42,21 +47,24 @@
      * @param writer receives the response to the caller
      * @param route route of the call
      * @param memory budget for the bytes that are not forwarded yet
-     * @param output collects the data of the events that are forwarded; null if it is not kept
+     * @param turn collects the data of all events, of which the caller may already have the first;
+     *     null if the response is not kept
      */
-    ResponseRelay(ResponseWriter writer, Route route, MemoryBudget memory, TurnOutput output) {
+    ResponseRelay(ResponseWriter writer, Route route, MemoryBudget memory, RetainedTurn turn) {
         mWriter = writer;
         mRoute = route;
         mMemory = memory.reserveNothing();
-        mOutput = output;
+        mOutput = turn == null ? null : turn.output();
+        String lastReadId = turn == null ? null : turn.lastReadEventId();
+        mSkipper = lastReadId == null ? null : new EventSkipper(lastReadId);
     }
 
     /**
-     * Accepts the head of an attempt's response. Once the caller's response has started, only a
-     * stream with the same status can go on in it.
+     * Accepts the head of an attempt's response. Once a part of a response was taken, only a stream
+     * with the same status can go on in it.
      */
     Acceptance onHead(int status, String reason, HttpHeaders headers) {
-        if (mStarted) {
+        if (hasBegun()) {
             mSplitter.expectContinuation();
             return mStreaming && status == mStatus && isEventStream(headers)
                     ? Acceptance.ACCEPTED
@@ -104,7 +112,7 @@
             if (!collect(completeEvents)) {
                 return Acceptance.OUTPUT_LOST;
             }
-            forward(completeEvents, nowMillis);
+            forwardNew(completeEvents, nowMillis);
         }
         if (mSplitter.isMisplaced()) {
             return Acceptance.MISPLACED_EVENT;
@@ -133,6 +141,22 @@
         clearBuffer();
     }
 
+    /** Forwards the events that the caller lacks. */
+    private void forwardNew(byte[] events, long nowMillis) {
+        byte[] newEvents = mSkipper == null ? events : mSkipper.add(events);
+        if (newEvents.length > 0) {
+            forward(newEvents, nowMillis);
+        }
+    }
+
+    /**
+     * Returns whether the response has gone on beyond the events that the caller already has.
+     * Responses other than streams have no such events.
+     */
+    boolean hasReachedNewEvents() {
+        return !mStreaming || mSkipper == null || mSkipper.hasFound();
+    }
+
     private void forward(byte[] bytes, long nowMillis) {
         if (!mStarted) {
             mStarted = true;
@@ -196,20 +220,25 @@
         return mStarted;
     }
 
+    /** Returns whether a part of a response was taken, forwarded or not. */
+    private boolean hasBegun() {
+        return mStarted || mSplitter.eventCount() > 0;
+    }
+
     /** Returns whether another attempt can still lead to a complete response. */
     boolean canBeContinued() {
         if (mOutput != null && mOutput.isLost()) {
             return false;
         }
-        return !mStarted || mStreaming && mSplitter.canBeContinued();
+        return !hasBegun() || mStreaming && mSplitter.canBeContinued();
     }
 
-    /** Returns the id of the last event that was forwarded, or null. */
+    /** Returns the id of the last event that was taken, or null. */
     String lastEventId() {
-        return mStreaming && mStarted ? mSplitter.lastEventId() : null;
+        return mStreaming && hasBegun() ? mSplitter.lastEventId() : null;
     }
 
-    /** Returns the number of events that were forwarded. */
+    /** Returns the number of events that were taken, forwarded or not. */
     long eventCount() {
         return mSplitter.eventCount();
     }
--- a/src/main/java/org/heathercourse/gateway/call/RetainedTurn.java
+++ b/src/main/java/org/heathercourse/gateway/call/RetainedTurn.java
@@ -17,6 +17,10 @@
  * One turn on a route that retains histories: its history is read before the first attempt, and the
  * turn is made durable before its response ends.
  *
+ * <p>A turn is its whole output. A caller that resumes the stream of a turn has the first events
+ * from a gateway that may be gone, so the turn runs from its start again, and the caller receives
+ * the events that it lacks. Targets that can resume each other's streams make the same events.
+ *
  * <p>Life cycle: {@link #readHistory}, {@link #keep} once a target has responded completely, {@link
  * #release}. The call may end at any time in between. Confined to the traffic loop.
  */
@@ -170,6 +174,14 @@
         mCall.endWithError(error);
     }
 
+    /**
+     * Returns the event that the relay may resume after; null if the caller is to receive the whole
+     * stream.
+     */
+    String lastReadEventId() {
+        return mAdmission.route().repeatable() ? mFacts.lastEventId() : null;
+    }
+
     /** Returns what every attempt sends ahead of the caller's own input; not to be modified. */
     byte[] historyBody() {
         return mHistoryBody;
--- a/src/main/java/org/heathercourse/platform/entry/CallFacts.java
+++ b/src/main/java/org/heathercourse/platform/entry/CallFacts.java
@@ -18,6 +18,8 @@
  * @param maxOutputTokens maximum number of tokens that the turn generates; 0 if the request is not
  *     a turn
  * @param previousTurnId request id of the turn that this one continues; null if it continues none
+ * @param lastEventId id of the last event that the caller has of a stream that broke; null if it
+ *     resumes none
  * @param affinityKey object that the request concerns; null if it names none
  */
 public record CallFacts(
@@ -30,6 +32,7 @@
         long promptTokens,
         long maxOutputTokens,
         String previousTurnId,
+        String lastEventId,
         String affinityKey) {
     @Override
     public String toString() {
--- a/src/main/java/org/heathercourse/platform/hosted/HeaderFormat.java
+++ b/src/main/java/org/heathercourse/platform/hosted/HeaderFormat.java
@@ -26,9 +26,16 @@
                 tokens[0],
                 tokens[1],
                 headers.get(WireNames.PREVIOUS_TURN),
+                lastEventId(headers),
                 affinityKey(headers));
     }
 
+    /** Returns the id after which a caller resumes a stream; null if there is none. */
+    private static String lastEventId(HttpHeaders headers) {
+        String id = headers.get(WireNames.LAST_EVENT);
+        return id == null || id.isBlank() ? null : id.trim();
+    }
+
     /** Returns the value of the affinity cookie; null if there is none. */
     private static String affinityKey(HttpHeaders headers) {
         for (String header : headers.getAll(HttpHeaderNames.COOKIE)) {
@@ -79,7 +86,9 @@
         if (dispatch.workspace() != null) {
             headers.set(WireNames.WORKSPACE, dispatch.workspace());
         }
-        if (dispatch.afterEventId() != null) {
+        if (Dispatch.STREAM_START.equals(dispatch.afterEventId())) {
+            headers.remove(WireNames.LAST_EVENT);
+        } else if (dispatch.afterEventId() != null) {
             headers.set(WireNames.LAST_EVENT, dispatch.afterEventId());
         }
     }
--- a/src/main/java/org/heathercourse/testing/hosted/HostedDeployment.java
+++ b/src/main/java/org/heathercourse/testing/hosted/HostedDeployment.java
@@ -42,6 +42,11 @@
                     + HOST
                     + "\",\"prefix\":\"/kept/\",\"type\":\"streaming\",\"resumable\":true,"
                     + "\"attempts\":1,\"timeout_ms\":5000,\"service\":\"engines\","
+                    + "\"retains_history\":true,\"retention_s\":60.0},"
+                    + "{\"name\":\"kept-once\",\"host\":\""
+                    + HOST
+                    + "\",\"prefix\":\"/kept-once/\",\"type\":\"streaming\",\"resumable\":false,"
+                    + "\"attempts\":1,\"timeout_ms\":5000,\"service\":\"engines\","
                     + "\"retains_history\":true,\"retention_s\":60.0}";
 
     private static final String OTHER_WORKSPACE =
--- a/src/test/java/org/heathercourse/gateway/HistoryFixture.java
+++ b/src/test/java/org/heathercourse/gateway/HistoryFixture.java
@@ -163,6 +163,18 @@
         }
     }
 
+    /** Sends a turn of whose stream the caller has the events up to one with an id. */
+    Response resume(int gateway, String lastEventId, Turn turn) throws IOException {
+        String request =
+                request(turn)
+                        .replaceFirst(
+                                "\r\nContent-Length",
+                                "\r\nLast-Event-Id: " + lastEventId + "\r\nContent-Length");
+        try (RawCaller caller = connect(gateway)) {
+            return caller.call(request);
+        }
+    }
+
     /** Sends a turn whose response must be complete; returns its request id. */
     String runTurn(int gateway, Turn turn) throws IOException {
         Response response = call(gateway, turn);
