Reject responses whose status HTTP does not have in the daemon's clients

Seen: the gateway passes none on, in any kind of request and after informational heads. The daemon returns a plain service's 000, 001, 099, 600 and 999 to its caller, takes 000 to 099 of an engine for a success (an order counts as accepted), and fails on -01 with an exception that nobody expects.

Cause: the library parses any three characters as a number, the engine client took each status below 300 for a success, and the check of heads, through which all clients go, looked at no status.

Change: the check accepts 200 to 599 only. Another status is a malformed response, which may have run.

--- a/src/main/java/org/heathercourse/platform/http/HttpTransport.java
+++ b/src/main/java/org/heathercourse/platform/http/HttpTransport.java
@@ -82,7 +82,7 @@
                         .addInterceptor(HttpTransport::restoreRetryAfter)
                         .addInterceptor(HttpTransport::applyReadTimeout)
                         .addNetworkInterceptor(HttpTransport::hideRetryAfter)
-                        .addNetworkInterceptor(ResponseHead::requireSingle)
+                        .addNetworkInterceptor(ResponseHead::requireValid)
                         .build();
         mClient = mTargetClient.newBuilder().socketFactory(new ResettingSocketFactory()).build();
     }
--- a/src/main/java/org/heathercourse/testing/hosted/TargetStandIn.java
+++ b/src/main/java/org/heathercourse/testing/hosted/TargetStandIn.java
@@ -61,6 +61,8 @@
         UNSIGNED,
         /** Responds with a signed status 500, as an application error. */
         FAIL,
+        /** Responds with the status line of {@link #setInvalidStatus} and a signed body. */
+        INVALID_STATUS,
         /** Never responds. */
         HANG,
         /** Sends a large part of an event, and nothing more. */
@@ -98,6 +100,7 @@
     private volatile Runnable mOnRestart = () -> {};
     private volatile int mStarts = 1;
     private volatile SecondAnswers mSecondAnswers;
+    private volatile String mInvalidHeadStart = "";
 
     /**
      * A received request.
@@ -199,6 +202,21 @@
         mUnframed = unframed;
     }
 
+    /**
+     * Sets the head of responses with {@link Fault#INVALID_STATUS}.
+     *
+     * @param informational status lines of informational responses before it, each with its line
+     *     ends; may be empty
+     * @param status status and reason phrase
+     */
+    public void setInvalidStatus(String informational, String status) {
+        mInvalidHeadStart = informational + "HTTP/1.1 " + status + "\r\n";
+    }
+
+    String invalidHeadStart() {
+        return mInvalidHeadStart;
+    }
+
     /** Sets whether the target says in all its responses that it leaves. */
     public void setLeaving(boolean leaving) {
         mLeaving = leaving;
--- a/src/main/java/org/heathercourse/testing/hosted/TargetStandInConnection.java
+++ b/src/main/java/org/heathercourse/testing/hosted/TargetStandInConnection.java
@@ -104,6 +104,7 @@
             case NO_CONTENT -> answer(context, 204, "", true, request);
             case OTHER_BODY -> answer(context, 200, "failed", true, request);
             case FAIL -> answer(context, 500, "failed", true, request);
+            case INVALID_STATUS -> sendInvalidStatus(context, request);
             case HANG -> {}
             case STALLED_EVENT -> {
                 sendStreamHead(context, request);
@@ -248,6 +249,19 @@
                         });
     }
 
+    private void sendInvalidStatus(ChannelHandlerContext context, FullHttpRequest request) {
+        mRunning = false;
+        String body = "id: 1\ndata: invalid\n\n";
+        writeRaw(
+                context,
+                mTarget.invalidHeadStart()
+                        + headLines(request)
+                        + "Content-Type: text/event-stream\r\nContent-Length: "
+                        + body.length()
+                        + "\r\n\r\n"
+                        + body);
+    }
+
     private void sendShortBody(
             ChannelHandlerContext context, FullHttpRequest request, Runnable end) {
         mRunning = false;
