Bound the number of programs that an owner of budgets has in memory

Cause: an owner kept an account for each name for 180 s, whole, also if the turn was refused; nothing bounded how many.

Change: at most 4,096 accounts; those without tokens go first, and while all of the oldest wait for the store a new program is refused as not run.

--- a/src/main/java/org/heathercourse/gateway/control/BudgetLedger.java
+++ b/src/main/java/org/heathercourse/gateway/control/BudgetLedger.java
@@ -30,6 +30,9 @@
  * if its owner fails; see {@link ProgramBudget}. Tokens of turns that run at that time count as
  * spent.
  *
+ * <p>Callers choose the names of programs, and a refused turn costs them nothing. The number of
+ * programs in memory is therefore bounded; the row has all that is needed to go on.
+ *
  * <p>At most one store call per program is outstanding; turns that need its result wait. A write
  * whose reply was lost is retried with the same expected version and writer id, so that it takes
  * effect once. Confined to the control thread.
@@ -38,6 +41,15 @@
     /** Number of parts of the table, over which the writes of programs are spread. */
     static final int TABLE_PARTS = 16;
 
+    /**
+     * Maximum number of programs in memory, each of which takes up to 1 KB. Several times the
+     * number of programs that one owner of a large fleet has under way.
+     */
+    static final int MAX_PROGRAMS = 4_096;
+
+    /** Maximum number of programs that are looked at in search of one without any tokens. */
+    private static final int MAX_EVICTION_TRIES = 64;
+
     /** Time in milliseconds without use after which a program is evicted from memory. */
     static final long IDLE_EVICTION_MILLIS = 180_000;
 
@@ -109,6 +121,16 @@
             int part = (int) (Rendezvous.unitHash(program) * TABLE_PARTS);
             mKey = RowKey.ofText(TABLE, Integer.toString(part), program);
         }
+
+        /** Returns whether a store call or a turn that waits for one needs the account. */
+        boolean isWaiting() {
+            return mStoreCallPending || !mWaitingTurns.isEmpty();
+        }
+
+        /** Returns whether nothing is lost with the account; the row can be read again. */
+        boolean isEmpty() {
+            return !isWaiting() && mBudget.openTurns() == 0 && mBudget.availableTokens() == 0;
+        }
     }
 
     BudgetLedger(
@@ -130,6 +152,9 @@
     CompletableFuture<Grant> reserve(String program, long limitTokens, long needTokens) {
         long now = mTicker.readMillis();
         evictIdle(now);
+        if (!mAccounts.containsKey(program) && !makeRoom()) {
+            return CompletableFuture.completedFuture(new Grant(BudgetOutcome.UNAVAILABLE, false));
+        }
         Account account = mAccounts.computeIfAbsent(program, Account::new);
         account.mLastUsedMillis = now;
         account.mLimitTokens = limitTokens;
@@ -202,6 +227,29 @@
         }
     }
 
+    /**
+     * Evicts a program if there are as many as allowed: one of the least recently used ones that
+     * has no tokens, or else the first that waits for nothing, whose tokens then count as spent.
+     *
+     * @return false if all that were looked at wait for the store
+     */
+    private boolean makeRoom() {
+        if (mAccounts.size() < MAX_PROGRAMS) {
+            return true;
+        }
+        Account evicted = null;
+        int tries = 0;
+        for (Account account : mAccounts.values()) {
+            if (++tries > MAX_EVICTION_TRIES || evicted != null && evicted.isEmpty()) {
+                break;
+            }
+            if (account.isEmpty() || evicted == null && !account.isWaiting()) {
+                evicted = account;
+            }
+        }
+        return evicted != null && mAccounts.remove(evicted.mProgram) != null;
+    }
+
     /** Returns the number of programs in memory. */
     int programCount() {
         return mAccounts.size();
--- a/src/main/java/org/heathercourse/gateway/control/BudgetService.java
+++ b/src/main/java/org/heathercourse/gateway/control/BudgetService.java
@@ -11,6 +11,7 @@
 import org.heathercourse.daemon.peer.PeerMessage.BudgetSettle;
 import org.heathercourse.daemon.peer.PeerNetwork;
 import org.heathercourse.log.EventLog;
+import org.heathercourse.platform.rows.RowKey;
 
 /**
  * Reserves tokens in the budgets of programs at the gateways that own the programs.
@@ -64,7 +65,7 @@
     /**
      * Reserves tokens for a turn.
      *
-     * @param program key of the program
+     * @param program key of the program, with a slash; a digest stands for a long one
      * @param limitTokens the program's budget in tokens
      * @param needTokens maximum number of tokens that the turn can generate
      * @return the reservation, which {@link #settle} must end if it is granted; never completes
@@ -73,7 +74,8 @@
     public CompletableFuture<Reservation> reserve(
             String program, long limitTokens, long needTokens) {
         mOpenTurns.begin();
-        return reserve(new BudgetReserve(program, limitTokens, needTokens), MAX_TRIES)
+        String key = RowKey.boundedText(program, RowKey.MAX_TEXT_BYTES);
+        return reserve(new BudgetReserve(key, limitTokens, needTokens), MAX_TRIES)
                 .whenComplete(
                         (reservation, error) -> {
                             if (error != null || reservation.outcome() != BudgetOutcome.GRANTED) {
--- a/src/main/java/org/heathercourse/log/EventLog.java
+++ b/src/main/java/org/heathercourse/log/EventLog.java
@@ -9,6 +9,14 @@
  * contents as values.
  */
 public final class EventLog {
+    /**
+     * Maximum number of characters of a value. Callers choose names and identities, and many lines
+     * may wait to be written.
+     */
+    static final int MAX_VALUE_CHARS = 1_000;
+
+    private static final String CUT_MARK = "...";
+
     private final Logger mLogger;
 
     private EventLog(Logger logger) {
@@ -55,7 +63,7 @@
      * @param event name of the event
      * @param pairs alternating names and values
      * @return the line; empty values and values with blanks, control characters, quotes, equals
-     *     signs or backslashes are quoted
+     *     signs or backslashes are quoted, and values beyond {@link #MAX_VALUE_CHARS} are cut
      * @throws IllegalArgumentException if a name has no value
      */
     static String line(String event, Object... pairs) {
@@ -70,11 +78,17 @@
         StringBuilder out = new StringBuilder("event=").append(event);
         for (int i = 0; i < pairs.length; i += 2) {
             out.append(' ').append(pairs[i]).append('=');
-            out.append(quote(String.valueOf(pairs[i + 1])));
+            out.append(quote(bounded(String.valueOf(pairs[i + 1]))));
         }
         return out.toString();
     }
 
+    private static String bounded(String value) {
+        return value.length() <= MAX_VALUE_CHARS
+                ? value
+                : value.substring(0, MAX_VALUE_CHARS) + CUT_MARK;
+    }
+
     private static String quote(String value) {
         boolean plain = !value.isEmpty();
         for (int i = 0; i < value.length() && plain; i++) {
--- a/src/test/java/org/heathercourse/gateway/control/BudgetLedgerTest.java
+++ b/src/test/java/org/heathercourse/gateway/control/BudgetLedgerTest.java
@@ -411,6 +411,43 @@
         assertThat(ledger.programCount()).isEqualTo(2);
     }
 
+    /** Guards against a heap full of refused programs, whose names callers choose (review/7). */
+    @Test
+    void numberOfProgramsInMemoryIsBounded() {
+        BudgetLedger ledger = createLedger();
+        for (int i = 0; i < 3 * BudgetLedger.MAX_PROGRAMS; i++) {
+            assertThat(reserve(ledger, "w/refused" + i, LIMIT_TOKENS + 1))
+                    .isEqualTo(BudgetOutcome.EXHAUSTED);
+        }
+        assertThat(ledger.programCount()).isEqualTo(BudgetLedger.MAX_PROGRAMS);
+    }
+
+    /** Guards against refused programs that displace the tokens of one that goes on. */
+    @Test
+    void programWithTokensIsEvictedAfterThoseWithout() {
+        BudgetLedger ledger = createLedger();
+        assertThat(reserve(ledger)).isEqualTo(BudgetOutcome.GRANTED);
+        for (int i = 0; i < 2 * BudgetLedger.MAX_PROGRAMS; i++) {
+            reserve(ledger, "w/refused" + i, LIMIT_TOKENS + 1);
+        }
+        ledger.settle("w/p", MAX_TURN_TOKENS, true);
+        mExecutor.advance(SETTLE_MILLIS);
+        assertThat(takenTokens()).as("the turn's tokens were known and returned").isZero();
+    }
+
+    /** Guards against more programs than allowed while the store does not reply. */
+    @Test
+    void refusesProgramsBeyondTheBoundWhileAllWaitForTheStore() {
+        BudgetLedger ledger = createLedger();
+        mStore.mUnresponsive = true;
+        for (int i = 0; i < BudgetLedger.MAX_PROGRAMS; i++) {
+            ledger.reserve("w/pending" + i, LIMIT_TOKENS, MAX_TURN_TOKENS);
+        }
+        assertThat(reserve(ledger)).isEqualTo(BudgetOutcome.UNAVAILABLE);
+        assertThat(ledger.programCount()).isEqualTo(BudgetLedger.MAX_PROGRAMS);
+        mStore.mUnresponsive = false;
+    }
+
     @Test
     void writeWithLostReplyCountsOnce() {
         BudgetLedger ledger = createLedger();
--- a/src/test/java/org/heathercourse/gateway/control/BudgetServiceTest.java
+++ b/src/test/java/org/heathercourse/gateway/control/BudgetServiceTest.java
@@ -23,6 +23,7 @@
 import org.heathercourse.daemon.peer.PeerMessage.BudgetReply;
 import org.heathercourse.daemon.peer.PeerNetwork;
 import org.heathercourse.gateway.control.BudgetService.Reservation;
+import org.heathercourse.platform.rows.RowKey;
 import org.heathercourse.testing.hosted.MemoryRows;
 import org.junit.jupiter.api.Test;
 
@@ -119,6 +120,19 @@
         assertThat(settled).isCompleted();
     }
 
+    /** Guards against owners that keep names of programs as long as a head (review/7). */
+    @Test
+    void longNamesOfProgramsAreKeptAsDigests() {
+        String name = "w/" + "x".repeat(15_000);
+        Reservation first = reserve(name + "1").join();
+        Reservation second = reserve(name + "2").join();
+        assertThat(first.program()).hasSizeLessThanOrEqualTo(RowKey.MAX_TEXT_BYTES);
+        assertThat(second.program()).isNotEqualTo(first.program());
+        mService.settle(first, MAX_TURN_TOKENS, false);
+        mService.settle(second, MAX_TURN_TOKENS, false);
+        assertThat(mService.settleAndReturnTokens()).isCompleted();
+    }
+
     /** Guards against an exit that waits for a turn that was refused. */
     @Test
     void exitDoesNotWaitForRefusedTurn() {
