Bound the memory of histories that are written and read

Cause: what a turn takes while it is written, in several copies, and the rows of histories that are read stood outside the memory budget, and nothing bounded how many turns do so at the same time.

Change: WorkGate bounds the turns that are written, small ones apart from large ones, before anything is copied; a write that waits is given up when its call ends. At most 16 calls for histories are under way at a gateway. A history is charged when the turn's own row tells its size, before any other row is read, until the read has ended; without room the turn is refused as not run.

--- a/src/main/java/org/heathercourse/gateway/call/RetainedTurn.java
+++ b/src/main/java/org/heathercourse/gateway/call/RetainedTurn.java
@@ -2,6 +2,7 @@
 
 import io.netty.util.concurrent.ScheduledFuture;
 import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
 import java.util.concurrent.TimeUnit;
 import org.heathercourse.core.error.ErrorKind;
@@ -11,6 +12,7 @@
 import org.heathercourse.core.limits.MemoryBudget;
 import org.heathercourse.core.routing.Route;
 import org.heathercourse.core.routing.RouteKind;
+import org.heathercourse.gateway.history.HistoryNotAdmittedException;
 import org.heathercourse.platform.entry.CallFacts;
 
 /**
@@ -40,6 +42,11 @@
     private final Admission mAdmission;
     private final MemoryBudget.Reservation mMemory;
     private final TurnOutput mOutput;
+
+    /** Whether the memory of the history is needed although the call may have ended. */
+    private boolean mReading;
+
+    private CompletableFuture<Void> mWrite = CompletableFuture.completedFuture(null);
     private History mParent;
     private byte[] mHistoryBody = NO_HISTORY;
     private ScheduledFuture<?> mReadTimeout;
@@ -87,6 +94,7 @@
             mCall.tryNextTarget();
             return;
         }
+        mReading = true;
         long startMillis = mDependencies.ticker().readMillis();
         mReadTimeout =
                 mDependencies
@@ -97,7 +105,7 @@
                                 TimeUnit.MILLISECONDS);
         mDependencies
                 .turnHistory()
-                .read(workspace(), mFacts.previousTurnId())
+                .read(workspace(), mFacts.previousTurnId(), this::admitHistory)
                 .whenCompleteAsync(
                         (history, error) -> onRead(history, error, startMillis),
                         mDependencies.loop());
@@ -117,8 +125,17 @@
         }
     }
 
+    /** Reserves the memory of a history before it is read, unless nobody waits for it. */
+    private CompletableFuture<Boolean> admitHistory(long bytes) {
+        return CompletableFuture.supplyAsync(
+                () -> !mReadEnded && !mCall.isEnded() && mMemory.resize(HISTORY_COPIES * bytes),
+                mDependencies.loop());
+    }
+
     private void onRead(Optional<History> history, Throwable error, long startMillis) {
+        mReading = false;
         if (mReadEnded || mCall.isEnded()) {
+            mMemory.release();
             return;
         }
         mReadEnded = true;
@@ -140,6 +157,8 @@
         if (cause instanceof HeathercourseException failure
                 && failure.kind() == ErrorKind.PAYLOAD_TOO_LARGE) {
             refuseTooLarge();
+        } else if (cause instanceof HistoryNotAdmittedException) {
+            refuse(HistoryRefusal.NO_MEMORY, CallErrors.memoryExhausted(mDependencies.random()));
         } else {
             refuse(
                     HistoryRefusal.READ_FAILED,
@@ -157,8 +176,6 @@
         long bytes = parent.sizeBytes();
         if (bytes + mRequest.body().length > mDependencies.maxHistoryBytes()) {
             refuseTooLarge();
-        } else if (!mMemory.resize(HISTORY_COPIES * bytes)) {
-            refuse(HistoryRefusal.NO_MEMORY, CallErrors.memoryExhausted(mDependencies.random()));
         } else {
             mParent = parent;
             mHistoryBody = parent.body();
@@ -213,18 +230,19 @@
                 TurnWaitPolicy.maxWriteMillis(
                         mCall.remainingMillis(),
                         mDependencies.drainSchedule().get().millisToResponseEnd(startMillis));
-        mDependencies
-                .turnHistory()
-                .append(
-                        workspace(),
-                        mFacts.requestId(),
-                        mParent,
-                        mRequest.body(),
-                        mOutput.data(),
-                        mAdmission.route().retentionMillis(),
-                        maxWaitMillis)
-                .whenCompleteAsync(
-                        (done, error) -> onKept(attempt, error, startMillis), mDependencies.loop());
+        mWrite =
+                mDependencies
+                        .turnHistory()
+                        .append(
+                                workspace(),
+                                mFacts.requestId(),
+                                mParent,
+                                mRequest.body(),
+                                mOutput.data(),
+                                mAdmission.route().retentionMillis(),
+                                maxWaitMillis);
+        mWrite.whenCompleteAsync(
+                (done, error) -> onKept(attempt, error, startMillis), mDependencies.loop());
     }
 
     private void onKept(Attempt attempt, Throwable error, long startMillis) {
@@ -244,11 +262,14 @@
         }
     }
 
-    /** Returns the memory of the turn to the budget. */
+    /** Returns the memory of the turn to the budget, and gives up a write that has not begun. */
     void release() {
+        mWrite.cancel(false);
         mHistoryBody = NO_HISTORY;
         mParent = null;
-        mMemory.release();
+        if (!mReading) {
+            mMemory.release();
+        }
         mOutput.release();
         if (mReadTimeout != null) {
             mReadTimeout.cancel(false);
--- a/src/main/java/org/heathercourse/gateway/history/GroupedReads.java
+++ b/src/main/java/org/heathercourse/gateway/history/GroupedReads.java
@@ -7,10 +7,7 @@
 
 /** Reads many rows in parallel, with a bound. Stateless and safe for use by several threads. */
 final class GroupedReads {
-    /**
-     * Maximum number of reads of one history under way. A row takes about 250 KB of memory while
-     * its reply is parsed, and the heap is 72 MB.
-     */
+    /** Maximum number of reads of one history under way, so that others come between. */
     static final int MAX_PARALLEL = 16;
 
     private GroupedReads() {}
--- a/src/main/java/org/heathercourse/gateway/history/StoreCalls.java
+++ b/src/main/java/org/heathercourse/gateway/history/StoreCalls.java
@@ -23,6 +23,12 @@
      */
     static final long REPEAT_MILLIS = 400;
 
+    /**
+     * Maximum number of results that are being waited for. A row takes about 250 KB of memory while
+     * its reply is parsed, and the heap is 72 MB.
+     */
+    private static final int MAX_PARALLEL = 16;
+
     /** Maximum number of calls under way for the same result. */
     private static final int MAX_RUNNING = 3;
 
@@ -34,6 +40,7 @@
     private final StoreAvailability mAvailability;
     private final HistoryMetrics mMetrics;
     private final RandomGenerator mRandom;
+    private final WorkGate mGate = new WorkGate(MAX_PARALLEL);
 
     StoreCalls(
             ScheduledExecutorService control,
@@ -66,13 +73,17 @@
     }
 
     /**
-     * Calls the store.
+     * Calls the store, after other calls if many are under way.
      *
      * @param limit limit of the time
      * @param call begins a call
      * @return the first reply; fails with the last failure when the time is over
      */
     <T> CompletableFuture<T> call(TimeLimit limit, Supplier<CompletableFuture<T>> call) {
+        return mGate.run(1, () -> callNow(limit, call));
+    }
+
+    private <T> CompletableFuture<T> callNow(TimeLimit limit, Supplier<CompletableFuture<T>> call) {
         RepeatedCall<T> repeated = new RepeatedCall<>(call);
         mControl.execute(() -> repeated.start(limit.remainingMillis()));
         return repeated.mResult;
--- a/src/main/java/org/heathercourse/gateway/history/StoreTurnHistory.java
+++ b/src/main/java/org/heathercourse/gateway/history/StoreTurnHistory.java
@@ -5,6 +5,7 @@
 import java.util.Arrays;
 import java.util.List;
 import java.util.Optional;
+import java.util.concurrent.CancellationException;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
 import java.util.concurrent.ScheduledExecutorService;
@@ -31,6 +32,21 @@
      */
     static final long MAX_READ_MILLIS = 1_500;
 
+    /** Size of the input and output in bytes up to which a turn does not wait for larger ones. */
+    private static final int MAX_SMALL_TURN_BYTES = 64 * 1024;
+
+    /**
+     * Maximum size in bytes of the small turns that are being written. Their memory is about six
+     * times that, and the heap is 72 MB.
+     */
+    private static final long MAX_SMALL_WRITES_BYTES = 1024 * 1024;
+
+    /**
+     * Maximum size in bytes of the larger turns that are being written, or of a single one. Their
+     * memory is about twice that, and that of one transaction each.
+     */
+    private static final long MAX_LARGE_WRITES_BYTES = 2 * 1024 * 1024;
+
     private static final EventLog LOG = EventLog.of(StoreTurnHistory.class);
 
     private final ScheduledExecutorService mControl;
@@ -44,6 +60,8 @@
     private final RowReader mReader;
     private final TurnWriter mWriter;
     private final LifetimeExtender mExtender;
+    private final WorkGate mSmallWrites = new WorkGate(MAX_SMALL_WRITES_BYTES);
+    private final WorkGate mLargeWrites = new WorkGate(MAX_LARGE_WRITES_BYTES);
 
     /**
      * Creates the storage.
@@ -89,11 +107,12 @@
      * <p>Fails with a {@link HistoryTooLargeException} if the history is larger than the maximum.
      */
     @Override
-    public CompletableFuture<Optional<History>> read(String workspace, String turnId) {
+    public CompletableFuture<Optional<History>> read(
+            String workspace, String turnId, HistoryAdmission admission) {
         String key = TurnKeys.turn(workspace, turnId);
         StoreCalls.TimeLimit limit = mCalls.timeLimit(MAX_READ_MILLIS);
         return observed(
-                readRow(key, limit).thenCompose(row -> readHistory(key, row, limit)),
+                readRow(key, limit).thenCompose(row -> readHistory(key, row, admission, limit)),
                 (history, error) -> recordRead(key, history, error));
     }
 
@@ -128,7 +147,10 @@
     }
 
     private CompletableFuture<Optional<History>> readHistory(
-            String key, Optional<TurnRow> row, StoreCalls.TimeLimit limit) {
+            String key,
+            Optional<TurnRow> row,
+            HistoryAdmission admission,
+            StoreCalls.TimeLimit limit) {
         if (row.isEmpty()) {
             return CompletableFuture.completedFuture(Optional.empty());
         }
@@ -136,9 +158,20 @@
             return CompletableFuture.failedFuture(
                     new HistoryTooLargeException(row.get().historyBytes(), mMaxHistoryBytes));
         }
+        return admission
+                .admit(row.get().historyBytes())
+                .thenCompose(isAdmitted -> readBases(key, row.get(), isAdmitted, limit));
+    }
+
+    private CompletableFuture<Optional<History>> readBases(
+            String key, TurnRow row, boolean isAdmitted, StoreCalls.TimeLimit limit) {
+        if (!isAdmitted) {
+            return CompletableFuture.failedFuture(
+                    new HistoryNotAdmittedException(row.historyBytes()));
+        }
         List<Supplier<CompletableFuture<Optional<TurnRow>>>> reads = new ArrayList<>();
-        row.get().bases().forEach(base -> reads.add(() -> readRow(base.key(), limit)));
-        return GroupedReads.read(reads).thenApply(bases -> assemble(key, row.get(), bases));
+        row.bases().forEach(base -> reads.add(() -> readRow(base.key(), limit)));
+        return GroupedReads.read(reads).thenApply(bases -> assemble(key, row, bases));
     }
 
     private Optional<History> assemble(String key, TurnRow row, List<Optional<TurnRow>> baseRows) {
@@ -203,21 +236,42 @@
             long retentionMillis,
             long maxWaitMillis) {
         String key = TurnKeys.turn(workspace, turnId);
-        byte[] added = Arrays.copyOf(input, input.length + output.length);
-        System.arraycopy(output, 0, added, input.length, output.length);
         StoredHistory history = (StoredHistory) parent;
         StoreCalls.TimeLimit limit = mCalls.timeLimit(maxWaitMillis);
         Supplier<CompletableFuture<Void>> write =
-                () -> write(key, history, added, retentionMillis, limit);
-        return observed(
-                CompletableFuture.supplyAsync(write, mControl).thenCompose(written -> written),
-                (done, error) -> recordFailedWrite(key, error));
+                () -> write(key, history, joined(input, output), retentionMillis, limit);
+        int addedBytes = input.length + output.length;
+        CompletableFuture<Void> written =
+                gate(addedBytes)
+                        .run(
+                                addedBytes + (parent == null ? 0 : TurnRow.MAX_SEGMENT_BYTES),
+                                () ->
+                                        CompletableFuture.supplyAsync(write, mControl)
+                                                .thenCompose(done -> done));
+        CompletableFuture<Void> result =
+                observed(written, (done, error) -> recordFailedWrite(key, error));
+        result.whenComplete((done, error) -> written.cancel(false));
+        return result;
+    }
+
+    private WorkGate gate(int addedBytes) {
+        return addedBytes <= MAX_SMALL_TURN_BYTES ? mSmallWrites : mLargeWrites;
+    }
+
+    private static byte[] joined(byte[] first, byte[] second) {
+        byte[] joined = Arrays.copyOf(first, first.length + second.length);
+        System.arraycopy(second, 0, joined, first.length, second.length);
+        return joined;
     }
 
     private void recordFailedWrite(String key, Throwable error) {
         if (error != null) {
             mMetrics.recordWriteFailed();
-            LOG.warn("history_not_written", "turn", key, "reason", error.getMessage());
+            String reason =
+                    error instanceof CancellationException
+                            ? "the call has ended"
+                            : error.getMessage();
+            LOG.warn("history_not_written", "turn", key, "reason", reason);
         }
     }
 
@@ -227,6 +281,10 @@
             byte[] added,
             long retentionMillis,
             StoreCalls.TimeLimit limit) {
+        if (limit.remainingMillis() == 0) {
+            return CompletableFuture.failedFuture(
+                    StoreException.unavailable("other turns took too long to write", null));
+        }
         long writer = mRandom.nextLong();
         Lifetime lifetime = Lifetime.beginningAt(mWallClock.millis(), retentionMillis);
         TurnRow row =
--- a/src/main/java/org/heathercourse/gateway/history/TurnHistory.java
+++ b/src/main/java/org/heathercourse/gateway/history/TurnHistory.java
@@ -14,10 +14,13 @@
      *
      * @param workspace workspace of the caller; empty on routes open to all
      * @param turnId request id of the turn
+     * @param admission asked before more than the turn's own row is read
      * @return the history; empty if it is certain that the workspace has no such turn; fails with a
-     *     {@link org.heathercourse.platform.StoreException} if it is not certain
+     *     {@link org.heathercourse.platform.StoreException} if it is not certain, and with a {@link
+     *     HistoryNotAdmittedException} if the history was not admitted
      */
-    CompletableFuture<Optional<History>> read(String workspace, String turnId);
+    CompletableFuture<Optional<History>> read(
+            String workspace, String turnId, HistoryAdmission admission);
 
     /**
      * Makes a turn durable, so that other turns can continue it.
@@ -30,7 +33,8 @@
      * @param output data of the turn's events, each followed by a line feed
      * @param retentionMillis time for which the turn and its chain are kept, in milliseconds
      * @param maxWaitMillis maximum time in milliseconds for which the write is repeated
-     * @return completes when the store has acknowledged the turn; fails if that is not certain
+     * @return completes when the store has acknowledged the turn; fails if that is not certain. To
+     *     cancel it gives up the write if it has not begun
      */
     CompletableFuture<Void> append(
             String workspace,
--- a/src/test/java/org/heathercourse/gateway/history/HistoryGateways.java
+++ b/src/test/java/org/heathercourse/gateway/history/HistoryGateways.java
@@ -12,6 +12,9 @@
 
 /** Gateways that share a store and the time, and calls to them that tests wait for. */
 final class HistoryGateways {
+    /** Admits histories of any size. */
+    static final HistoryAdmission ADMIT_ALL = bytes -> CompletableFuture.completedFuture(true);
+
     static final long RETENTION_MILLIS = 60_000;
     static final long MAX_WAIT_MILLIS = 10_000;
     static final long MAX_HISTORY_BYTES = 8L * 1024 * 1024;
@@ -65,7 +68,7 @@
     }
 
     Optional<History> read(StoreTurnHistory gateway, String turnId) {
-        return await(gateway.read("w", turnId)).join();
+        return await(gateway.read("w", turnId, HistoryGateways.ADMIT_ALL)).join();
     }
 
     /** Returns the history as text; "absent" if there is none. */
--- a/src/test/java/org/heathercourse/gateway/history/StoreTurnHistoryTest.java
+++ b/src/test/java/org/heathercourse/gateway/history/StoreTurnHistoryTest.java
@@ -61,10 +61,10 @@
     @Test
     void turnOfOtherWorkspaceIsAbsent() {
         mGateway.append("a/b", "c", null, bytes(5, 1), bytes(5, 2), 60_000, 1_000).join();
-        assertThat(mGateway.read("a/b", "c").join()).isPresent();
-        assertThat(mGateway.read("a", "b/c").join()).isEmpty();
-        assertThat(mGateway.read("", "a/b/c").join()).isEmpty();
-        assertThat(mGateway.read("w", "c").join()).isEmpty();
+        assertThat(mGateway.read("a/b", "c", HistoryGateways.ADMIT_ALL).join()).isPresent();
+        assertThat(mGateway.read("a", "b/c", HistoryGateways.ADMIT_ALL).join()).isEmpty();
+        assertThat(mGateway.read("", "a/b/c", HistoryGateways.ADMIT_ALL).join()).isEmpty();
+        assertThat(mGateway.read("w", "c", HistoryGateways.ADMIT_ALL).join()).isEmpty();
     }
 
     @Test
@@ -81,11 +81,11 @@
         appendFirst("t1", "in").join();
         StoreTurnHistory other = mGateways.create();
         mStore.mDown = true;
-        assertThat(failure(mGateways.await(other.read("w", "t1"))))
+        assertThat(failure(mGateways.await(other.read("w", "t1", HistoryGateways.ADMIT_ALL))))
                 .isInstanceOf(StoreException.class);
         mStore.mDown = false;
         mStore.mUnresponsive = true;
-        assertThat(failure(mGateways.await(other.read("w", "t1"))))
+        assertThat(failure(mGateways.await(other.read("w", "t1", HistoryGateways.ADMIT_ALL))))
                 .isInstanceOf(StoreException.class);
     }
 
@@ -100,7 +100,7 @@
         for (byte[] content :
                 new byte[][] {{}, {1, 2}, damaged, Arrays.copyOf(value, value.length - 1)}) {
             mStore.mRows.commit(RowTransaction.put(key, RowTransaction.ANY_VERSION, content));
-            assertThat(failure(mGateways.create().read("w", "t1")))
+            assertThat(failure(mGateways.create().read("w", "t1", HistoryGateways.ADMIT_ALL)))
                     .as("content of %d bytes", content.length)
                     .isInstanceOf(StoreException.class);
         }
@@ -113,7 +113,8 @@
         mGateways.turn(mGateway, "t2", "t1", bytes(40_000, 2));
         RowKey base = TurnKeys.turnRow(TurnKeys.turn("w", "t1"));
         mStore.mRows.commit(RowTransaction.builder().remove(base, -1).build());
-        assertThat(failure(mGateways.create().read("w", "t2"))).isInstanceOf(StoreException.class);
+        assertThat(failure(mGateways.create().read("w", "t2", HistoryGateways.ADMIT_ALL)))
+                .isInstanceOf(StoreException.class);
     }
 
     @Test
@@ -141,7 +142,8 @@
         mGateways.turn(mGateway, "t2", "t1", input);
         assertThat(mGateways.read(mGateways.create(), "t2")).isPresent();
         mGateways.turn(mGateway, "t3", "t2", new byte[] {1});
-        Throwable failure = failure(mGateways.await(mGateway.read("w", "t3")));
+        Throwable failure =
+                failure(mGateways.await(mGateway.read("w", "t3", HistoryGateways.ADMIT_ALL)));
         assertThat(failure).isInstanceOf(HistoryTooLargeException.class);
         assertThat(((HistoryTooLargeException) failure).kind())
                 .isEqualTo(ErrorKind.PAYLOAD_TOO_LARGE);
@@ -266,7 +268,8 @@
         mGateways.turn(mGateway, "t1", null, bytes(200_000, 1));
         RowKey continuation = mStore.rows(TurnKeys.CONTINUATION_TABLE).get(1).key();
         mStore.mRows.commit(RowTransaction.builder().remove(continuation, -1).build());
-        assertThat(failure(mGateways.create().read("w", "t1"))).isInstanceOf(StoreException.class);
+        assertThat(failure(mGateways.create().read("w", "t1", HistoryGateways.ADMIT_ALL)))
+                .isInstanceOf(StoreException.class);
     }
 
     /** Guards against writes whose bytes grow with the square of the length of the chain. */
@@ -303,7 +306,7 @@
     void isUnavailableAfterSilenceUntilStoreReplies() {
         assertThat(mGateway.isAvailable()).isTrue();
         mStore.mDown = true;
-        mGateway.read("w", "t1");
+        mGateway.read("w", "t1", HistoryGateways.ADMIT_ALL);
         assertThat(mGateway.isAvailable()).as("one failed call").isTrue();
         mGateways.advance(StoreAvailability.MAX_SILENCE_MILLIS);
         assertThat(mGateway.isAvailable()).isFalse();
--- a/src/test/java/org/heathercourse/platform/hosted/HostedTurnHistoryTest.java
+++ b/src/test/java/org/heathercourse/platform/hosted/HostedTurnHistoryTest.java
@@ -11,11 +11,13 @@
 import java.util.Optional;
 import java.util.Random;
 import java.util.SplittableRandom;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import org.heathercourse.core.history.History;
 import org.heathercourse.core.time.SuspendAwareClock;
 import org.heathercourse.core.time.Ticker;
+import org.heathercourse.gateway.history.HistoryAdmission;
 import org.heathercourse.gateway.history.HistoryMetrics;
 import org.heathercourse.gateway.history.StoreTurnHistory;
 import org.heathercourse.gateway.store.DirectChannel;
@@ -25,6 +27,9 @@
 
 /** Guards against histories that the store's protocol does not carry unchanged. */
 class HostedTurnHistoryTest {
+    private static final HistoryAdmission ADMIT_ALL =
+            bytes -> CompletableFuture.completedFuture(true);
+
     private static final long MAX_WAIT_MILLIS = 20_000;
     private static final long MAX_HISTORY_BYTES = 8L * 1024 * 1024;
 
@@ -62,13 +67,13 @@
         byte[] output = {'a', '\n'};
         create().append("w", "t/1 #ä", null, input, output, 60_000, MAX_WAIT_MILLIS).join();
         StoreTurnHistory other = create();
-        History parent = other.read("w", "t/1 #ä").join().orElseThrow();
+        History parent = other.read("w", "t/1 #ä", ADMIT_ALL).join().orElseThrow();
         other.append("w", "t2", parent, new byte[] {'b'}, output, 60_000, MAX_WAIT_MILLIS).join();
-        Optional<History> history = create().read("w", "t2").join();
+        Optional<History> history = create().read("w", "t2", ADMIT_ALL).join();
         assertThat(history.orElseThrow().body())
                 .hasSize(input.length + 5)
                 .startsWith(input)
                 .endsWith('a', '\n', 'b', 'a', '\n');
-        assertThat(create().read("v", "t2").join()).isEmpty();
+        assertThat(create().read("v", "t2", ADMIT_ALL).join()).isEmpty();
     }
 }
