--- a/src/main/java/org/heathercourse/gateway/control/BudgetLedger.java
+++ b/src/main/java/org/heathercourse/gateway/control/BudgetLedger.java
@@ -1,10 +1,7 @@
 package org.heathercourse.gateway.control;
 
-import java.util.ArrayDeque;
-import java.util.Deque;
-import java.util.LinkedHashMap;
 import java.util.List;
-import java.util.Map;
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
 import java.util.concurrent.ScheduledExecutorService;
@@ -12,13 +9,10 @@
 import java.util.function.Predicate;
 import org.heathercourse.core.budget.BudgetOutcome;
 import org.heathercourse.core.budget.BudgetRow;
-import org.heathercourse.core.budget.ProgramBudget;
-import org.heathercourse.core.fleet.Rendezvous;
 import org.heathercourse.core.time.Ticker;
 import org.heathercourse.log.EventLog;
 import org.heathercourse.platform.StoreException;
 import org.heathercourse.platform.rows.RowCommit;
-import org.heathercourse.platform.rows.RowKey;
 import org.heathercourse.platform.rows.RowStore;
 import org.heathercourse.platform.rows.RowTransaction;
 import org.heathercourse.platform.rows.StoredRow;
@@ -41,18 +35,6 @@
     /** Number of parts of the table, over which the writes of programs are spread. */
     static final int TABLE_PARTS = 16;
 
-    /**
-     * Maximum number of programs in memory, each of which takes up to 1 KB. Several times the
-     * number of programs that one owner of a large fleet has under way.
-     */
-    static final int MAX_PROGRAMS = 4_096;
-
-    /** Maximum number of programs that are looked at in search of one without any tokens. */
-    private static final int MAX_EVICTION_TRIES = 64;
-
-    /** Time in milliseconds without use after which a program is evicted from memory. */
-    static final long IDLE_EVICTION_MILLIS = 180_000;
-
     /**
      * Maximum time in milliseconds that a turn waits for the store. Shorter than the timeout of
      * another gateway's request to the owner: that gateway would otherwise take a slow store for an
@@ -85,7 +67,7 @@
     private final ScheduledExecutorService mControl;
     private final Ticker mTicker;
     private final String mWriterPrefix;
-    private final Map<String, Account> mAccounts = new LinkedHashMap<>(16, 0.75f, true);
+    private final BudgetAccounts mAccounts = new BudgetAccounts();
     private long mWriteCount;
 
     /**
@@ -96,43 +78,6 @@
      */
     record Grant(BudgetOutcome outcome, boolean begun) {}
 
-    /** A turn that waits for its reservation, at most until {@code untilMillis} of the ticker. */
-    private record WaitingTurn(
-            long limitTokens, long needTokens, long untilMillis, CompletableFuture<Grant> grant) {}
-
-    /** The budget of a program with the turns that wait for it. */
-    private static final class Account {
-        private final String mProgram;
-        private final RowKey mKey;
-        private final ProgramBudget mBudget = new ProgramBudget();
-        private final Deque<WaitingTurn> mWaitingTurns = new ArrayDeque<>();
-        private boolean mStoreCallPending;
-        private boolean mRowKnown;
-        private long mRowReadMillis;
-        private long mLastUsedMillis;
-        private long mLimitTokens;
-        private boolean mIdleCheckScheduled;
-
-        /** The return that is under way or waits for a store call; null if there is none. */
-        private CompletableFuture<Void> mReturn;
-
-        Account(String program) {
-            mProgram = program;
-            int part = (int) (Rendezvous.unitHash(program) * TABLE_PARTS);
-            mKey = RowKey.ofText(TABLE, Integer.toString(part), program);
-        }
-
-        /** Returns whether a store call or a turn that waits for one needs the account. */
-        boolean isWaiting() {
-            return mStoreCallPending || !mWaitingTurns.isEmpty();
-        }
-
-        /** Returns whether nothing is lost with the account; the row can be read again. */
-        boolean isEmpty() {
-            return !isWaiting() && mBudget.openTurns() == 0 && mBudget.availableTokens() == 0;
-        }
-    }
-
     BudgetLedger(
             RowStore store, ScheduledExecutorService control, Ticker ticker, String writerPrefix) {
         mStore = store;
@@ -151,17 +96,17 @@
      */
     CompletableFuture<Grant> reserve(String program, long limitTokens, long needTokens) {
         long now = mTicker.readMillis();
-        evictIdle(now);
-        if (!mAccounts.containsKey(program) && !makeRoom()) {
+        Optional<BudgetAccount> found = mAccounts.open(program, now);
+        if (found.isEmpty()) {
             return CompletableFuture.completedFuture(new Grant(BudgetOutcome.UNAVAILABLE, false));
         }
-        Account account = mAccounts.computeIfAbsent(program, Account::new);
-        account.mLastUsedMillis = now;
+        BudgetAccount account = found.get();
         account.mLimitTokens = limitTokens;
         scheduleIdleCheck(account, IDLE_RETURN_MILLIS);
         CompletableFuture<Grant> grant = new CompletableFuture<>();
         account.mWaitingTurns.add(
-                new WaitingTurn(limitTokens, needTokens, now + MAX_STORE_WAIT_MILLIS, grant));
+                new BudgetAccount.WaitingTurn(
+                        limitTokens, needTokens, now + MAX_STORE_WAIT_MILLIS, grant));
         serveWaiting(account);
         if (!grant.isDone()) {
             // The outstanding store call may take longer; it continues without the turn.
@@ -171,7 +116,7 @@
         return grant;
     }
 
-    private void expireWaiting(Account account) {
+    private void expireWaiting(BudgetAccount account) {
         long now = mTicker.readMillis();
         while (!account.mWaitingTurns.isEmpty()
                 && account.mWaitingTurns.peek().untilMillis() <= now) {
@@ -187,9 +132,8 @@
      * @param ran whether a target generated tokens for the turn
      */
     void settle(String program, long unusedTokens, boolean ran) {
-        Account account = mAccounts.get(program);
+        BudgetAccount account = mAccounts.use(program, mTicker.readMillis());
         if (account != null && account.mBudget.openTurns() > 0) {
-            account.mLastUsedMillis = mTicker.readMillis();
             account.mBudget.settle(unusedTokens, ran);
             scheduleIdleCheck(account, IDLE_RETURN_MILLIS);
             serveWaiting(account);
@@ -197,14 +141,14 @@
     }
 
     /** Returns unused tokens once the program has not been used for a while. */
-    private void scheduleIdleCheck(Account account, long delayMillis) {
+    private void scheduleIdleCheck(BudgetAccount account, long delayMillis) {
         if (!account.mIdleCheckScheduled) {
             account.mIdleCheckScheduled = true;
             mControl.schedule(() -> checkIdle(account), delayMillis, TimeUnit.MILLISECONDS);
         }
     }
 
-    private void checkIdle(Account account) {
+    private void checkIdle(BudgetAccount account) {
         account.mIdleCheckScheduled = false;
         long idleMillis = mTicker.readMillis() - account.mLastUsedMillis;
         if (idleMillis < IDLE_RETURN_MILLIS) {
@@ -214,42 +158,6 @@
         }
     }
 
-    private void evictIdle(long nowMillis) {
-        var leastRecentlyUsed = mAccounts.values().iterator();
-        while (leastRecentlyUsed.hasNext()) {
-            Account account = leastRecentlyUsed.next();
-            if (nowMillis - account.mLastUsedMillis < IDLE_EVICTION_MILLIS) {
-                return;
-            }
-            if (!account.mStoreCallPending) {
-                leastRecentlyUsed.remove();
-            }
-        }
-    }
-
-    /**
-     * Evicts a program if there are as many as allowed: one of the least recently used ones that
-     * has no tokens, or else the first that waits for nothing, whose tokens then count as spent.
-     *
-     * @return false if all that were looked at wait for the store
-     */
-    private boolean makeRoom() {
-        if (mAccounts.size() < MAX_PROGRAMS) {
-            return true;
-        }
-        Account evicted = null;
-        int tries = 0;
-        for (Account account : mAccounts.values()) {
-            if (++tries > MAX_EVICTION_TRIES || evicted != null && evicted.isEmpty()) {
-                break;
-            }
-            if (account.isEmpty() || evicted == null && !account.isWaiting()) {
-                evicted = account;
-            }
-        }
-        return evicted != null && mAccounts.remove(evicted.mProgram) != null;
-    }
-
     /** Returns the number of programs in memory. */
     int programCount() {
         return mAccounts.size();
@@ -257,9 +165,9 @@
 
     // Waiting turns
 
-    private void serveWaiting(Account account) {
+    private void serveWaiting(BudgetAccount account) {
         while (!account.mStoreCallPending && !account.mWaitingTurns.isEmpty()) {
-            WaitingTurn first = account.mWaitingTurns.peek();
+            BudgetAccount.WaitingTurn first = account.mWaitingTurns.peek();
             switch (account.mBudget.reserve(first.limitTokens(), first.needTokens())) {
                 case GRANTED -> completeFirst(account, BudgetOutcome.GRANTED);
                 case CHUNK_NEEDED -> acquireChunk(account, first);
@@ -269,7 +177,7 @@
         continueReturn(account);
     }
 
-    private void completeFirst(Account account, BudgetOutcome outcome) {
+    private void completeFirst(BudgetAccount account, BudgetOutcome outcome) {
         Grant grant = new Grant(outcome, account.mBudget.begun());
         account.mWaitingTurns.remove().grant().complete(grant);
     }
@@ -278,10 +186,10 @@
      * Rejects the first turn, but reads an old row again first: another gateway may have returned
      * tokens since.
      */
-    private void rejectOrReread(Account account) {
+    private void rejectOrReread(BudgetAccount account) {
         boolean isRowStale = mTicker.readMillis() - account.mRowReadMillis > MAX_ROW_AGE_MILLIS;
         if (account.mRowKnown && !isRowStale) {
-            WaitingTurn first = account.mWaitingTurns.peek();
+            BudgetAccount.WaitingTurn first = account.mWaitingTurns.peek();
             LOG.info(
                     "budget_exhausted",
                     "program",
@@ -303,12 +211,12 @@
         read(account);
     }
 
-    private void read(Account account) {
+    private void read(BudgetAccount account) {
         mStore.read(account.mKey)
                 .whenCompleteAsync((row, error) -> onRead(account, row, error), mControl);
     }
 
-    private void onRead(Account account, StoredRow row, Throwable error) {
+    private void onRead(BudgetAccount account, StoredRow row, Throwable error) {
         if (error == null) {
             recordRow(account, row);
             account.mStoreCallPending = false;
@@ -332,9 +240,11 @@
         }
     }
 
-    private void acquireChunk(Account account, WaitingTurn first) {
+    private void acquireChunk(BudgetAccount account, BudgetAccount.WaitingTurn first) {
         long waitingTokens =
-                account.mWaitingTurns.stream().mapToLong(WaitingTurn::needTokens).sum();
+                account.mWaitingTurns.stream()
+                        .mapToLong(BudgetAccount.WaitingTurn::needTokens)
+                        .sum();
         BudgetRow row =
                 account.mBudget.afterChunk(
                         first.limitTokens(), waitingTokens, first.needTokens(), nextWriterId());
@@ -346,14 +256,14 @@
         return mWriterPrefix + ++mWriteCount;
     }
 
-    private void write(Account account, Write write) {
+    private void write(BudgetAccount account, Write write) {
         long version = account.mBudget.rowVersion();
         mStore.commit(RowTransaction.put(account.mKey, version, JsonRowCodec.encode(write.mRow)))
                 .whenCompleteAsync(
                         (commit, error) -> onWritten(account, write, commit, error), mControl);
     }
 
-    private void onWritten(Account account, Write write, RowCommit commit, Throwable error) {
+    private void onWritten(BudgetAccount account, Write write, RowCommit commit, Throwable error) {
         if (error != null) {
             Throwable cause = error instanceof CompletionException e ? e.getCause() : error;
             write.mMayBeCommitted |= !(cause instanceof StoreException e) || e.outcomeUnknown();
@@ -371,7 +281,7 @@
         serveWaiting(account);
     }
 
-    private void onConflict(Account account, Write write, RowCommit commit) {
+    private void onConflict(BudgetAccount account, Write write, RowCommit commit) {
         StoredRow currentRow =
                 commit.currentRows().stream()
                         .filter(r -> r.key().equals(account.mKey))
@@ -390,12 +300,12 @@
         recordRow(account, currentRow);
     }
 
-    private void recordRow(Account account, StoredRow row) {
+    private void recordRow(BudgetAccount account, StoredRow row) {
         account.mBudget.recordRead(decode(row), row.version());
         recordRowTime(account);
     }
 
-    private void recordRowTime(Account account) {
+    private void recordRowTime(BudgetAccount account) {
         account.mRowKnown = true;
         account.mRowReadMillis = mTicker.readMillis();
     }
@@ -407,7 +317,7 @@
     }
 
     /** Retries a store call after a delay. */
-    private void retryLater(Account account, Runnable call) {
+    private void retryLater(BudgetAccount account, Runnable call) {
         // The outcome of a write must be determined even if no turn waits for it.
         long delayMillis =
                 account.mWaitingTurns.isEmpty()
@@ -442,13 +352,13 @@
     }
 
     private List<CompletableFuture<Void>> beginReturns(Predicate<String> filter) {
-        return List.copyOf(mAccounts.values()).stream()
+        return mAccounts.all().stream()
                 .filter(account -> filter.test(account.mProgram))
                 .map(this::beginReturn)
                 .toList();
     }
 
-    private CompletableFuture<Void> beginReturn(Account account) {
+    private CompletableFuture<Void> beginReturn(BudgetAccount account) {
         if (account.mReturn == null) {
             account.mReturn = new CompletableFuture<>();
         }
@@ -458,7 +368,7 @@
     }
 
     /** Writes the return that was requested, if any, or completes it if no tokens are left. */
-    private void continueReturn(Account account) {
+    private void continueReturn(BudgetAccount account) {
         if (account.mReturn == null
                 || account.mStoreCallPending
                 || !account.mWaitingTurns.isEmpty()) {
@@ -473,7 +383,7 @@
         returned.complete(null);
     }
 
-    private void writeReturn(Account account) {
+    private void writeReturn(BudgetAccount account) {
         long tokens = account.mBudget.beginReturn();
         account.mStoreCallPending = true;
         write(account, new Write(account.mBudget.afterReturn(tokens, nextWriterId()), tokens));
--- a/src/test/java/org/heathercourse/gateway/control/BudgetLedgerTest.java
+++ b/src/test/java/org/heathercourse/gateway/control/BudgetLedgerTest.java
@@ -64,6 +64,15 @@
         return grant.join().outcome();
     }
 
+    /** Returns how many further turns a gateway grants. */
+    private int grantsOf(BudgetLedger ledger) {
+        int granted = 0;
+        while (reserve(ledger) == BudgetOutcome.GRANTED) {
+            granted++;
+        }
+        return granted;
+    }
+
     private long takenTokens() {
         long tokens = 0;
         for (int part = 0; part < BudgetLedger.TABLE_PARTS; part++) {
@@ -218,11 +227,7 @@
         BudgetLedger deadOwner = createLedger();
         reserve(deadOwner);
         mExecutor.advance(SETTLE_MILLIS);
-        int granted = 0;
-        BudgetLedger newOwner = createLedger();
-        while (reserve(newOwner) == BudgetOutcome.GRANTED) {
-            granted++;
-        }
+        int granted = grantsOf(createLedger());
         assertThat(granted).isEqualTo((int) (LIMIT_TOKENS / MAX_TURN_TOKENS) - 1);
     }
 
@@ -291,11 +296,7 @@
     void newOwnerCountsTokensOfDeadOwner() {
         BudgetLedger deadOwner = createLedger();
         reserve(deadOwner);
-        int granted = 0;
-        BudgetLedger newOwner = createLedger();
-        while (reserve(newOwner) == BudgetOutcome.GRANTED) {
-            granted++;
-        }
+        int granted = grantsOf(createLedger());
         assertThat(granted).isBetween(1, (int) (LIMIT_TOKENS / MAX_TURN_TOKENS) - 1);
     }
 
@@ -319,11 +320,7 @@
         BudgetLedger leavingOwner = createLedger();
         reserve(leavingOwner);
         leavingOwner.returnUnusedTokens(program -> true);
-        int granted = 0;
-        BudgetLedger newOwner = createLedger();
-        while (reserve(newOwner) == BudgetOutcome.GRANTED) {
-            granted++;
-        }
+        int granted = grantsOf(createLedger());
         assertThat(granted).isEqualTo((int) (LIMIT_TOKENS / MAX_TURN_TOKENS) - 1);
     }
 
@@ -406,7 +403,7 @@
         ledger.reserve("w/pending", LIMIT_TOKENS, MAX_TURN_TOKENS);
         mStore.mUnresponsive = false;
         ledger.reserve("w/idle", LIMIT_TOKENS, MAX_TURN_TOKENS);
-        mExecutor.advance(BudgetLedger.IDLE_EVICTION_MILLIS + 1);
+        mExecutor.advance(BudgetAccounts.IDLE_EVICTION_MILLIS + 1);
         ledger.reserve("w/new", LIMIT_TOKENS, MAX_TURN_TOKENS);
         assertThat(ledger.programCount()).isEqualTo(2);
     }
@@ -415,11 +412,11 @@
     @Test
     void numberOfProgramsInMemoryIsBounded() {
         BudgetLedger ledger = createLedger();
-        for (int i = 0; i < 3 * BudgetLedger.MAX_PROGRAMS; i++) {
+        for (int i = 0; i < 3 * BudgetAccounts.MAX_PROGRAMS; i++) {
             assertThat(reserve(ledger, "w/refused" + i, LIMIT_TOKENS + 1))
                     .isEqualTo(BudgetOutcome.EXHAUSTED);
         }
-        assertThat(ledger.programCount()).isEqualTo(BudgetLedger.MAX_PROGRAMS);
+        assertThat(ledger.programCount()).isEqualTo(BudgetAccounts.MAX_PROGRAMS);
     }
 
     /** Guards against refused programs that displace the tokens of one that goes on. */
@@ -427,7 +424,7 @@
     void programWithTokensIsEvictedAfterThoseWithout() {
         BudgetLedger ledger = createLedger();
         assertThat(reserve(ledger)).isEqualTo(BudgetOutcome.GRANTED);
-        for (int i = 0; i < 2 * BudgetLedger.MAX_PROGRAMS; i++) {
+        for (int i = 0; i < 2 * BudgetAccounts.MAX_PROGRAMS; i++) {
             reserve(ledger, "w/refused" + i, LIMIT_TOKENS + 1);
         }
         ledger.settle("w/p", MAX_TURN_TOKENS, true);
@@ -440,11 +437,11 @@
     void refusesProgramsBeyondTheBoundWhileAllWaitForTheStore() {
         BudgetLedger ledger = createLedger();
         mStore.mUnresponsive = true;
-        for (int i = 0; i < BudgetLedger.MAX_PROGRAMS; i++) {
+        for (int i = 0; i < BudgetAccounts.MAX_PROGRAMS; i++) {
             ledger.reserve("w/pending" + i, LIMIT_TOKENS, MAX_TURN_TOKENS);
         }
         assertThat(reserve(ledger)).isEqualTo(BudgetOutcome.UNAVAILABLE);
-        assertThat(ledger.programCount()).isEqualTo(BudgetLedger.MAX_PROGRAMS);
+        assertThat(ledger.programCount()).isEqualTo(BudgetAccounts.MAX_PROGRAMS);
         mStore.mUnresponsive = false;
     }
 
