--- a/src/main/java/org/heathercourse/gateway/call/CrashGuard.java
+++ b/src/main/java/org/heathercourse/gateway/call/CrashGuard.java
@@ -94,7 +94,7 @@
     /** Returns why the request is quarantined. */
     String reason() {
         return CrashTable.CRASH_LIMIT
-                + " targets or more ended, one after the other, while they ran requests with digest "
+                + " targets or more ended one after the other while they ran requests with digest "
                 + quarantinedDigest();
     }
 
--- a/src/test/java/org/heathercourse/cli/CrashesCommandTest.java
+++ b/src/test/java/org/heathercourse/cli/CrashesCommandTest.java
@@ -56,7 +56,8 @@
             long endedMillis = mNowMillis - 1_000L * (targets.length - 1 - i);
             crashes.add(
                     String.format(
-                            "{\"target\":\"%s\",\"observer\":\"g\",\"startedMillis\":%d,\"endedMillis\":%d}",
+                            "{\"target\":\"%s\",\"observer\":\"g\","
+                                    + "\"startedMillis\":%d,\"endedMillis\":%d}",
                             targets[i], endedMillis - 500, endedMillis));
         }
         return String.format(
--- a/src/test/java/org/heathercourse/core/crash/CrashTableTest.java
+++ b/src/test/java/org/heathercourse/core/crash/CrashTableTest.java
@@ -135,7 +135,7 @@
 
     /** Guards against a crashing request that is released by the crashes of its own copies. */
     @Test
-    void copiesThatEndLateDoNotEndAQuarantine() {
+    void copiesThatEndLateDoNotEndTheQuarantine() {
         CrashTable table = crashes(CrashTable.EMPTY, KILLER, "a", "b", "c");
         for (int i = 0; i < 3 * CrashEntry.MAX_CRASHES; i++) {
             table = table.withCrash(KILLER, new Crash("copy" + i, "g", 900, 1_100 + i));
