Write the request target byte for byte as the caller sent it

Cause: the decoder gives each byte of the request target as one character, and the encoder of the library writes characters above 0x7f as two bytes of UTF-8.

Change: an encoder that writes one byte for each character.

--- a/src/main/java/org/heathercourse/gateway/target/TargetPool.java
+++ b/src/main/java/org/heathercourse/gateway/target/TargetPool.java
@@ -9,7 +9,6 @@
 import io.netty.channel.ConnectTimeoutException;
 import io.netty.channel.EventLoop;
 import io.netty.channel.socket.nio.NioSocketChannel;
-import io.netty.handler.codec.http.HttpRequestEncoder;
 import java.net.ConnectException;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
@@ -22,6 +21,7 @@
 import org.heathercourse.core.target.Target;
 import org.heathercourse.core.target.TargetLoad;
 import org.heathercourse.core.time.Ticker;
+import org.heathercourse.gateway.codec.RequestEncoder;
 import org.heathercourse.platform.entry.CallFormat;
 
 /** Connection pool for one incarnation of a target. Confined to the traffic loop. */
@@ -272,7 +272,7 @@
     static void addHandlers(ChannelPipeline pipeline, TargetConnection connection) {
         pipeline.addLast(new InputObserver(connection))
                 .addLast(connection.decoder())
-                .addLast(new HttpRequestEncoder())
+                .addLast(new RequestEncoder())
                 .addLast(connection);
     }
 
