Count the last run of a request on a target that ended

Several runs of one path may end with one target. The table kept the first that was reported, so a long run that had begun before the crash before hid a later one, and a crashing path could need a fourth target. The run that began last is kept now, whatever the order of the reports (CrashTableTest.lastRunOnATargetCounts).

--- a/src/main/java/org/heathercourse/core/crash/CrashEntry.java
+++ b/src/main/java/org/heathercourse/core/crash/CrashEntry.java
@@ -20,6 +20,9 @@
      */
     static final int MAX_CRASHES = 12;
 
+    private static final Comparator<Crash> LAST_RUN_LAST =
+            Comparator.comparingLong(Crash::startedMillis).thenComparing(Comparator.naturalOrder());
+
     private final String mDigest;
     private final List<Crash> mCrashes;
     private final int mIndependentCrashCount;
@@ -28,8 +31,8 @@
      * Creates an entry.
      *
      * @param digest text of the request's digest
-     * @param crashes crashes in any order. Of several ones of a target the latest is kept, and of
-     *     more than {@link #MAX_CRASHES} the independent ones and then the latest
+     * @param crashes crashes in any order. Of several ones of a target the one whose run began last
+     *     is kept, and of more than {@link #MAX_CRASHES} the independent ones and then the latest
      */
     @JsonCreator
     public CrashEntry(
@@ -39,16 +42,16 @@
             throw new IllegalArgumentException("a crash entry needs a digest and its crashes");
         }
         mDigest = digest;
-        List<Crash> distinct = latestOfEachTarget(crashes);
+        List<Crash> distinct = lastRunOfEachTarget(crashes);
         List<Crash> independent = CrashChain.longest(distinct);
         mIndependentCrashCount = Math.min(independent.size(), MAX_CRASHES);
         mCrashes = distinct.size() <= MAX_CRASHES ? distinct : limit(distinct, independent);
     }
 
-    private static List<Crash> latestOfEachTarget(Collection<Crash> crashes) {
+    private static List<Crash> lastRunOfEachTarget(Collection<Crash> crashes) {
         Map<String, Crash> latest = new HashMap<>();
         for (Crash crash : crashes) {
-            latest.merge(crash.target(), crash, BinaryOperator.maxBy(Comparator.naturalOrder()));
+            latest.merge(crash.target(), crash, BinaryOperator.maxBy(LAST_RUN_LAST));
         }
         return latest.values().stream().sorted().toList();
     }
--- a/src/main/java/org/heathercourse/core/crash/CrashTable.java
+++ b/src/main/java/org/heathercourse/core/crash/CrashTable.java
@@ -121,10 +121,19 @@
         return mEntries.containsKey(digest.text());
     }
 
-    /** Returns whether the table has the crash of a target while it ran a request. */
-    public boolean hasCrash(RequestDigest digest, String targetIncarnation) {
+    /**
+     * Returns whether the table has the crash of a target while it ran a request, and the given one
+     * tells nothing new: its run began no later, or after the known end of the target.
+     */
+    public boolean hasCrash(RequestDigest digest, Crash crash) {
         CrashEntry entry = mEntries.get(digest.text());
-        return entry != null && entry.targets().contains(targetIncarnation);
+        return entry != null
+                && entry.crashes().stream()
+                        .filter(known -> known.target().equals(crash.target()))
+                        .anyMatch(
+                                known ->
+                                        known.startedMillis() >= crash.startedMillis()
+                                                || known.endedMillis() <= crash.startedMillis());
     }
 
     /** Returns the number of independent crashes of a request. */
--- a/src/main/java/org/heathercourse/gateway/control/CrashRecordService.java
+++ b/src/main/java/org/heathercourse/gateway/control/CrashRecordService.java
@@ -161,7 +161,7 @@
     // Changes
 
     private void addCrash(RequestDigest digest, Crash crash) {
-        if (mTable.hasCrash(digest, crash.target())) {
+        if (mTable.hasCrash(digest, crash)) {
             return;
         }
         addChange(table -> table.withCrash(digest, crash));
--- a/src/test/java/org/heathercourse/core/crash/CrashTableTest.java
+++ b/src/test/java/org/heathercourse/core/crash/CrashTableTest.java
@@ -119,6 +119,20 @@
         assertThat(table.isQuarantined(SOUND)).as("third event").isTrue();
     }
 
+    /** Guards against a crashing path that is not recognized because a long run ended with it. */
+    @Test
+    void lastRunOnATargetCounts() {
+        CrashTable table = crashes(CrashTable.EMPTY, SOUND, "a", "b");
+        Crash longRun = new Crash("c", "g", 100, 1_000);
+        Crash lastRun = new Crash("c", "g", 995, 1_000);
+        assertThat(table.withCrash(SOUND, longRun).isQuarantined(SOUND)).isFalse();
+        CrashTable both = table.withCrash(SOUND, longRun).withCrash(SOUND, lastRun);
+        assertThat(both.isQuarantined(SOUND)).isTrue();
+        assertThat(both).isEqualTo(table.withCrash(SOUND, lastRun).withCrash(SOUND, longRun));
+        assertThat(both.hasCrash(SOUND, longRun)).isTrue();
+        assertThat(table.withCrash(SOUND, longRun).hasCrash(SOUND, lastRun)).isFalse();
+    }
+
     /** Guards against ends at the same time that seem to follow each other on different clocks. */
     @Test
     void clocksOfGatewaysMayDiffer() {
