--- a/src/test/java/org/heathercourse/core/crash/CrashTableTest.java
+++ b/src/test/java/org/heathercourse/core/crash/CrashTableTest.java
@@ -121,7 +121,7 @@
 
     /** Guards against a crashing path that is not recognized because a long run ended with it. */
     @Test
-    void lastRunOnATargetCounts() {
+    void lastRunOnTheTargetCounts() {
         CrashTable table = crashes(CrashTable.EMPTY, SOUND, "a", "b");
         Crash longRun = new Crash("c", "g", 100, 1_000);
         Crash lastRun = new Crash("c", "g", 995, 1_000);
