Settle each reservation of a budget once, and give up those without a reply

Cause: a gateway waits 350 ms for the owner of a budget and then goes on without it. An owner that is busy after its start grants the reservation later; nobody receives the reply and nobody settles, so the tokens stay reserved. A settlement whose reply was lost was not repeated either, because it could have counted twice. The asker answered 402 although the silent owner held the tokens for this very turn.

Change: a reservation has an identity, and its owner settles it once, whatever the order of messages. A gateway without a reply gives the reservation up, and repeats this and each settlement. A budget that seems spent while its owner is silent is answered 503 as not run.

--- a/src/main/java/org/heathercourse/daemon/peer/PeerMessage.java
+++ b/src/main/java/org/heathercourse/daemon/peer/PeerMessage.java
@@ -276,10 +276,11 @@
      * Reserves tokens of a program's budget for a turn at the gateway that owns the program.
      *
      * @param program key of the program
+     * @param reservation identity of the reservation; null from a gateway of an earlier version
      * @param limitTokens budget of the program, in tokens
      * @param needTokens maximum number of tokens that the turn can generate
      */
-    record BudgetReserve(String program, long limitTokens, long needTokens)
+    record BudgetReserve(String program, String reservation, long limitTokens, long needTokens)
             implements PeerMessage {}
 
     /**
@@ -291,13 +292,16 @@
     record BudgetReply(String outcome, boolean begun) implements PeerMessage {}
 
     /**
-     * Returns reserved tokens that a turn did not use.
+     * Returns reserved tokens that a turn did not use. Takes effect once for each reservation,
+     * however often it is sent, also if it arrives before the reservation.
      *
      * @param program key of the program
+     * @param reservation identity of the reservation; null from a gateway of an earlier version
      * @param unusedTokens reserved tokens that were not generated
      * @param ran whether a target generated tokens for the turn
      */
-    record BudgetSettle(String program, long unusedTokens, boolean ran) implements PeerMessage {}
+    record BudgetSettle(String program, String reservation, long unusedTokens, boolean ran)
+            implements PeerMessage {}
 
     /**
      * Requests the admission of a call from an owner of a workspace's rate.
--- a/src/main/java/org/heathercourse/gateway/control/BudgetService.java
+++ b/src/main/java/org/heathercourse/gateway/control/BudgetService.java
@@ -2,10 +2,14 @@
 
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.Executor;
+import java.util.concurrent.CompletionException;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
 import org.heathercourse.core.budget.BudgetOutcome;
 import org.heathercourse.core.fleet.Member;
 import org.heathercourse.core.model.Zone;
+import org.heathercourse.daemon.peer.PeerException;
 import org.heathercourse.daemon.peer.PeerMessage.BudgetReply;
 import org.heathercourse.daemon.peer.PeerMessage.BudgetReserve;
 import org.heathercourse.daemon.peer.PeerMessage.BudgetSettle;
@@ -26,15 +30,23 @@
     /** Maximum number of tries for a turn while the store is unavailable to the owner. */
     private static final int MAX_TRIES = 3;
 
+    /** Maximum number of times that a settlement is sent to an owner that does not reply. */
+    private static final int MAX_SETTLE_TRIES = 5;
+
+    /** Delay in milliseconds before a settlement is repeated first; it doubles each time. */
+    private static final long SETTLE_RETRY_MILLIS = 300;
+
     private static final EventLog LOG = EventLog.of(BudgetService.class);
 
     private final BudgetLedger mLedger;
     private final ClusterView mClusterView;
     private final PeerNetwork mPeers;
-    private final Executor mControl;
+    private final ScheduledExecutorService mControl;
     private final Member mSelf;
     private final Zone mZone;
+    private final PeerReservations mPeerReservations;
     private final OpenTurns mOpenTurns = new OpenTurns();
+    private final AtomicLong mReservationCount = new AtomicLong();
 
     /**
      * The result of a reservation of tokens for a turn.
@@ -43,16 +55,19 @@
      * @param begun whether a turn of the program has run before
      * @param program key of the program
      * @param owner gateway that holds the reservation; null if it is this one
+     * @param id identity of the reservation at its owner; null if this gateway holds it
      */
-    public record Reservation(BudgetOutcome outcome, boolean begun, String program, Member owner) {}
+    public record Reservation(
+            BudgetOutcome outcome, boolean begun, String program, Member owner, String id) {}
 
     BudgetService(
             BudgetLedger ledger,
             ClusterView clusterView,
             PeerNetwork peers,
-            Executor control,
+            ScheduledExecutorService control,
             Member self) {
         mLedger = ledger;
+        mPeerReservations = new PeerReservations(ledger);
         mClusterView = clusterView;
         mPeers = peers;
         mControl = control;
@@ -75,7 +90,7 @@
             String program, long limitTokens, long needTokens) {
         mOpenTurns.begin();
         String key = RowKey.boundedText(program, RowKey.MAX_TEXT_BYTES);
-        return reserve(new BudgetReserve(key, limitTokens, needTokens), MAX_TRIES)
+        return reserve(new BudgetReserve(key, null, limitTokens, needTokens), MAX_TRIES)
                 .whenComplete(
                         (reservation, error) -> {
                             if (error != null || reservation.outcome() != BudgetOutcome.GRANTED) {
@@ -98,28 +113,73 @@
         if (owner.isEmpty() || owner.get().vm().equals(mSelf.vm())) {
             return reserveLocally(request);
         }
-        Member member = owner.get();
+        return reserveAtOwner(owner.get(), withNewIdentity(request));
+    }
+
+    private BudgetReserve withNewIdentity(BudgetReserve request) {
+        String id =
+                mSelf.vm() + "/" + mSelf.incarnation() + "/" + mReservationCount.incrementAndGet();
+        return new BudgetReserve(
+                request.program(), id, request.limitTokens(), request.needTokens());
+    }
+
+    private CompletableFuture<Reservation> reserveAtOwner(Member owner, BudgetReserve request) {
         return mPeers.request(
-                        PeerAddress.of(member), request, BudgetReply.class, OWNER_TIMEOUT_MILLIS)
+                        PeerAddress.of(owner), request, BudgetReply.class, OWNER_TIMEOUT_MILLIS)
                 .thenApply(
                         reply ->
                                 new Reservation(
                                         BudgetOutcome.fromWireName(reply.outcome()),
                                         reply.begun(),
                                         request.program(),
-                                        member))
-                .exceptionallyCompose(
-                        error -> {
-                            LOG.info(
-                                    "budget_owner_silent",
-                                    "program",
-                                    request.program(),
-                                    "owner",
-                                    member.vm(),
-                                    "reason",
-                                    error.getMessage());
-                            return reserveLocally(request);
-                        });
+                                        owner,
+                                        request.reservation()))
+                .exceptionallyCompose(error -> reserveWithoutOwner(owner, request, error));
+    }
+
+    /**
+     * Reserves tokens here because the owner has not replied, and gives up what the owner may grant
+     * late. The budget may seem spent only because the owner holds tokens, so that a refusal is not
+     * certain.
+     */
+    private CompletableFuture<Reservation> reserveWithoutOwner(
+            Member owner, BudgetReserve request, Throwable error) {
+        LOG.info(
+                "budget_owner_silent",
+                "program",
+                request.program(),
+                "owner",
+                owner.vm(),
+                "reason",
+                error.getMessage());
+        Throwable cause = error instanceof CompletionException ? error.getCause() : error;
+        if (!(cause instanceof PeerException failure) || !failure.notSent()) {
+            giveUp(owner, request);
+        }
+        return reserveLocally(request)
+                .thenApply(
+                        reservation ->
+                                reservation.outcome() == BudgetOutcome.EXHAUSTED
+                                        ? unavailable(reservation)
+                                        : reservation);
+    }
+
+    private void giveUp(Member owner, BudgetReserve request) {
+        mOpenTurns.begin();
+        BudgetSettle message =
+                new BudgetSettle(
+                        request.program(), request.reservation(), request.needTokens(), false);
+        settleAtOwner(owner, message, MAX_SETTLE_TRIES)
+                .whenComplete((done, error) -> onSettled(message, error));
+    }
+
+    private static Reservation unavailable(Reservation reservation) {
+        return new Reservation(
+                BudgetOutcome.UNAVAILABLE,
+                reservation.begun(),
+                reservation.program(),
+                reservation.owner(),
+                reservation.id());
     }
 
     private CompletableFuture<Reservation> reserveLocally(BudgetReserve request) {
@@ -127,7 +187,11 @@
                 .thenApply(
                         grant ->
                                 new Reservation(
-                                        grant.outcome(), grant.begun(), request.program(), null));
+                                        grant.outcome(),
+                                        grant.begun(),
+                                        request.program(),
+                                        null,
+                                        null));
     }
 
     private CompletableFuture<BudgetLedger.Grant> reserveInLedger(BudgetReserve request) {
@@ -149,33 +213,51 @@
      * @param ran whether a target generated tokens for the turn
      */
     public void settle(Reservation reservation, long unusedTokens, boolean ran) {
-        settleAtOwner(reservation, unusedTokens, ran)
-                .whenComplete(
-                        (done, error) -> {
-                            if (error != null) {
-                                // The tokens count as spent, so that the budget is never exceeded.
-                                LOG.info(
-                                        "budget_not_settled",
-                                        "program",
-                                        reservation.program(),
-                                        "unusedTokens",
-                                        unusedTokens);
-                            }
-                            mOpenTurns.end();
-                        });
+        BudgetSettle message =
+                new BudgetSettle(reservation.program(), reservation.id(), unusedTokens, ran);
+        CompletableFuture<?> settled =
+                reservation.owner() == null
+                        ? CompletableFuture.runAsync(
+                                () -> mLedger.settle(reservation.program(), unusedTokens, ran),
+                                mControl)
+                        : settleAtOwner(reservation.owner(), message, MAX_SETTLE_TRIES);
+        settled.whenComplete((done, error) -> onSettled(message, error));
     }
 
-    private CompletableFuture<?> settleAtOwner(
-            Reservation reservation, long unusedTokens, boolean ran) {
-        if (reservation.owner() == null) {
-            return CompletableFuture.runAsync(
-                    () -> mLedger.settle(reservation.program(), unusedTokens, ran), mControl);
+    private void onSettled(BudgetSettle message, Throwable error) {
+        if (error != null) {
+            // The tokens count as spent, so that the budget is never exceeded.
+            LOG.info(
+                    "budget_not_settled",
+                    "program",
+                    message.program(),
+                    "unusedTokens",
+                    message.unusedTokens());
         }
+        mOpenTurns.end();
+    }
+
+    /** Sends a settlement until the owner has replied, as long as tries are left. */
+    private CompletableFuture<BudgetReply> settleAtOwner(
+            Member owner, BudgetSettle message, int tries) {
         return mPeers.request(
-                PeerAddress.of(reservation.owner()),
-                new BudgetSettle(reservation.program(), unusedTokens, ran),
-                BudgetReply.class,
-                OWNER_TIMEOUT_MILLIS);
+                        PeerAddress.of(owner), message, BudgetReply.class, OWNER_TIMEOUT_MILLIS)
+                .exceptionallyCompose(
+                        error ->
+                                tries > 1
+                                        ? pause(tries)
+                                                .thenCompose(
+                                                        ended ->
+                                                                settleAtOwner(
+                                                                        owner, message, tries - 1))
+                                        : CompletableFuture.failedFuture(error));
+    }
+
+    private CompletableFuture<Void> pause(int triesLeft) {
+        CompletableFuture<Void> ended = new CompletableFuture<>();
+        long delayMillis = SETTLE_RETRY_MILLIS << (MAX_SETTLE_TRIES - triesLeft);
+        mControl.schedule(() -> ended.complete(null), delayMillis, TimeUnit.MILLISECONDS);
+        return ended;
     }
 
     /** Returns the unused tokens of programs that another gateway owns now. */
@@ -220,14 +302,15 @@
     }
 
     private CompletableFuture<BudgetReply> onReserve(BudgetReserve request) {
-        return reserveInLedger(request)
+        return CompletableFuture.supplyAsync(() -> mPeerReservations.reserve(request), mControl)
+                .thenCompose(grant -> grant)
                 .thenApply(grant -> new BudgetReply(grant.outcome().wireName(), grant.begun()));
     }
 
     private CompletableFuture<BudgetReply> onSettle(BudgetSettle message) {
         return CompletableFuture.supplyAsync(
                 () -> {
-                    mLedger.settle(message.program(), message.unusedTokens(), message.ran());
+                    mPeerReservations.settle(message);
                     return new BudgetReply(BudgetOutcome.GRANTED.wireName(), true);
                 },
                 mControl);
