--- a/src/main/java/org/heathercourse/gateway/call/RetainedTurn.java
+++ b/src/main/java/org/heathercourse/gateway/call/RetainedTurn.java
@@ -192,8 +192,8 @@
     }
 
     /**
-     * Returns the event that the relay may resume after; null if the caller is to receive the whole
-     * stream.
+     * Returns the id of the last event that the caller already has, up to which nothing is
+     * forwarded; null if it is to receive the whole stream.
      */
     String lastReadEventId() {
         return mAdmission.route().repeatable() ? mFacts.lastEventId() : null;
--- a/src/main/java/org/heathercourse/gateway/history/WorkGate.java
+++ b/src/main/java/org/heathercourse/gateway/history/WorkGate.java
@@ -9,8 +9,8 @@
  * Bounds the cost of the work that is under way; further work waits in its order. Safe for use by
  * several threads.
  *
- * <p>Load pattern: turns of a megabyte that end at the same time. What a turn takes while it is
- * written, in several copies, is many times what a gateway has counted for it.
+ * <p>Load pattern: turns of a megabyte that end at the same time. While a turn is written there are
+ * several copies of it, which together are many times what the gateway has counted for it.
  */
 final class WorkGate {
     private final long mCapacity;
--- a/src/test/java/org/heathercourse/gateway/CrashQuarantineTest.java
+++ b/src/test/java/org/heathercourse/gateway/CrashQuarantineTest.java
@@ -164,6 +164,7 @@
             busy.add(awaitEngineOf("r" + mRequestCount));
         }
         engines.forEach(TargetStandIn::crash);
+        // The gateway has noticed the ends, and the callers leave before the engines are back.
         Thread.sleep(150);
         for (RawCaller caller : callers) {
             caller.close();
