Review: drop the case of stalled bodies, move that of the last key to 15

A case from an entry that loses accepted turns takes the place of stalled bodies, which are refused truly; it stays in the report.

--- a/review/15/run.sh
+++ b/review/15/run.sh
@@ -3,7 +3,7 @@
 # does the same without the disruption. Run review/build-3.sh first.
 cd "$(dirname "$0")/../.." || exit 2
 timeout -k 3 112 java -Xmx512m -Dcase=review/15 \
-    -cp "target/review-3:target/heathercourse-0.1.0-SNAPSHOT.jar:target/lib/*" StalledBodies
+    -cp "target/review-3:target/heathercourse-0.1.0-SNAPSHOT.jar:target/lib/*" LastTenant
 case $? in
 0) exit 0 ;;
 10) exit 1 ;;
--- a/review/standins-3/Lab.java
+++ b/review/standins-3/Lab.java
@@ -17,6 +17,8 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
 import java.util.logging.Level;
 import java.util.logging.Logger;
@@ -238,6 +240,7 @@
         final long born = System.currentTimeMillis();
         final ServerSocket server;
         private final Work mWork;
+        private final Set<Socket> mSockets = ConcurrentHashMap.newKeySet();
 
         private Engine(String id, String service, Work work) throws IOException {
             this.id = id;
@@ -283,7 +286,17 @@
             }
         }
 
+        /** Ends as a process does: closes its port and all connections, and does not come back. */
+        void crash() throws IOException {
+            record("engine " + id + " crashes");
+            server.close();
+            for (Socket socket : mSockets) {
+                socket.close();
+            }
+        }
+
         private void serve(Socket socket) {
+            mSockets.add(socket);
             try (socket) {
                 socket.setTcpNoDelay(true);
                 InputStream in = new BufferedInputStream(socket.getInputStream());
@@ -314,7 +327,7 @@
                     mWork.run(this, request, socket);
                 }
             } catch (IOException e) {
-                // The gateway has closed the connection.
+                // One side has closed the connection.
             } catch (Exception e) {
                 record("engine " + id + " fails: " + e);
             }
