Require keys whenever the configuration declares workspaces

Requests without any key were let in as well.

Cause: RoutingTable derived "a request needs a key" from the number of workspaces. The field that declares them was read element by element, so an empty list, a field of another type and a missing field looked the same, and were taken for the one that needs no keys.

Change: KeyPolicy is set where the row is read, from whether the field is there; a table requires keys unless told otherwise. This holds for each number of workspaces, as nothing is derived from it any more.

--- a/src/main/java/org/heathercourse/core/routing/RoutingTable.java
+++ b/src/main/java/org/heathercourse/core/routing/RoutingTable.java
@@ -22,10 +22,12 @@
     private final Map<String, Workspace> mWorkspaces;
     private final Map<String, Workspace> mWorkspacesByKey;
     private final CallerLimits mLimits;
+    private final KeyPolicy mKeyPolicy;
 
     private RoutingTable(Builder builder) {
         mVersion = builder.mVersion;
         mLimits = builder.mLimits;
+        mKeyPolicy = builder.mKeyPolicy;
         mServices = Map.copyOf(builder.mServices);
         mWorkspaces = Map.copyOf(builder.mWorkspaces);
         mWorkspacesByKey = new HashMap<>();
@@ -63,9 +65,9 @@
         return mLimits;
     }
 
-    /** Returns whether requests need a key on routes that do not allow anonymous requests. */
-    public boolean requiresKeys() {
-        return !mWorkspaces.isEmpty();
+    /** Returns whether a request on a route needs a key of a workspace. */
+    public boolean requiresKey(Route route) {
+        return mKeyPolicy.requiresKey(route);
     }
 
     /** Returns whether a route fulfils a condition. */
@@ -143,6 +145,7 @@
         private final Map<String, Service> mServices = new HashMap<>();
         private final Map<String, Workspace> mWorkspaces = new HashMap<>();
         private CallerLimits mLimits = CallerLimits.DEFAULTS;
+        private KeyPolicy mKeyPolicy = KeyPolicy.KEYS_REQUIRED;
 
         private Builder(long version) {
             mVersion = version;
@@ -172,6 +175,12 @@
             return this;
         }
 
+        /** Sets which requests need a key; by default all that are not on public routes. */
+        public Builder keyPolicy(KeyPolicy keyPolicy) {
+            mKeyPolicy = keyPolicy;
+            return this;
+        }
+
         /** Creates the table. */
         public RoutingTable build() {
             return new RoutingTable(this);
--- a/src/main/java/org/heathercourse/gateway/call/Admission.java
+++ b/src/main/java/org/heathercourse/gateway/call/Admission.java
@@ -54,7 +54,7 @@
         if (route.isEmpty()) {
             return Either.left(isFresh ? unknownRoute(request) : staleConfiguration());
         }
-        if (route.get().allowsAnonymous() || !routing.requiresKeys()) {
+        if (!routing.requiresKey(route.get())) {
             return Either.right(new Admission(routing, route.get(), null));
         }
         if (!isFresh) {
--- a/src/main/java/org/heathercourse/platform/hosted/OperatorRows.java
+++ b/src/main/java/org/heathercourse/platform/hosted/OperatorRows.java
@@ -12,6 +12,7 @@
 import org.heathercourse.core.error.HeathercourseException;
 import org.heathercourse.core.model.Zone;
 import org.heathercourse.core.routing.CallerLimits;
+import org.heathercourse.core.routing.KeyPolicy;
 import org.heathercourse.core.routing.Route;
 import org.heathercourse.core.routing.RouteKind;
 import org.heathercourse.core.routing.RoutingTable;
@@ -77,12 +78,25 @@
         for (JsonNode service : config.path("services")) {
             table.service(service(service));
         }
-        for (JsonNode workspace : config.path("tenants")) {
-            table.workspace(workspace(workspace));
-        }
+        addWorkspaces(config.get("tenants"), table);
         return table.limits(limits(config.path("limits"))).build();
     }
 
+    /**
+     * Adds the declared workspaces. A field that is not a list declares none, so that no key is
+     * valid; only a configuration without the field needs no keys.
+     */
+    private static void addWorkspaces(JsonNode workspaces, RoutingTable.Builder table) {
+        if (workspaces == null) {
+            table.keyPolicy(KeyPolicy.NO_KEYS);
+            return;
+        }
+        table.keyPolicy(KeyPolicy.KEYS_REQUIRED);
+        if (workspaces.isArray()) {
+            workspaces.forEach(workspace -> table.workspace(workspace(workspace)));
+        }
+    }
+
     private static JsonNode parse(StoredRow row) {
         try {
             JsonNode config = Json.read(row.value());
--- a/src/main/java/org/heathercourse/testing/hosted/HostedDeployment.java
+++ b/src/main/java/org/heathercourse/testing/hosted/HostedDeployment.java
@@ -58,6 +58,11 @@
     private static final int MAX_BODY_BYTES = 65_536;
     private static final long HEADER_TIMEOUT_MILLIS = 1_000;
     private static final long IDLE_TIMEOUT_MILLIS = 5_000;
+
+    private static final CallerLimits DEFAULT_LIMITS =
+            new CallerLimits(
+                    MAX_HEADER_BYTES, MAX_BODY_BYTES, HEADER_TIMEOUT_MILLIS, IDLE_TIMEOUT_MILLIS);
+
     private static final String ZONE = "zone-a";
     private static final String LOOPBACK_HOST = "127.0.0.1";
 
@@ -127,6 +132,31 @@
      * @param limits limits for the requests of callers
      */
     public void configure(String key, int ratePerSecond, CallerLimits limits) {
+        String workspace =
+                String.format(
+                        "{\"name\":\"mill\",\"api_keys\":[\"%s\"],"
+                                + "\"requests_per_s\":%2$d,\"burst\":%2$d}",
+                        key, ratePerSecond);
+        String others = mRetainsHistories ? OTHER_WORKSPACE : "";
+        writeConfiguration(limits, ",\"tenants\":[" + workspace + others + "]");
+    }
+
+    /**
+     * Writes a new version of the configuration with other workspaces.
+     *
+     * @param workspaces value of the field that declares the workspaces, in JSON; it need not be a
+     *     list of workspaces
+     */
+    public void configureWorkspaces(String workspaces) {
+        writeConfiguration(DEFAULT_LIMITS, ",\"tenants\":" + workspaces);
+    }
+
+    /** Writes a new version of the configuration that lacks the field of the workspaces. */
+    public void configureWithoutWorkspaces() {
+        writeConfiguration(DEFAULT_LIMITS, "");
+    }
+
+    private void writeConfiguration(CallerLimits limits, String workspacesMember) {
         mStore.configure(
                 String.format(
                         "{\"version\":%d,\"routes\":["
@@ -141,24 +171,20 @@
                                 + "\"timeout_ms\":3000,\"service\":\"office\"},"
                                 + "{\"name\":\"open\",\"host\":\"%2$s\",\"prefix\":\"/open/\","
                                 + "\"type\":\"idempotent\",\"attempts\":1,\"public\":true,"
-                                + "\"timeout_ms\":500,\"service\":\"office\"}%9$s],"
+                                + "\"timeout_ms\":500,\"service\":\"office\"}%7$s],"
                                 + "\"services\":[{\"name\":\"engines\",\"connection_limit\":64,"
                                 + "\"engine\":{\"stride\":10}},"
                                 + "{\"name\":\"office\",\"connection_limit\":64}],"
-                                + "\"limits\":{\"max_header_bytes\":%5$d,\"max_body_bytes\":%6$d,"
-                                + "\"header_timeout_ms\":%7$d,\"idle_timeout_ms\":%8$d},"
-                                + "\"tenants\":[{\"name\":\"mill\",\"api_keys\":[\"%3$s\"],"
-                                + "\"requests_per_s\":%4$d,\"burst\":%4$d}%10$s]}",
+                                + "\"limits\":{\"max_header_bytes\":%3$d,\"max_body_bytes\":%4$d,"
+                                + "\"header_timeout_ms\":%5$d,\"idle_timeout_ms\":%6$d}%8$s}",
                         ++mVersion,
                         HOST,
-                        key,
-                        ratePerSecond,
                         limits.maxHeaderBytes(),
                         limits.maxBodyBytes(),
                         limits.headerTimeoutMillis(),
                         limits.idleTimeoutMillis(),
                         mRetainsHistories ? RETAINING_ROUTE : "",
-                        mRetainsHistories ? OTHER_WORKSPACE : ""));
+                        workspacesMember));
     }
 
     /**
--- a/src/test/java/org/heathercourse/core/routing/RoutingTableTest.java
+++ b/src/test/java/org/heathercourse/core/routing/RoutingTableTest.java
@@ -64,6 +64,20 @@
         assertThat(TABLE.workspaces().toString()).doesNotContain("key-1");
     }
 
+    /** Guards against a table without workspaces that lets everybody in. */
+    @Test
+    void keysAreRequiredUnlessThePolicySaysOtherwise() {
+        Route closed = route("closed", "a.example", "/");
+        Route open = Route.builder().services(closed.services()).allowsAnonymous(true).build();
+        RoutingTable withoutWorkspaces = RoutingTable.builder(8).build();
+        assertThat(withoutWorkspaces.requiresKey(closed)).isTrue();
+        assertThat(withoutWorkspaces.requiresKey(open)).isFalse();
+        assertThat(TABLE.requiresKey(closed)).isTrue();
+        assertThat(TABLE.requiresKey(open)).isFalse();
+        RoutingTable withoutKeys = RoutingTable.builder(9).keyPolicy(KeyPolicy.NO_KEYS).build();
+        assertThat(withoutKeys.requiresKey(closed)).isFalse();
+    }
+
     @Test
     void weightsSplitRequestsBetweenServices() {
         Route splitRoute =
--- a/src/test/java/org/heathercourse/gateway/GatewayFixture.java
+++ b/src/test/java/org/heathercourse/gateway/GatewayFixture.java
@@ -104,19 +104,34 @@
     }
 
     Response call(String version, String methodAndPath, String headers) throws IOException {
+        return call(
+                callerAddress(),
+                version,
+                methodAndPath,
+                "Api-Key: " + HostedDeployment.KEY + "\r\n" + headers);
+    }
+
+    /**
+     * Sends a request without a key, unless the headers have one.
+     *
+     * @param gateway address of the gateway for callers
+     */
+    Response callWithoutKey(InetSocketAddress gateway, String methodAndPath, String headers)
+            throws IOException {
+        return call(gateway, "HTTP/1.1", methodAndPath, headers);
+    }
+
+    private Response call(
+            InetSocketAddress gateway, String version, String methodAndPath, String headers)
+            throws IOException {
         mRequestCount++;
         String request =
                 String.format(
-                        "%s %s\r\nHost: %s\r\nApi-Key: %s\r\n"
+                        "%s %s\r\nHost: %s\r\n"
                                 + "X-Heathercourse-Request-Id: %s\r\n"
                                 + "X-Heathercourse-Request-Deadline: 2500\r\n%s\r\n",
-                        methodAndPath,
-                        version,
-                        HostedDeployment.HOST,
-                        HostedDeployment.KEY,
-                        lastRequestId(),
-                        headers);
-        try (RawCaller caller = new RawCaller(mSettings.endpoint(Setting.CALLER_ADDRESS))) {
+                        methodAndPath, version, HostedDeployment.HOST, lastRequestId(), headers);
+        try (RawCaller caller = new RawCaller(gateway)) {
             return caller.call(request);
         }
     }
--- a/src/test/java/org/heathercourse/platform/hosted/UsersPlatformTest.java
+++ b/src/test/java/org/heathercourse/platform/hosted/UsersPlatformTest.java
@@ -181,6 +181,29 @@
         assertThat(workspace.priority()).isEmpty();
     }
 
+    private boolean requiresKey(String workspacesMember) {
+        RoutingTable table =
+                mRows.routingTable(
+                        row(
+                                "op",
+                                "config",
+                                "{\"version\":8,\"routes\":[{\"name\":\"r\",\"host\":\"h\","
+                                        + "\"prefix\":\"/\",\"service\":\"s\"}]"
+                                        + workspacesMember
+                                        + "}"));
+        assertThat(table.workspaces()).isEmpty();
+        return table.requiresKey(table.route("h", "/").orElseThrow());
+    }
+
+    /** Guards against a list without workspaces, or a field of another type, read as no field. */
+    @Test
+    void configurationWithTheFieldOfWorkspacesRequiresKeys() {
+        for (String value : List.of("[]", "{}", "{\"a\":{\"name\":\"a\"}}", "null", "0", "\"\"")) {
+            assertThat(requiresKey(",\"tenants\":" + value)).as(value).isTrue();
+        }
+        assertThat(requiresKey("")).isFalse();
+    }
+
     @Test
     void invalidConfigurationIsRejectedWithRemedy() {
         assertThatThrownBy(() -> mRows.routingTable(row("op", "config", "[1]")))
