Let no unreadable field of the configuration permit anything

The decoder read each value leniently, and the value that is left for "cannot be read" or "nothing in it" was the one that permits most.

Change: PermissionFields reads what permits something, and only in its type; a workspace without a name or with an unreadable rate is left out, so that its keys are refused. What permits nothing for that reason is logged once a version (configuration_partly_unreadable).

--- a/src/main/java/org/heathercourse/core/routing/Route.java
+++ b/src/main/java/org/heathercourse/core/routing/Route.java
@@ -1,7 +1,6 @@
 package org.heathercourse.core.routing;
 
 import java.util.List;
-import java.util.Set;
 
 /**
  * A rule that maps requests by host and path prefix to weighted services. Immutable.
@@ -21,7 +20,7 @@
  * @param retainsHistory whether requests carry only their new input, and the system keeps what came
  *     before
  * @param retentionMillis time for which a history is kept after its last turn, in milliseconds
- * @param allowedRegions regions to whose targets requests may be sent; empty for all
+ * @param allowedRegions regions to whose targets requests may be sent
  */
 public record Route(
         String name,
@@ -38,11 +37,10 @@
         boolean sessionAffinity,
         boolean retainsHistory,
         long retentionMillis,
-        Set<String> allowedRegions) {
-    /** Copies the services and regions and rejects an empty one. */
+        AllowedRegions allowedRegions) {
+    /** Copies the services and rejects an empty list. */
     public Route {
         services = List.copyOf(services);
-        allowedRegions = Set.copyOf(allowedRegions);
         if (services.isEmpty()) {
             throw new IllegalArgumentException(
                     "route " + name + " has no service, expected at least one");
@@ -100,7 +98,7 @@
         private boolean mSessionAffinity;
         private boolean mRetainsHistory;
         private long mRetentionMillis = DEFAULT_RETENTION_MILLIS;
-        private Set<String> mAllowedRegions = Set.of();
+        private AllowedRegions mAllowedRegions = AllowedRegions.ALL;
 
         private Builder() {}
 
@@ -189,7 +187,7 @@
         }
 
         /** Sets the regions to whose targets requests may be sent; empty for all. */
-        public Builder allowedRegions(Set<String> regions) {
+        public Builder allowedRegions(AllowedRegions regions) {
             mAllowedRegions = regions;
             return this;
         }
--- a/src/main/java/org/heathercourse/core/routing/RoutingTable.java
+++ b/src/main/java/org/heathercourse/core/routing/RoutingTable.java
@@ -23,11 +23,13 @@
     private final Map<String, Workspace> mWorkspacesByKey;
     private final CallerLimits mLimits;
     private final KeyPolicy mKeyPolicy;
+    private final List<String> mProblems;
 
     private RoutingTable(Builder builder) {
         mVersion = builder.mVersion;
         mLimits = builder.mLimits;
         mKeyPolicy = builder.mKeyPolicy;
+        mProblems = List.copyOf(builder.mProblems);
         mServices = Map.copyOf(builder.mServices);
         mWorkspaces = Map.copyOf(builder.mWorkspaces);
         mWorkspacesByKey = new HashMap<>();
@@ -48,11 +50,14 @@
         mRoutesByHost.values().forEach(routes -> routes.sort(longestFirst));
     }
 
+    /** Returns all routes. */
+    public List<Route> routes() {
+        return mRoutesByHost.values().stream().flatMap(List::stream).toList();
+    }
+
     /** Returns whether some route retains the histories of its turns. */
     public boolean retainsHistories() {
-        return mRoutesByHost.values().stream()
-                .flatMap(List::stream)
-                .anyMatch(Route::retainsHistory);
+        return hasRoute(Route::retainsHistory);
     }
 
     /** Returns the version of the configuration; higher versions are newer. */
@@ -60,6 +65,11 @@
         return mVersion;
     }
 
+    /** Returns the parts of the configuration that could not be read, and so permit nothing. */
+    public List<String> problems() {
+        return mProblems;
+    }
+
     /** Returns the limits for callers. */
     public CallerLimits limits() {
         return mLimits;
@@ -75,6 +85,11 @@
         return mRoutesByHost.values().stream().flatMap(List::stream).anyMatch(condition);
     }
 
+    /** Returns whether some workspace has a key. */
+    public boolean hasKeys() {
+        return !mWorkspacesByKey.isEmpty();
+    }
+
     /** Returns all workspaces. */
     public Collection<Workspace> workspaces() {
         return mWorkspaces.values();
@@ -146,6 +161,7 @@
         private final Map<String, Workspace> mWorkspaces = new HashMap<>();
         private CallerLimits mLimits = CallerLimits.DEFAULTS;
         private KeyPolicy mKeyPolicy = KeyPolicy.KEYS_REQUIRED;
+        private final List<String> mProblems = new ArrayList<>();
 
         private Builder(long version) {
             mVersion = version;
@@ -181,6 +197,12 @@
             return this;
         }
 
+        /** Records a part of the configuration that could not be read. */
+        public Builder problem(String problem) {
+            mProblems.add(problem);
+            return this;
+        }
+
         /** Creates the table. */
         public RoutingTable build() {
             return new RoutingTable(this);
--- a/src/main/java/org/heathercourse/core/routing/Workspace.java
+++ b/src/main/java/org/heathercourse/core/routing/Workspace.java
@@ -11,7 +11,7 @@
  * @param priority priority that overrides that of the route; empty if the route decides
  * @param ratePerSecond requests per second over all VMs; 0 means no limit
  * @param burst additional requests that may arrive at once
- * @param allowedRegions regions to whose targets requests may be sent; empty for all
+ * @param allowedRegions regions to whose targets requests may be sent
  */
 public record Workspace(
         String name,
@@ -19,11 +19,10 @@
         OptionalInt priority,
         double ratePerSecond,
         double burst,
-        Set<String> allowedRegions) {
-    /** Copies the keys and the regions. */
+        AllowedRegions allowedRegions) {
+    /** Copies the keys. */
     public Workspace {
         keys = Set.copyOf(keys);
-        allowedRegions = Set.copyOf(allowedRegions);
     }
 
     /** Creates a workspace whose requests may be sent to all regions. */
@@ -33,7 +32,7 @@
             OptionalInt priority,
             double ratePerSecond,
             double burst) {
-        this(name, keys, priority, ratePerSecond, burst, Set.of());
+        this(name, keys, priority, ratePerSecond, burst, AllowedRegions.ALL);
     }
 
     /** Returns whether a rate limit applies to the workspace. */
--- a/src/main/java/org/heathercourse/core/target/RegionRule.java
+++ b/src/main/java/org/heathercourse/core/target/RegionRule.java
@@ -2,8 +2,8 @@
 
 import java.util.List;
 import java.util.Map;
-import java.util.Set;
 import org.heathercourse.core.model.Zone;
+import org.heathercourse.core.routing.AllowedRegions;
 
 /**
  * Decides to which targets a request may be sent by their regions. Without the regions of any zone
@@ -26,21 +26,20 @@
      * Returns the targets to which a request may be sent.
      *
      * @param targets targets to choose from
-     * @param ofRoute regions that the route of the request allows; empty if it allows all
-     * @param ofWorkspace regions that the workspace of the request allows; empty if it allows all
+     * @param ofRoute regions that the route of the request allows
+     * @param ofWorkspace regions that the workspace of the request allows
      */
     public List<Target> allowed(
-            List<Target> targets, Set<String> ofRoute, Set<String> ofWorkspace) {
-        if (mRegions.isEmpty() || ofRoute.isEmpty() && ofWorkspace.isEmpty()) {
+            List<Target> targets, AllowedRegions ofRoute, AllowedRegions ofWorkspace) {
+        if (mRegions.isEmpty() || !ofRoute.isRestricted() && !ofWorkspace.isRestricted()) {
             return targets;
         }
         return targets.stream()
-                .filter(t -> isAllowed(t.zone(), ofRoute) && isAllowed(t.zone(), ofWorkspace))
+                .filter(target -> isAllowed(target, ofRoute) && isAllowed(target, ofWorkspace))
                 .toList();
     }
 
-    private boolean isAllowed(Zone zone, Set<String> regions) {
-        String region = mRegions.get(zone);
-        return regions.isEmpty() || region != null && regions.contains(region);
+    private boolean isAllowed(Target target, AllowedRegions regions) {
+        return regions.contains(mRegions.get(target.zone()));
     }
 }
--- a/src/main/java/org/heathercourse/gateway/call/Placement.java
+++ b/src/main/java/org/heathercourse/gateway/call/Placement.java
@@ -6,6 +6,7 @@
 import java.util.Set;
 import java.util.function.Predicate;
 import org.heathercourse.core.fleet.Rendezvous;
+import org.heathercourse.core.routing.AllowedRegions;
 import org.heathercourse.core.routing.RouteKind;
 import org.heathercourse.core.routing.Service;
 import org.heathercourse.core.target.ColdTargetRule;
@@ -56,7 +57,7 @@
                         mDependencies.clusterView().targets().usableTargets(serviceName()),
                         mAdmission.route().allowedRegions(),
                         mAdmission.workspace() == null
-                                ? Set.of()
+                                ? AllowedRegions.ALL
                                 : mAdmission.workspace().allowedRegions());
     }
 
--- a/src/main/java/org/heathercourse/gateway/control/ConfigurationFollower.java
+++ b/src/main/java/org/heathercourse/gateway/control/ConfigurationFollower.java
@@ -84,7 +84,8 @@
     }
 
     private void apply(RoutingTable table) {
-        long previousVersion = mClusterView.routing().map(RoutingTable::version).orElse(-1L);
+        Optional<RoutingTable> previous = mClusterView.routing();
+        long previousVersion = previous.map(RoutingTable::version).orElse(-1L);
         if (table.version() <= previousVersion) {
             return;
         }
@@ -99,6 +100,16 @@
                 table.workspaces().size(),
                 "services",
                 table.services().size());
+        if (!table.problems().isEmpty()) {
+            LOG.warn(
+                    "configuration_partly_unreadable",
+                    "version",
+                    table.version(),
+                    "count",
+                    table.problems().size(),
+                    "first",
+                    table.problems().get(0));
+        }
     }
 
     @Override
--- a/src/main/java/org/heathercourse/platform/hosted/OperatorRows.java
+++ b/src/main/java/org/heathercourse/platform/hosted/OperatorRows.java
@@ -3,22 +3,17 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import java.io.IOException;
 import java.util.ArrayList;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
-import java.util.OptionalInt;
-import java.util.Set;
 import org.heathercourse.core.error.ErrorKind;
 import org.heathercourse.core.error.HeathercourseException;
 import org.heathercourse.core.model.Zone;
 import org.heathercourse.core.routing.CallerLimits;
-import org.heathercourse.core.routing.KeyPolicy;
 import org.heathercourse.core.routing.Route;
 import org.heathercourse.core.routing.RouteKind;
 import org.heathercourse.core.routing.RoutingTable;
 import org.heathercourse.core.routing.Service;
 import org.heathercourse.core.routing.ServiceWeight;
-import org.heathercourse.core.routing.Workspace;
 import org.heathercourse.core.target.Target;
 import org.heathercourse.platform.entry.DeclaredRows;
 import org.heathercourse.platform.rows.RowKey;
@@ -73,30 +68,15 @@
         JsonNode config = parse(row);
         RoutingTable.Builder table = RoutingTable.builder(config.path("version").asLong());
         for (JsonNode route : config.path("routes")) {
-            table.route(route(route));
+            table.route(route(route, table));
         }
         for (JsonNode service : config.path("services")) {
             table.service(service(service));
         }
-        addWorkspaces(config.get("tenants"), table);
+        WorkspaceDecoder.addAll(config.get("tenants"), table);
         return table.limits(limits(config.path("limits"))).build();
     }
 
-    /**
-     * Adds the declared workspaces. A field that is not a list declares none, so that no key is
-     * valid; only a configuration without the field needs no keys.
-     */
-    private static void addWorkspaces(JsonNode workspaces, RoutingTable.Builder table) {
-        if (workspaces == null) {
-            table.keyPolicy(KeyPolicy.NO_KEYS);
-            return;
-        }
-        table.keyPolicy(KeyPolicy.KEYS_REQUIRED);
-        if (workspaces.isArray()) {
-            workspaces.forEach(workspace -> table.workspace(workspace(workspace)));
-        }
-    }
-
     private static JsonNode parse(StoredRow row) {
         try {
             JsonNode config = Json.read(row.value());
@@ -122,7 +102,7 @@
                 .build();
     }
 
-    private static Route route(JsonNode route) {
+    private static Route route(JsonNode route, RoutingTable.Builder problems) {
         return Route.builder()
                 .name(route.path("name").asText())
                 .host(route.path("host").asText())
@@ -133,12 +113,12 @@
                 .objectiveMillis(route.path("target_latency_ms").asLong(1_000))
                 .maxTargets(Math.max(1, route.path("attempts").asInt(1)))
                 .priority(route.path("priority").asInt(0))
-                .allowsAnonymous(route.path("public").asBoolean(false))
+                .allowsAnonymous(PermissionFields.isTrue(route, "public", problems))
                 .resumable(route.path("resumable").asBoolean(false))
                 .sessionAffinity(route.path("session_affinity").asBoolean(false))
                 .retainsHistory(route.path("retains_history").asBoolean(false))
                 .retentionMillis(retentionMillis(route.path("retention_s")))
-                .allowedRegions(texts(route.path("allowed_regions")))
+                .allowedRegions(PermissionFields.regions(route, "allowed_regions", problems))
                 .build();
     }
 
@@ -180,23 +160,6 @@
                 (long) (service.path("cold_start_s").asDouble(0) * MILLIS_PER_SECOND));
     }
 
-    private static Workspace workspace(JsonNode workspace) {
-        JsonNode priority = workspace.path("priority");
-        return new Workspace(
-                workspace.path("name").asText(),
-                texts(workspace.path("api_keys")),
-                priority.isNumber() ? OptionalInt.of(priority.asInt()) : OptionalInt.empty(),
-                workspace.path("requests_per_s").asDouble(0),
-                workspace.path("burst").asDouble(0),
-                texts(workspace.path("allowed_regions")));
-    }
-
-    private static Set<String> texts(JsonNode list) {
-        Set<String> texts = new HashSet<>();
-        list.forEach(text -> texts.add(text.asText()));
-        return texts;
-    }
-
     private static CallerLimits limits(JsonNode limits) {
         CallerLimits defaults = CallerLimits.DEFAULTS;
         return new CallerLimits(
--- a/src/test/java/org/heathercourse/gateway/RegionsAndObjectsTest.java
+++ b/src/test/java/org/heathercourse/gateway/RegionsAndObjectsTest.java
@@ -27,6 +27,7 @@
     private static HostedDeployment sDeployment;
     private static Settings sSettings;
     private static int sRequestCount;
+    private static long sVersion;
 
     private static String route(String name, String type, String more) {
         return String.format(
@@ -36,6 +37,7 @@
     }
 
     private static void configure(long version, String workspaceRegions) {
+        sVersion = version;
         String regions = ",\"allowed_regions\":[\"%s\"]";
         List<String> routes =
                 List.of(
@@ -162,14 +164,25 @@
         assertThat(counts()).containsExactly(0, 0);
     }
 
+    /** Guards against a list from which the last region was taken, read as one of all regions. */
+    @Test
+    void listWithoutAnyRegionAllowsNone() throws IOException {
+        for (String regions : List.of("[]", "null", "\"north\"", "{}", "[1]")) {
+            configure(sVersion + 1, ",\"allowed_regions\":" + regions);
+            assertThat(call("/any/1", "").status()).as(regions).isIn(429, 503);
+            assertThat(counts()).as(regions).containsExactly(0, 0);
+        }
+        configure(sVersion + 1, "");
+    }
+
     /** Guards against a workspace's regions that a route without any, or with others, undoes. */
     @Test
     void regionsOfWorkspaceBindAsWell() throws IOException {
         registerEngineB("zone-b");
-        configure(101, ",\"allowed_regions\":[\"south\"]");
+        configure(sVersion + 1, ",\"allowed_regions\":[\"south\"]");
         callAll("/any/1", "");
         assertThat(counts()).containsExactly(0, REQUEST_COUNT);
         assertThat(call("/north/1", "").status()).isIn(429, 503);
-        configure(102, "");
+        configure(sVersion + 1, "");
     }
 }
--- a/src/test/java/org/heathercourse/gateway/WithdrawnKeysTest.java
+++ b/src/test/java/org/heathercourse/gateway/WithdrawnKeysTest.java
@@ -7,7 +7,8 @@
 import java.net.InetSocketAddress;
 import org.heathercourse.daemon.settings.Setting;
 import org.heathercourse.testing.hosted.HostedDeployment;
-import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.AfterAll;
+import org.junit.jupiter.api.BeforeAll;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -20,29 +21,49 @@
 class WithdrawnKeysTest {
     private static final String KEY_HEADER = "Api-Key: " + HostedDeployment.KEY + "\r\n";
 
-    private final GatewayFixture mFixture = new GatewayFixture();
+    private static final GatewayFixture FIXTURE = new GatewayFixture();
 
-    @BeforeEach
-    void start() {
-        mFixture.start();
+    /** Version of the configuration that was written last. */
+    private static int sVersion = 1;
+
+    @BeforeAll
+    static void start() {
+        FIXTURE.start();
+    }
+
+    @AfterAll
+    static void stop() {
+        FIXTURE.close();
     }
 
-    @AfterEach
-    void stop() {
-        mFixture.close();
+    @BeforeEach
+    void declareOneKey() {
+        FIXTURE.deployment().configure(HostedDeployment.KEY, 1_000);
+        awaitNextConfiguration();
     }
 
-    private int status(InetSocketAddress gateway, String path, String headers) throws IOException {
-        return mFixture.callWithoutKey(gateway, path, headers).status();
+    private static void configureWorkspaces(String workspaces) {
+        FIXTURE.deployment().configureWorkspaces(workspaces);
+        awaitNextConfiguration();
     }
 
-    private void awaitConfiguration(int version) {
+    private static void awaitNextConfiguration() {
+        sVersion++;
         await().atMost(GatewayFixture.MAX_WAIT)
-                .until(() -> mFixture.metrics().contains("configuration_version " + version));
+                .until(
+                        () ->
+                                FIXTURE.metrics()
+                                        .contains("configuration_version " + sVersion + "\n"));
+    }
+
+    private static int status(InetSocketAddress gateway, String path, String headers)
+            throws IOException {
+        return FIXTURE.callWithoutKey(gateway, path, headers).status();
     }
 
-    private void assertOnlyPublicRoutesAreServed(InetSocketAddress gateway) throws IOException {
-        mFixture.resetTargets();
+    private static void assertOnlyPublicRoutesAreServed(InetSocketAddress gateway)
+            throws IOException {
+        FIXTURE.resetTargets();
         for (String headers : new String[] {KEY_HEADER, "", "Api-Key: \r\n", "Api-Key: null\r\n"}) {
             assertThat(status(gateway, "GET /read/1", headers)).as(headers).isEqualTo(401);
             assertThat(status(gateway, "POST /order/1", headers + GatewayFixture.EMPTY_BODY))
@@ -52,18 +73,30 @@
                     .as(headers)
                     .isEqualTo(401);
         }
-        assertThat(mFixture.plain().receivedRequests()).isEmpty();
-        assertThat(mFixture.engines()).allMatch(engine -> engine.receivedRequests().isEmpty());
+        assertThat(FIXTURE.plain().receivedRequests()).isEmpty();
+        assertThat(FIXTURE.engines()).allMatch(engine -> engine.receivedRequests().isEmpty());
         assertThat(status(gateway, "GET /open/1", "")).isEqualTo(200);
     }
 
     /** Guards against a withdrawn last key that goes on working, and opens all routes besides. */
     @ParameterizedTest
-    @ValueSource(strings = {"[]", "{}", "null", "\"mill\"", "0", "[null]"})
+    @ValueSource(
+            strings = {
+                "[]",
+                "{}",
+                "null",
+                "\"mill\"",
+                "0",
+                "[null]",
+                "[{\"name\":\"mill\"}]",
+                "[{\"name\":\"mill\",\"api_keys\":[]}]",
+                "[{\"name\":\"mill\",\"api_keys\":[null,\"\"]}]",
+                "[{\"name\":\"mill\",\"api_keys\":{\"a\":\"key-1\"}}]",
+                "[{\"api_keys\":[\"key-1\"]}]"
+            })
     void configurationWithoutAnyKeyLetsNobodyIn(String workspaces) throws IOException {
-        mFixture.deployment().configureWorkspaces(workspaces);
-        awaitConfiguration(2);
-        assertOnlyPublicRoutesAreServed(mFixture.callerAddress());
+        configureWorkspaces(workspaces);
+        assertOnlyPublicRoutesAreServed(FIXTURE.callerAddress());
     }
 
     /**
@@ -71,9 +104,9 @@
      */
     @Test
     void gatewayThatStartsWithoutAnyKeyLetsNobodyIn() throws IOException {
-        mFixture.deployment().configureWorkspaces("[]");
+        configureWorkspaces("[]");
         InetSocketAddress started =
-                mFixture.deployment().addGateway("vm-2").endpoint(Setting.CALLER_ADDRESS);
+                FIXTURE.deployment().addGateway("vm-2").endpoint(Setting.CALLER_ADDRESS);
         await().atMost(GatewayFixture.MAX_WAIT)
                 .ignoreExceptions()
                 .until(() -> status(started, "GET /open/1", "") == 200);
@@ -83,19 +116,16 @@
     /** Guards against a key that stays refused after the operator has given it out again. */
     @Test
     void keyThatComesBackIsAccepted() throws IOException {
-        mFixture.deployment().configureWorkspaces("[]");
-        awaitConfiguration(2);
-        mFixture.deployment().configure(HostedDeployment.KEY, 1_000);
-        awaitConfiguration(3);
-        await().atMost(GatewayFixture.MAX_WAIT)
-                .until(() -> mFixture.call("GET /read/1", "").status() == 200);
+        configureWorkspaces("[]");
+        declareOneKey();
+        assertThat(FIXTURE.call("GET /read/1", "").status()).isEqualTo(200);
     }
 
     /** Guards against refusals where the operator declares no workspaces at all. */
     @Test
     void configurationWithoutWorkspacesNeedsNoKey() throws IOException {
-        mFixture.deployment().configureWithoutWorkspaces();
-        awaitConfiguration(2);
-        assertThat(status(mFixture.callerAddress(), "GET /read/1", "")).isEqualTo(200);
+        FIXTURE.deployment().configureWithoutWorkspaces();
+        awaitNextConfiguration();
+        assertThat(status(FIXTURE.callerAddress(), "GET /read/1", "")).isEqualTo(200);
     }
 }
--- a/src/test/java/org/heathercourse/platform/hosted/UsersPlatformTest.java
+++ b/src/test/java/org/heathercourse/platform/hosted/UsersPlatformTest.java
@@ -204,6 +204,47 @@
         assertThat(requiresKey("")).isFalse();
     }
 
+    /** Returns the table of a configuration with one route and one workspace. */
+    private RoutingTable tableWith(String routeMember, String workspaceMember) {
+        return mRows.routingTable(
+                row(
+                        "op",
+                        "config",
+                        "{\"version\":8,\"routes\":[{\"name\":\"r\",\"host\":\"h\","
+                                + "\"prefix\":\"/\",\"service\":\"s\""
+                                + routeMember
+                                + "}],\"tenants\":[{\"name\":\"w\",\"api_keys\":[\"k\"]"
+                                + workspaceMember
+                                + "}]}"));
+    }
+
+    /** Guards against a route that a value of another type opens to all. */
+    @Test
+    void onlyTrueMakesRoutePublic() {
+        for (String value : List.of("false", "null", "1", "\"true\"", "\"false\"", "[]", "{}")) {
+            RoutingTable table = tableWith(",\"public\":" + value, "");
+            assertThat(table.requiresKey(table.route("h", "/").orElseThrow())).as(value).isTrue();
+        }
+        RoutingTable table = tableWith(",\"public\":true", "");
+        assertThat(table.requiresKey(table.route("h", "/").orElseThrow())).isFalse();
+    }
+
+    /** Guards against a rate that cannot be read and is taken for no limit. */
+    @Test
+    void workspaceWithUnreadableRateHasNoValidKey() {
+        for (String value : List.of("\"many\"", "\"190\"", "-1", "{}", "[]", "true")) {
+            for (String field : List.of("requests_per_s", "burst")) {
+                String member = ",\"" + field + "\":" + value;
+                RoutingTable table = tableWith("", member);
+                assertThat(table.workspaceByKey("k")).as(member).isEmpty();
+            }
+        }
+        for (String value : List.of("0", "null", "0.5", "1e3")) {
+            RoutingTable table = tableWith("", ",\"requests_per_s\":" + value);
+            assertThat(table.workspaceByKey("k")).as(value).isPresent();
+        }
+    }
+
     @Test
     void invalidConfigurationIsRejectedWithRemedy() {
         assertThatThrownBy(() -> mRows.routingTable(row("op", "config", "[1]")))
