Warn of a configuration that leaves no key or opens a route

An operator who takes the last key away, or forgets the field of the workspaces, saw one line with a number of workspaces. The gateway now compares who is let in before and after (AccessChange) and writes no_key_left and routes_opened, one line each for a version.

--- a/src/main/java/org/heathercourse/gateway/control/ConfigurationFollower.java
+++ b/src/main/java/org/heathercourse/gateway/control/ConfigurationFollower.java
@@ -4,6 +4,7 @@
 import java.util.Optional;
 import java.util.concurrent.ScheduledExecutorService;
 import org.heathercourse.core.freshness.ReadFreshness;
+import org.heathercourse.core.routing.AccessChange;
 import org.heathercourse.core.routing.RoutingTable;
 import org.heathercourse.core.target.ColdTargets;
 import org.heathercourse.core.time.SuspendAwareClock;
@@ -110,6 +111,23 @@
                     "first",
                     table.problems().get(0));
         }
+        previous.ifPresent(before -> logAccess(AccessChange.between(before, table), table));
+    }
+
+    private static void logAccess(AccessChange change, RoutingTable table) {
+        if (change.lastKeyRemoved()) {
+            LOG.warn("no_key_left", "version", table.version());
+        }
+        if (!change.openedRoutes().isEmpty()) {
+            LOG.warn(
+                    "routes_opened",
+                    "version",
+                    table.version(),
+                    "count",
+                    change.openedRoutes().size(),
+                    "first",
+                    change.openedRoutes().get(0));
+        }
     }
 
     @Override
