Check the key of a waiting request again before it is sent

Callers saw (by tests): a request that waited for its history, budget, rate or a connection was sent although its key had been withdrawn meanwhile, or although the gateway had been suspended beyond the age at which it accepts keys.

Cause: a permission was decided at the arrival of the request and used at any later time, an open finding of docs/platform.md.

Change: KeyVerdict is asked again by the configuration in force before a target is selected and when the connection is open, unless the request may have run. 401 or 503 is answered, both as not run.

Evidence: KeyOfWaitingRequestTest, without the change of gateway.call: requestWhoseKeyWasWithdrawnIsNotSent got 200 in place of 401, requestOfSuspendedGatewayIsNotSent 200 in place of 503; with it the class passes. The third test shows that the same wait without a withdrawal runs.

--- a/src/main/java/org/heathercourse/gateway/call/Admission.java
+++ b/src/main/java/org/heathercourse/gateway/call/Admission.java
@@ -3,6 +3,7 @@
 import io.vavr.control.Either;
 import java.util.Optional;
 import org.heathercourse.core.error.ErrorKind;
+import org.heathercourse.core.routing.KeyVerdict;
 import org.heathercourse.core.routing.Route;
 import org.heathercourse.core.routing.RoutingTable;
 import org.heathercourse.core.routing.Workspace;
@@ -46,29 +47,65 @@
             RoutingTable routing,
             CallRequest request,
             CallFacts facts) {
-        boolean isFresh =
-                dependencies
-                        .configurationAge()
-                        .isYoungerThan(dependencies.maxConfigurationAgeMillis().getAsLong());
-        Optional<Route> route = routing.route(request.headers().get("Host"), request.uri());
+        boolean isFresh = isConfigurationFresh(dependencies);
+        Optional<Route> route = routeOf(routing, request);
         if (route.isEmpty()) {
             return Either.left(isFresh ? unknownRoute(request) : staleConfiguration());
         }
-        if (!routing.requiresKey(route.get())) {
-            return Either.right(new Admission(routing, route.get(), null));
+        KeyVerdict verdict = KeyVerdict.of(routing, route.get(), facts.key(), isFresh);
+        Optional<ErrorResponse> refusal = refusal(verdict);
+        if (refusal.isPresent()) {
+            return Either.left(refusal.get());
         }
-        if (!isFresh) {
-            return Either.left(staleConfiguration());
-        }
-        Optional<Workspace> workspace = routing.workspaceByKey(facts.key());
-        if (workspace.isEmpty()) {
-            return Either.left(
-                    ErrorResponse.of(
-                            ErrorKind.UNAUTHENTICATED,
-                            "the key is missing or belongs to no workspace",
-                            "send a valid key of a workspace, or ask the operator for one"));
-        }
-        return Either.right(new Admission(routing, route.get(), workspace.get()));
+        Workspace workspace =
+                verdict == KeyVerdict.VALID
+                        ? routing.workspaceByKey(facts.key()).orElseThrow()
+                        : null;
+        return Either.right(new Admission(routing, route.get(), workspace));
+    }
+
+    /**
+     * Checks the key again after the request has waited, by the configuration in force now. The
+     * gateway may have been suspended meanwhile, or the key withdrawn.
+     *
+     * @return the response to a request that may not be sent to a target any more; empty if it may
+     */
+    Optional<ErrorResponse> refusalAfterWait(
+            CallDependencies dependencies, CallRequest request, CallFacts facts) {
+        RoutingTable current = dependencies.clusterView().routing().orElse(routing);
+        // A request whose route was removed after its admission still runs.
+        Route currentRoute = routeOf(current, request).orElse(route);
+        return refusal(
+                KeyVerdict.again(
+                        current,
+                        currentRoute,
+                        facts.key(),
+                        isConfigurationFresh(dependencies),
+                        workspace));
+    }
+
+    private static boolean isConfigurationFresh(CallDependencies dependencies) {
+        long maxAgeMillis = dependencies.maxConfigurationAgeMillis().getAsLong();
+        return dependencies.configurationAge().isYoungerThan(maxAgeMillis);
+    }
+
+    private static Optional<Route> routeOf(RoutingTable routing, CallRequest request) {
+        return routing.route(request.headers().get("Host"), request.uri());
+    }
+
+    private static Optional<ErrorResponse> refusal(KeyVerdict verdict) {
+        return switch (verdict) {
+            case NOT_NEEDED, VALID -> Optional.empty();
+            case INVALID -> Optional.of(invalidKey());
+            case UNCERTAIN -> Optional.of(staleConfiguration());
+        };
+    }
+
+    private static ErrorResponse invalidKey() {
+        return ErrorResponse.of(
+                ErrorKind.UNAUTHENTICATED,
+                "the key is missing or belongs to no workspace",
+                "send a valid key of a workspace, or ask the operator for one");
     }
 
     private static ErrorResponse unknownRoute(CallRequest request) {
--- a/src/main/java/org/heathercourse/gateway/call/Call.java
+++ b/src/main/java/org/heathercourse/gateway/call/Call.java
@@ -226,6 +226,11 @@
             endWithError(CallErrors.leaving());
             return;
         }
+        Optional<ErrorResponse> keyRefusal = keyRefusal();
+        if (keyRefusal.isPresent()) {
+            endWithError(keyRefusal.get());
+            return;
+        }
         if (!mayHaveRun() && mTurn != null && mTurn.refuseIfStoreAway()) {
             return;
         }
@@ -241,6 +246,16 @@
         }
     }
 
+    /**
+     * Returns the refusal of a request whose key is not valid any more; empty if it may be sent. A
+     * request that may have run goes on, as no refusal would be true.
+     */
+    private Optional<ErrorResponse> keyRefusal() {
+        return mayHaveRun()
+                ? Optional.empty()
+                : mAdmission.refusalAfterWait(mDependencies, mRequest, mFacts);
+    }
+
     private void tryTarget(Target target) {
         mLastTarget = target;
         TargetPool pool = mDependencies.pools().pool(target);
@@ -265,6 +280,11 @@
             attempt.failUnsent("the gateway exits before the request would have to end", false);
             return;
         }
+        if (!mEnded && keyRefusal().isPresent()) {
+            exchange.releaseUnused();
+            attempt.failUnsent("the key may be invalid since its connection was requested", false);
+            return;
+        }
         boolean isTargetUsable = targetState(target).acceptsRequests();
         if (mEnded || remainingMillis <= 0 || !isTargetUsable) {
             exchange.closeUnused();
--- a/src/main/java/org/heathercourse/testing/hosted/HostedDeployment.java
+++ b/src/main/java/org/heathercourse/testing/hosted/HostedDeployment.java
@@ -205,7 +205,7 @@
      * @return the settings that it runs with
      */
     public Settings addGateway(String vm, StoreStandIn store) {
-        return addGateway(parse(environment(vm, LOOPBACK_HOST, store)));
+        return addGateway(vm, store, Map.of());
     }
 
     /**
@@ -228,17 +228,30 @@
      * @return the settings that it runs with
      */
     public Settings addGateway(String vm, StoreStandIn store, Map<Setting, String> changes) {
+        return addGateway(vm, store, changes, Clock.systemUTC());
+    }
+
+    /**
+     * Starts a gateway with changed settings and a wall clock of its own.
+     *
+     * @param vm identity of its VM
+     * @param store the port that the gateway connects to
+     * @param changes settings that differ from the default
+     * @param clock wall clock of the gateway
+     * @return the settings that it runs with
+     */
+    public Settings addGateway(
+            String vm, StoreStandIn store, Map<Setting, String> changes, Clock clock) {
         Map<String, String> environment = environment(vm, LOOPBACK_HOST, store);
         changes.forEach((setting, value) -> environment.put(setting.environmentVariable(), value));
-        return addGateway(parse(environment));
+        return addGateway(parse(environment), clock);
     }
 
-    private Settings addGateway(Settings settings) {
+    private Settings addGateway(Settings settings, Clock clock) {
         HostedPlatform platform =
                 ServiceLoader.load(HostedPlatform.class).findFirst().orElseThrow();
         Gateway gateway =
-                new Gateway(
-                        settings, platform, Ticker.system(), Clock.systemUTC(), new SecureRandom());
+                new Gateway(settings, platform, Ticker.system(), clock, new SecureRandom());
         gateway.start();
         mGateways.add(gateway);
         mSettings.add(settings);
--- a/src/test/java/org/heathercourse/gateway/HistoryFixture.java
+++ b/src/test/java/org/heathercourse/gateway/HistoryFixture.java
@@ -3,7 +3,9 @@
 import static org.awaitility.Awaitility.await;
 
 import java.io.IOException;
+import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
+import java.time.Clock;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -29,6 +31,7 @@
 
     private final HostedDeployment mDeployment = new HostedDeployment();
     private final Map<Setting, String> mChanges = new HashMap<>();
+    private Clock mClock = Clock.systemUTC();
     private int mGatewayCount;
     private int mRequestCount;
 
@@ -75,6 +78,12 @@
         return this;
     }
 
+    /** Changes the wall clock of the gateways that are added from now on. */
+    HistoryFixture withClock(Clock clock) {
+        mClock = clock;
+        return this;
+    }
+
     /** Starts gateways and waits until each of them serves turns. */
     HistoryFixture addGateways(int count) {
         return addGateways(count, store());
@@ -84,7 +93,7 @@
     HistoryFixture addGateways(int count, StoreStandIn store) {
         int first = mDeployment.gateways().size();
         for (int i = 0; i < count; i++) {
-            mDeployment.addGateway("vm-" + ++mGatewayCount, store, mChanges);
+            mDeployment.addGateway("vm-" + ++mGatewayCount, store, mChanges, mClock);
         }
         for (int i = 0; i < count; i++) {
             int gateway = first + i;
@@ -108,6 +117,14 @@
         return mDeployment.gateways().get(index);
     }
 
+    /** Returns the text of a gateway's metrics. */
+    String metrics(int gateway) throws IOException {
+        InetSocketAddress address = mDeployment.settings(gateway).endpoint(Setting.METRICS_ADDRESS);
+        try (RawCaller caller = new RawCaller(address)) {
+            return caller.call("GET /metrics HTTP/1.1\r\nHost: x\r\n\r\n").body();
+        }
+    }
+
     private List<TargetStandIn> engines() {
         return List.of(mDeployment.engineA(), mDeployment.engineB());
     }
