Name the second check of a key, and share a fake of the tests

KeyVerdict.ofWaiting says what it checks; a request whose configuration is still in force is not mapped to its route once more. An unused constant of AllowedRegions is gone. StaleKeyTest and LastKeyTest share FakeConfigSource.

--- a/src/main/java/org/heathercourse/core/routing/AllowedRegions.java
+++ b/src/main/java/org/heathercourse/core/routing/AllowedRegions.java
@@ -12,9 +12,6 @@
     /** All regions, and targets whose region is unknown. */
     public static final AllowedRegions ALL = new AllowedRegions(true, Set.of());
 
-    /** No region. */
-    public static final AllowedRegions NONE = new AllowedRegions(false, Set.of());
-
     private final boolean mAll;
     private final Set<String> mNames;
 
--- a/src/main/java/org/heathercourse/core/routing/KeyVerdict.java
+++ b/src/main/java/org/heathercourse/core/routing/KeyVerdict.java
@@ -35,7 +35,8 @@
     }
 
     /**
-     * Checks the key of a request again that was admitted for a workspace and has waited since.
+     * Checks the key of a request again that was admitted before and has waited since. A key that
+     * now belongs to another workspace is invalid, as the request would run for the first one.
      *
      * @param table configuration in force now
      * @param route route of the request
@@ -43,7 +44,7 @@
      * @param isFresh whether the configuration is recent enough to accept keys
      * @param admittedFor the workspace; null if the request was admitted without a key
      */
-    public static KeyVerdict again(
+    public static KeyVerdict ofWaiting(
             RoutingTable table, Route route, String key, boolean isFresh, Workspace admittedFor) {
         KeyVerdict verdict = of(table, route, key, isFresh);
         if (verdict != VALID || admittedFor == null) {
--- a/src/main/java/org/heathercourse/core/routing/Route.java
+++ b/src/main/java/org/heathercourse/core/routing/Route.java
@@ -186,7 +186,7 @@
             return this;
         }
 
-        /** Sets the regions to whose targets requests may be sent; empty for all. */
+        /** Sets the regions to whose targets requests may be sent; by default all. */
         public Builder allowedRegions(AllowedRegions regions) {
             mAllowedRegions = regions;
             return this;
--- a/src/main/java/org/heathercourse/gateway/call/Admission.java
+++ b/src/main/java/org/heathercourse/gateway/call/Admission.java
@@ -74,9 +74,9 @@
             CallDependencies dependencies, CallRequest request, CallFacts facts) {
         RoutingTable current = dependencies.clusterView().routing().orElse(routing);
         // A request whose route was removed after its admission still runs.
-        Route currentRoute = routeOf(current, request).orElse(route);
+        Route currentRoute = current == routing ? route : routeOf(current, request).orElse(route);
         return refusal(
-                KeyVerdict.again(
+                KeyVerdict.ofWaiting(
                         current,
                         currentRoute,
                         facts.key(),
--- a/src/test/java/org/heathercourse/core/routing/KeyVerdictTest.java
+++ b/src/test/java/org/heathercourse/core/routing/KeyVerdictTest.java
@@ -44,9 +44,11 @@
 
     @Test
     void requestThatHasWaitedIsCheckedByTheConfigurationInForce() {
-        assertThat(KeyVerdict.again(TABLE, CLOSED, "k", true, MILL)).isEqualTo(KeyVerdict.VALID);
-        assertThat(KeyVerdict.again(NOBODY, CLOSED, "k", true, MILL)).isEqualTo(KeyVerdict.INVALID);
-        assertThat(KeyVerdict.again(TABLE, CLOSED, "k", false, MILL))
+        assertThat(KeyVerdict.ofWaiting(TABLE, CLOSED, "k", true, MILL))
+                .isEqualTo(KeyVerdict.VALID);
+        assertThat(KeyVerdict.ofWaiting(NOBODY, CLOSED, "k", true, MILL))
+                .isEqualTo(KeyVerdict.INVALID);
+        assertThat(KeyVerdict.ofWaiting(TABLE, CLOSED, "k", false, MILL))
                 .isEqualTo(KeyVerdict.UNCERTAIN);
     }
 
@@ -54,15 +56,18 @@
     @Test
     void keyOfAnotherWorkspaceIsInvalidForRequestThatHasWaited() {
         RoutingTable moved = RoutingTable.builder(2).workspace(workspace("loom", "k")).build();
-        assertThat(KeyVerdict.again(moved, CLOSED, "k", true, MILL)).isEqualTo(KeyVerdict.INVALID);
+        assertThat(KeyVerdict.ofWaiting(moved, CLOSED, "k", true, MILL))
+                .isEqualTo(KeyVerdict.INVALID);
         assertThat(KeyVerdict.of(moved, CLOSED, "k", true)).isEqualTo(KeyVerdict.VALID);
     }
 
     @Test
     void requestOfRouteThatIsNoLongerPublicNeedsKey() {
-        assertThat(KeyVerdict.again(TABLE, CLOSED, null, true, null)).isEqualTo(KeyVerdict.INVALID);
-        assertThat(KeyVerdict.again(TABLE, CLOSED, "k", true, null)).isEqualTo(KeyVerdict.VALID);
-        assertThat(KeyVerdict.again(TABLE, PUBLIC, null, true, null))
+        assertThat(KeyVerdict.ofWaiting(TABLE, CLOSED, null, true, null))
+                .isEqualTo(KeyVerdict.INVALID);
+        assertThat(KeyVerdict.ofWaiting(TABLE, CLOSED, "k", true, null))
+                .isEqualTo(KeyVerdict.VALID);
+        assertThat(KeyVerdict.ofWaiting(TABLE, PUBLIC, null, true, null))
                 .isEqualTo(KeyVerdict.NOT_NEEDED);
     }
 }
--- a/src/test/java/org/heathercourse/daemon/config/LastKeyTest.java
+++ b/src/test/java/org/heathercourse/daemon/config/LastKeyTest.java
@@ -4,7 +4,6 @@
 
 import java.util.HexFormat;
 import java.util.List;
-import java.util.function.Consumer;
 import org.heathercourse.core.config.DeploymentConfig;
 import org.heathercourse.core.config.KeySpec;
 import org.heathercourse.core.config.WorkspaceSpec;
@@ -27,23 +26,9 @@
     }
 
     private static Authenticator authenticator(DeploymentConfig config) {
-        return new KeyAuthenticator(
-                new ConfigSource() {
-                    @Override
-                    public DeploymentConfig current() {
-                        return config;
-                    }
-
-                    @Override
-                    public boolean isFresh() {
-                        return true;
-                    }
-
-                    @Override
-                    public void onChange(Consumer<DeploymentConfig> listener) {
-                        listener.accept(config);
-                    }
-                });
+        FakeConfigSource source = new FakeConfigSource();
+        source.setConfig(config);
+        return new KeyAuthenticator(source);
     }
 
     @Test
--- a/src/test/java/org/heathercourse/daemon/config/StaleKeyTest.java
+++ b/src/test/java/org/heathercourse/daemon/config/StaleKeyTest.java
@@ -3,7 +3,6 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.util.List;
-import java.util.function.Consumer;
 import org.heathercourse.core.config.DeploymentConfig;
 import org.heathercourse.core.config.WorkspaceSpec;
 import org.heathercourse.core.error.ErrorKind;
@@ -21,26 +20,6 @@
     private final FakeConfigSource mSource = new FakeConfigSource();
     private final Authenticator mAuthenticator = new KeyAuthenticator(mSource);
 
-    private static final class FakeConfigSource implements ConfigSource {
-        private DeploymentConfig mConfig = DeploymentConfig.empty();
-        private boolean mFresh = true;
-
-        @Override
-        public DeploymentConfig current() {
-            return mConfig;
-        }
-
-        @Override
-        public boolean isFresh() {
-            return mFresh;
-        }
-
-        @Override
-        public void onChange(Consumer<DeploymentConfig> listener) {
-            listener.accept(mConfig);
-        }
-    }
-
     private ErrorKind recheck() {
         return mAuthenticator.recheck(PRINCIPAL).map(HeathercourseException::kind).orElse(null);
     }
@@ -48,9 +27,9 @@
     @Test
     void isolatedDaemonDoesNotReportKeysAsWithdrawn() {
         WorkspaceSpec mill = new WorkspaceSpec(new WorkspaceId("mill"), List.of(), 1, 1, 0, 1);
-        mSource.mConfig = DeploymentConfig.builder().revision(3).workspaces(List.of(mill)).build();
+        mSource.setConfig(DeploymentConfig.builder().revision(3).workspaces(List.of(mill)).build());
         assertThat(recheck()).isEqualTo(ErrorKind.KEY_WITHDRAWN);
-        mSource.mFresh = false;
+        mSource.setFresh(false);
         assertThat(recheck()).isEqualTo(ErrorKind.STALE_CONFIGURATION);
     }
 
