Fill the heap in the tests of a process without memory

processWithoutMemoryEnds relied on a heap of 9 MB in which a crowd just had no room. Whether that is so depends on the machine: at 11 MB the gateway holds the crowd without an OutOfMemoryError, as it should, and the test then demanded its end.

LeakingMain fills the heap and keeps it full once the test says so, on each machine alike.

--- a/src/test/java/org/heathercourse/gateway/UntrustedConnectionsTest.java
+++ b/src/test/java/org/heathercourse/gateway/UntrustedConnectionsTest.java
@@ -3,6 +3,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 import static org.awaitility.Awaitility.await;
 
+import java.io.IOException;
 import java.nio.file.Path;
 import java.time.Duration;
 import org.heathercourse.daemon.settings.Setting;
@@ -20,9 +21,6 @@
     private static final int DESCRIPTORS = 256;
     private static final int CROWD = 300;
 
-    /** Enough for an idle gateway, and too small for the bodies that the settings allow. */
-    private static final String EXHAUSTED_HEAP = "9m";
-
     private static final Duration MAX_WAIT = Duration.ofSeconds(30);
 
     @TempDir Path mFolder;
@@ -62,16 +60,29 @@
         }
     }
 
-    /** The heap has no room for what the settings allow; a fault in the accounting is alike. */
+    /** Guards against a crowd whose requests are in progress when memory runs out. */
     @Test
     void processWithoutMemoryEnds() throws Exception {
-        try (SmallGateway gateway = new SmallGateway(mFolder, "", "-Xmx" + EXHAUSTED_HEAP);
+        try (SmallGateway gateway = new SmallGateway(mFolder, "");
                 Crowd crowd = new Crowd()) {
             String head = gateway.head("POST /order/1") + "Content-Length: 390000\r\n\r\n";
             crowd.add(CROWD, gateway.address(Setting.CALLER_ADDRESS), head);
             crowd.send(1_000);
-            await().atMost(MAX_WAIT).until(() -> gateway.exitCode().isDone());
-            assertThat(gateway.exitCode().join()).isNotZero();
+            assertEndsWithoutMemory(gateway);
         }
     }
+
+    /** Guards against loops that end unnoticed, one by one, and leave an idle process behind. */
+    @Test
+    void idleProcessWithoutMemoryEnds() throws Exception {
+        try (SmallGateway gateway = new SmallGateway(mFolder, "")) {
+            assertEndsWithoutMemory(gateway);
+        }
+    }
+
+    private static void assertEndsWithoutMemory(SmallGateway gateway) throws IOException {
+        gateway.exhaustMemory();
+        await().atMost(MAX_WAIT).until(() -> gateway.exitCode().isDone());
+        assertThat(gateway.exitCode().join()).isEqualTo(ExhaustedMemory.EXIT_CODE);
+    }
 }
--- a/src/test/java/org/heathercourse/testing/hosted/SmallGateway.java
+++ b/src/test/java/org/heathercourse/testing/hosted/SmallGateway.java
@@ -51,6 +51,7 @@
 
     private final HostedDeployment mDeployment = new HostedDeployment();
     private final Path mOutput;
+    private final Path mLeakTrigger;
     private final GatewayProcess mProcess;
     private final Settings mSettings;
     private int mRequestCount;
@@ -64,6 +65,7 @@
      */
     public SmallGateway(Path folder, String shellPrefix, String... options) {
         mOutput = folder.resolve("gateway.log");
+        mLeakTrigger = folder.resolve("leak");
         mDeployment.configure(
                 HostedDeployment.KEY,
                 10_000,
@@ -76,13 +78,16 @@
                         Integer.toString(MAX_BUFFER_BYTES));
         mProcess =
                 mDeployment.addGatewayProcess(
-                        "vm-1", command(shellPrefix, options), variables, mOutput.toFile());
+                        "vm-1",
+                        command(mLeakTrigger, shellPrefix, options),
+                        variables,
+                        mOutput.toFile());
         mSettings = mDeployment.lastSettings();
         awaitService();
         assertThat(mProcess.hasExited()).as("the process has exited at its start").isFalse();
     }
 
-    private static List<String> command(String shellPrefix, String... options) {
+    private static List<String> command(Path leakTrigger, String shellPrefix, String... options) {
         List<String> command = new ArrayList<>();
         if (!shellPrefix.isEmpty()) {
             command.addAll(List.of("/bin/sh", "-c", shellPrefix + "; exec \"$@\"", "sh"));
@@ -96,13 +101,14 @@
                         "-XX:TieredStopAtLevel=1",
                         "-XX:ReservedCodeCacheSize=24m",
                         "-Dio.netty.allocator.type=unpooled",
-                        "-Dio.netty.noPreferDirect=true"));
+                        "-Dio.netty.noPreferDirect=true",
+                        "-D" + LeakingMain.TRIGGER_PROPERTY + "=" + leakTrigger));
         command.addAll(Arrays.asList(options));
         command.addAll(
                 List.of(
                         "-cp",
                         System.getProperty("java.class.path"),
-                        "org.heathercourse.cli.Main",
+                        LeakingMain.class.getName(),
                         "gateway"));
         return command;
     }
@@ -132,6 +138,11 @@
         mDeployment.engineB().enqueueFaults(faults);
     }
 
+    /** Fills the heap of the process, and keeps it full. */
+    public void exhaustMemory() throws IOException {
+        Files.createFile(mLeakTrigger);
+    }
+
     /** Returns the exit code of the process when it has ended. */
     public CompletableFuture<Integer> exitCode() {
         return mProcess.exitCode();
