Reword comments that had to be read twice

Comments only. A number's two empty cases, whose workspace a waiting request runs for, what a refusal would claim, and that the watched group is one of a single loop are now said plainly.

--- a/src/main/java/org/heathercourse/core/routing/KeyVerdict.java
+++ b/src/main/java/org/heathercourse/core/routing/KeyVerdict.java
@@ -35,14 +35,15 @@
     }
 
     /**
-     * Checks the key of a request again that was admitted before and has waited since. A key that
-     * now belongs to another workspace is invalid, as the request would run for the first one.
+     * Checks again the key of a request that was admitted earlier and has waited since. A key that
+     * now belongs to another workspace is invalid, as the request would still run for the one that
+     * it was admitted for.
      *
      * @param table configuration in force now
      * @param route route of the request
      * @param key key of the caller; null if there is none
      * @param isFresh whether the configuration is recent enough to accept keys
-     * @param admittedFor the workspace; null if the request was admitted without a key
+     * @param admittedFor workspace of the key at its admission; null if no key was needed then
      */
     public static KeyVerdict ofWaiting(
             RoutingTable table, Route route, String key, boolean isFresh, Workspace admittedFor) {
--- a/src/main/java/org/heathercourse/gateway/WatchedEventLoopGroup.java
+++ b/src/main/java/org/heathercourse/gateway/WatchedEventLoopGroup.java
@@ -13,9 +13,9 @@
 import java.util.function.Consumer;
 
 /**
- * An event loop that reports each error of a delayed task. Netty keeps such an error in the future
- * of the task, which nobody reads: a loop that schedules its own next run then ends without a
- * trace. Errors of tasks that run at once are logged by Netty itself. Thread-safe.
+ * A group of one event loop that reports each error of a delayed task. Netty keeps such an error in
+ * the future of the task, which nobody reads: a loop that schedules its own next run then ends
+ * without a trace. Errors of tasks that run at once are logged by Netty itself. Thread-safe.
  */
 final class WatchedEventLoopGroup extends MultiThreadIoEventLoopGroup {
     /**
--- a/src/main/java/org/heathercourse/gateway/call/Call.java
+++ b/src/main/java/org/heathercourse/gateway/call/Call.java
@@ -248,7 +248,7 @@
 
     /**
      * Returns the refusal of a request whose key is not valid any more; empty if it may be sent. A
-     * request that may have run goes on, as no refusal would be true.
+     * request that may have run goes on, as a refusal would say that it has not run.
      */
     private Optional<ErrorResponse> keyRefusal() {
         return mayHaveRun()
--- a/src/main/java/org/heathercourse/platform/hosted/PermissionFields.java
+++ b/src/main/java/org/heathercourse/platform/hosted/PermissionFields.java
@@ -42,14 +42,17 @@
         return texts;
     }
 
-    /** Returns the regions of a list; all only if the field is absent. */
+    /** Returns the regions of a list; all regions if the field is absent, and only then. */
     static AllowedRegions regions(JsonNode owner, String field, RoutingTable.Builder problems) {
         return owner.has(field)
                 ? AllowedRegions.only(texts(owner, field, problems))
                 : AllowedRegions.ALL;
     }
 
-    /** Returns a number from 0 on; 0 if the field is absent or null, empty if it is none. */
+    /**
+     * Returns a number from 0 on; 0 if the field is absent or null, and empty if its value is not
+     * such a number.
+     */
     static OptionalDouble number(JsonNode owner, String field, RoutingTable.Builder problems) {
         JsonNode value = owner.path(field);
         if (isAbsent(value)) {
--- a/src/test/java/org/heathercourse/testing/hosted/LeakingMain.java
+++ b/src/test/java/org/heathercourse/testing/hosted/LeakingMain.java
@@ -17,7 +17,9 @@
 
     private static final long POLL_MILLIS = 50;
 
-    /** The largest size first: small ones then take what is left between the large ones. */
+    /**
+     * Sizes in bytes of the leaked objects, the largest first, so that small ones fill the rest.
+     */
     private static final int[] LEAK_BYTES = {65_536, 1_024, 64, 16};
 
     /** Enough for a small heap, so that the list itself rarely needs to grow. */
